--- /dev/null
+++ b/mimosapost/__init__.py
@@ -0,0 +1,1 @@
+"""A query tier over many shards."""
--- /dev/null
+++ b/mimosapost/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load, the naive tier and slopes."""
--- /dev/null
+++ b/mimosapost/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the program."""
--- /dev/null
+++ b/mimosapost/core/__init__.py
@@ -0,0 +1,1 @@
+"""The reducer, its state and its handlers."""
--- /dev/null
+++ b/mimosapost/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, clocks and random numbers around the reducer."""
--- /dev/null
+++ b/mimosapost/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits divided among instances, cold start, admission and budgets."""
--- /dev/null
+++ b/mimosapost/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Peers, gossip and the newest configuration."""
--- /dev/null
+++ b/mimosapost/merging/__init__.py
@@ -0,0 +1,1 @@
+"""Merging of sub-answers by registered functions."""
--- /dev/null
+++ b/mimosapost/model/__init__.py
@@ -0,0 +1,1 @@
+"""Frozen data types that the other packages share."""
--- /dev/null
+++ b/mimosapost/model/identities.py
@@ -0,0 +1,43 @@
+"""Identities of slots, snapshots and instances."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+__all__ = ["InstanceIdentity", "SlotId", "Snapshot"]
+
+
+class SlotId(NamedTuple):
+    """One replica of a leaf. A tuple, because it is hashed on every send."""
+
+    service: str
+    leaf: str
+    slot: str
+
+
+class Snapshot(NamedTuple):
+    """Version of the shard map and of the holdings that an answer reflects."""
+
+    map_version: int
+    index_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceIdentity:
+    """Who an instance is, from its settings and its start.
+
+    :param name: name of the instance, unique in the deployment.
+    :param incarnation: random 64-bit number drawn at process start.
+    :param seat: fixed number of the instance, from 0 to ``instance_ceiling - 1``.
+    :param domain: failure domain that the instance runs in.
+    :param region: region of that domain.
+    :param peer_address: ``ip:port`` on which other instances reach it.
+    """
+
+    name: str
+    incarnation: int
+    seat: int
+    domain: str
+    region: str
+    peer_address: str
--- /dev/null
+++ b/mimosapost/once/__init__.py
@@ -0,0 +1,1 @@
+"""Tickets for requests that must not be repeated."""
--- /dev/null
+++ b/mimosapost/planning/__init__.py
@@ -0,0 +1,1 @@
+"""Snapshot pinning, replanning and coverage."""
--- /dev/null
+++ b/mimosapost/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of slots: eligibility, latency, hedging and connection silence."""
--- /dev/null
+++ b/mimosapost/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Local and published settings: typed, checked, every fault at once."""
--- /dev/null
+++ b/mimosapost/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for backend servers and the platform."""
--- /dev/null
+++ b/mimosapost/suspects/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the backend servers that run them."""
