--- /dev/null
+++ b/mimosapost/core/admission.py
@@ -0,0 +1,198 @@
+"""Arrival of queries: checks, tickets, limits and the admission queue."""
+
+from __future__ import annotations
+
+from mimosapost.core import fanout, finish, forwarding
+from mimosapost.core.registry import Effects, handles
+from mimosapost.core.state import OpenQuery, ServiceState, State
+from mimosapost.core.timers import TimerKind
+from mimosapost.limits.admission import Waiting
+from mimosapost.model.codes import ResultCode, RunState
+from mimosapost.model.events import CallerGone, QueryArrived
+from mimosapost.model.queries import Answer, Query
+from mimosapost.once.tickets import TicketState
+from mimosapost.suspects.book import Standing
+
+__all__ = ["accept_query", "pump_service"]
+
+
+@handles(QueryArrived)
+def handle_query_arrived(state: State, event: QueryArrived, effects: Effects) -> None:
+    """Admit, queue, forward or refuse a query."""
+    accept_query(state, event.query, event.now_us, effects)
+
+
+@handles(CallerGone)
+def handle_caller_gone(state: State, event: CallerGone, effects: Effects) -> None:
+    """Stop work for a caller that left; non-idempotent work goes on to its stored answer."""
+    forwarded = state.forwards.pop(event.query_id, None)
+    open_query = state.queries.get(event.query_id)
+    if forwarded is not None or open_query is None or not open_query.query.repeatable:
+        return
+    finish.refuse_open(state, open_query, ResultCode.CALLER_GONE, event.now_us, effects)
+
+
+def accept_query(state: State, query: Query, now_us: int, effects: Effects) -> None:
+    """Check a query in the order cheapest first and start, queue or refuse it.
+
+    :param query: query of an authenticated caller, or one that a peer forwarded.
+    """
+    service = state.services.get(query.service)
+    refusal = _check_query(state, query, service, now_us)
+    if refusal is not None:
+        finish.refuse(state, query, refusal, now_us, effects)
+        return
+    number = 0
+    if not query.repeatable:
+        number = _begin_ticket(state, query, now_us, effects)
+        if number == 0:
+            return
+    open_query = OpenQuery(query, service.settings, now_us, ticket_number=number)
+    state.queries[query.query_id] = open_query
+    if number:
+        state.tickets_running[number] = query.query_id
+    standing = state.suspects.classify(query.fingerprint, now_us)
+    open_query.suspect = standing is Standing.SUSPECT
+    state.timers.add(
+        query.deadline_us - state.policy.answer_margin_us,
+        TimerKind.QUERY_DEADLINE,
+        query.query_id,
+    )
+    _admit(state, open_query, service, now_us, effects)
+
+
+def _check_query(
+    state: State, query: Query, service: ServiceState | None, now_us: int
+) -> ResultCode | None:
+    if state.is_draining(now_us) and not query.forwarded_by:
+        return ResultCode.STOPPING
+    if state.configs.get_fleet() is None:
+        return ResultCode.NOT_CONFIGURED
+    if service is None:
+        return ResultCode.UNKNOWN_SERVICE
+    caller = state.callers.get(query.caller)
+    if caller is None:
+        return ResultCode.UNKNOWN_CALLER
+    if query.service not in caller.services:
+        return ResultCode.CALLER_NOT_ALLOWED
+    if state.suspects.classify(query.fingerprint, now_us) is Standing.REFUSED:
+        return ResultCode.REQUEST_REFUSED
+    expected_us = state.latency.get_median_us(query.service) + state.policy.answer_margin_us
+    if query.deadline_us - now_us < expected_us:
+        return ResultCode.DEADLINE_TOO_SHORT
+    return None
+
+
+def _begin_ticket(state: State, query: Query, now_us: int, effects: Effects) -> int:
+    """Return the number of the ticket that began, or 0 after the query was dealt with."""
+    if not query.ticket:
+        finish.refuse(state, query, ResultCode.TICKET_REQUIRED, now_us, effects)
+        return 0
+    decision = state.tickets.begin(query.ticket, query.caller, query.fingerprint, now_us)
+    match decision.state:
+        case TicketState.BEGAN:
+            return decision.number
+        case TicketState.RUNNING:
+            _join_running(state, decision.number, query, now_us, effects)
+        case TicketState.FINISHED:
+            finish.deliver(state, query, decision.answer, now_us, effects)
+        case TicketState.FOREIGN:
+            forwarding.forward_query(
+                state, query, decision.issuer, decision.incarnation, now_us, effects
+            )
+        case TicketState.EXPIRED:
+            answer = Answer(ResultCode.TICKET_EXPIRED, RunState.UNKNOWN)
+            finish.deliver(state, query, answer, now_us, effects)
+        case TicketState.REUSED:
+            finish.refuse(state, query, ResultCode.TICKET_REUSED, now_us, effects)
+        case TicketState.FULL:
+            finish.refuse(state, query, ResultCode.TICKETS_EXHAUSTED, now_us, effects)
+        case _:
+            finish.refuse(state, query, ResultCode.TICKET_INVALID, now_us, effects)
+    return 0
+
+
+def _join_running(
+    state: State, number: int, query: Query, now_us: int, effects: Effects
+) -> None:
+    running = state.queries.get(state.tickets_running.get(number, 0))
+    if running is None:
+        answer = Answer(ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN)
+        finish.deliver(state, query, answer, now_us, effects)
+        return
+    running.joined.append(query)
+
+
+def _admit(
+    state: State, open_query: OpenQuery, service: ServiceState, now_us: int, effects: Effects
+) -> None:
+    query = open_query.query
+    if len(service.queue) == 0 and can_start(state, service, query.caller, now_us):
+        _start(state, open_query, service, now_us, effects)
+        return
+    if state.caller_open.get(query.caller, 0) >= _get_caller_limit(state, query.caller, now_us):
+        code = ResultCode.CALLER_LIMIT
+    else:
+        code = ResultCode.OVERLOADED
+    wait_us = service.queue.estimate_wait_us(query.priority, now_us)
+    expected_us = state.latency.get_median_us(query.service) + state.policy.answer_margin_us
+    if now_us + wait_us + expected_us > query.deadline_us:
+        finish.refuse_open(state, open_query, code, now_us, effects)
+        return
+    entry = Waiting(
+        query.query_id,
+        query.priority,
+        query.caller,
+        len(service.settings.leafs),
+        query.deadline_us - expected_us,
+        now_us,
+    )
+    if not service.queue.offer(entry, now_us):
+        finish.refuse_open(state, open_query, code, now_us, effects)
+
+
+def can_start(state: State, service: ServiceState, caller: str, now_us: int) -> bool:
+    """Return whether this instance's shares of the service and caller limits allow a query.
+
+    :param service: service that is asked.
+    :param caller: identity of the caller.
+    """
+    name = service.settings.name
+    limit = state.leases.get_allowance(service.settings.concurrency, f"service:{name}", now_us)
+    if service.open_queries >= limit:
+        return False
+    return state.caller_open.get(caller, 0) < _get_caller_limit(state, caller, now_us)
+
+
+def _get_caller_limit(state: State, caller: str, now_us: int) -> int:
+    settings = state.callers.get(caller)
+    if settings is None:
+        return 0
+    return state.leases.get_allowance(settings.concurrency, f"caller:{caller}", now_us)
+
+
+def _start(
+    state: State, open_query: OpenQuery, service: ServiceState, now_us: int, effects: Effects
+) -> None:
+    service.open_queries += 1
+    caller = open_query.query.caller
+    state.caller_open[caller] = state.caller_open.get(caller, 0) + 1
+    fanout.start_query(state, open_query, service, now_us, effects)
+
+
+def pump_service(state: State, service: ServiceState, now_us: int, effects: Effects) -> None:
+    """Refuse waiting queries that can no longer finish and start those that now may."""
+    for entry in service.queue.drop_expired(now_us):
+        open_query = state.queries.get(entry.query_id)
+        if open_query is not None:
+            code = ResultCode.DEADLINE_TOO_SHORT
+            finish.refuse_open(state, open_query, code, now_us, effects)
+    while len(service.queue):
+        entry = service.queue.pop(
+            now_us, lambda waiting: can_start(state, service, waiting.caller, now_us)
+        )
+        if entry is None:
+            return
+        open_query = state.queries.get(entry.query_id)
+        if open_query is not None:
+            _start(state, open_query, service, now_us, effects)
--- /dev/null
+++ b/mimosapost/core/answers.py
@@ -0,0 +1,110 @@
+"""Answers of backend servers: accepted parts and refused snapshots."""
+
+from __future__ import annotations
+
+from mimosapost.core import fanout, finish, parts, retries
+from mimosapost.core.registry import Effects, handles
+from mimosapost.core.state import OpenQuery, OpenSend, State
+from mimosapost.merging import find_merge
+from mimosapost.model.codes import FailureKind, MissingReason, RunState
+from mimosapost.model.effects import Count
+from mimosapost.model.events import LoadReported, SendAnswered, SendRejected
+from mimosapost.model.identities import Snapshot
+from mimosapost.planning.plans import create_replan
+
+__all__ = ["handle_send_answered", "handle_send_rejected"]
+
+
+@handles(SendAnswered)
+def handle_send_answered(state: State, event: SendAnswered, effects: Effects) -> None:
+    """Take a sub-answer as a part of its query, if it is still wanted."""
+    answer, now_us = event.answer, event.now_us
+    open_send = state.sends.get(event.send_id)
+    if open_send is None:
+        return
+    state.silence.record_bytes(open_send.slot.server, event.send_id, now_us)
+    send = retries.close_send(state, event.send_id, now_us)
+    server = state.servers[send.slot.server]
+    server.load, server.load_us = answer.load, now_us
+    retries.record_alive(server, answer.boot_id)
+    elapsed_us = now_us - send.sent_us
+    state.warmup.record_answer(server.address, answer.boot_id, elapsed_us, now_us)
+    state.latency.record(send.service, retries.get_slot_id(send), elapsed_us, now_us)
+    open_query = state.queries.get(send.query_id)
+    if open_query is None or send.wasted:
+        effects.append(Count("sends_wasted_total"))
+        return
+    _add_part(state, open_query, send, event, effects)
+
+
+def _add_part(
+    state: State, open_query: OpenQuery, send: OpenSend, event: SendAnswered, effects: Effects
+) -> None:
+    answer = event.answer
+    part = open_query.parts[send.leaf]
+    snapshot = Snapshot(answer.map_version, answer.index_version)
+    open_query.ran = True
+    fits = answer.leaf == send.leaf and snapshot == open_query.plan.snapshot
+    if not fits or not find_merge(open_query.service.merge).check_part(answer.items):
+        retries.retry_leaf(
+            state, open_query, part, FailureKind.MALFORMED, RunState.RAN, event.now_us, effects
+        )
+        return
+    if open_query.coverage.add_part(send.leaf, snapshot, answer.items):
+        part.done = True
+        open_query.open_leafs -= 1
+        parts.stop_waiting(state, part)
+    parts.cancel_sends(state, part, effects)
+    if open_query.open_leafs == 0:
+        _raise_index_floor(state, open_query)
+    finish.finish_if_done(state, open_query, event.now_us, effects)
+
+
+def _raise_index_floor(state: State, open_query: OpenQuery) -> None:
+    """Remember an index version that every leaf served, so that later queries start there."""
+    if open_query.plan.replanned and not open_query.coverage.list_missing():
+        service = state.services.get(open_query.query.service)
+        if service is not None:
+            service.index_floor = max(service.index_floor, tuple(open_query.plan.snapshot))
+
+
+@handles(SendRejected)
+def handle_send_rejected(state: State, event: SendRejected, effects: Effects) -> None:
+    """Plan the query again at a newer snapshot, or try another slot of the leaf."""
+    send = retries.close_send(state, event.send_id, event.now_us)
+    if send is None:
+        return
+    retries.record_alive(state.servers[send.slot.server], event.boot_id)
+    open_query = state.queries.get(send.query_id)
+    if open_query is None or send.wasted:
+        return
+    part = open_query.parts[send.leaf]
+    service = state.services.get(send.service)
+    held = Snapshot(event.map_version, event.index_version)
+    plan = None
+    if service is not None and open_query.query.repeatable:
+        plan = create_replan(open_query.plan, held, service.settings)
+    if plan is not None:
+        fanout.replan_query(state, open_query, service, plan, event.now_us, effects)
+    elif held > open_query.plan.snapshot:
+        if not part.open_sends:
+            parts.set_missing(state, open_query, part, MissingReason.SNAPSHOT_GONE)
+    else:
+        retries.retry_leaf(
+            state,
+            open_query,
+            part,
+            FailureKind.SHED,
+            RunState.NOT_RUN,
+            event.now_us,
+            effects,
+            final_reason=MissingReason.SNAPSHOT_GONE,
+        )
+    finish.finish_if_done(state, open_query, event.now_us, effects)
+
+
+@handles(LoadReported)
+def handle_load_reported(state: State, event: LoadReported, effects: Effects) -> None:
+    """Store a load report with its time; the choice of slots weighs it by age."""
+    server = fanout.get_server(state, event.server)
+    server.load, server.load_us = event.load, event.now_us
--- /dev/null
+++ b/mimosapost/core/failures.py
@@ -0,0 +1,168 @@
+"""Failed sends, probes, and the detection of crashes."""
+
+from __future__ import annotations
+
+from mimosapost.core import fanout, finish, parts, retries
+from mimosapost.core.registry import Effects, handles
+from mimosapost.core.state import OpenQuery, OpenSend, ServerState, State
+from mimosapost.model.codes import FailureKind, MissingReason, RunState
+from mimosapost.model.effects import Count, OpenProbe, WriteLog
+from mimosapost.model.events import ProbeAnswered, ProbeFailed, SendFailed
+from mimosapost.suspects.book import Standing
+
+__all__ = ["handle_probe_answered", "handle_probe_failed", "handle_send_failed", "probe_server"]
+
+_PROBE_BACKOFF_US = 100_000
+_PROBE_BACKOFF_LIMIT_US = 2_000_000
+
+
+@handles(SendFailed)
+def handle_send_failed(state: State, event: SendFailed, effects: Effects) -> None:
+    """Record what the failure says about the server, then retry the leaf or give it up."""
+    send = retries.close_send(state, event.send_id, event.now_us)
+    if send is None:
+        return
+    effects.append(Count("sends_failed_total", (("kind", event.kind.value),)))
+    server = state.servers[send.slot.server]
+    open_query = state.queries.get(send.query_id)
+    if open_query is not None and event.run is RunState.UNKNOWN and not send.wasted:
+        open_query.unknown_sends += 1
+    if event.kind is FailureKind.REFUSED:
+        mark_down(state, server, event.now_us, effects)
+    broken = event.kind in (FailureKind.RESET, FailureKind.CLOSED)
+    if broken and event.run is RunState.UNKNOWN:
+        if _is_expired(open_query, send, event.now_us):
+            _record_abandoned(state, send, event.now_us)
+        else:
+            _suspect_crash(server, send, effects)
+            if open_query is not None and not send.wasted and send.repeatable:
+                server.crash_waiting.append((send.query_id, send.leaf))
+                return
+    _retry(state, open_query, send, event, effects)
+
+
+def _is_expired(open_query: OpenQuery | None, send: OpenSend, now_us: int) -> bool:
+    """Return whether a send ended because of its deadline and not because of its server."""
+    if send.wasted or open_query is None:
+        return True
+    return now_us >= send.deadline_us
+
+
+def _record_abandoned(state: State, send: OpenSend, now_us: int) -> None:
+    slot_id = retries.get_slot_id(send)
+    state.latency.record_abandoned(send.service, slot_id, now_us - send.sent_us, now_us)
+
+
+def _retry(
+    state: State,
+    open_query: OpenQuery | None,
+    send: OpenSend,
+    event: SendFailed,
+    effects: Effects,
+) -> None:
+    if open_query is None or send.wasted or send.leaf not in open_query.parts:
+        return
+    part = open_query.parts[send.leaf]
+    if event.kind is FailureKind.TOO_LARGE:
+        open_query.ran = True
+        parts.set_missing(state, open_query, part, MissingReason.ANSWER_TOO_LARGE)
+        finish.finish_if_done(state, open_query, event.now_us, effects)
+        return
+    retries.retry_leaf(state, open_query, part, event.kind, event.run, event.now_us, effects)
+
+
+def _suspect_crash(server: ServerState, send: OpenSend, effects: Effects) -> None:
+    """Start a probe that tells a crashed server from a single broken connection.
+
+    The requests in flight are not sent elsewhere before the probe ends: one of them may be
+    what crashed the server, and a retry would take the next slot of the leaf.
+    """
+    server.crash_fingerprints.add(send.fingerprint)
+    if not server.probing:
+        server.probing = True
+        effects.append(OpenProbe(server.address))
+
+
+def mark_down(state: State, server: ServerState, now_us: int, effects: Effects) -> None:
+    """Take a server out of the choice until a probe answers; it is cold from then on."""
+    state.warmup.record_refused(server.address, now_us)
+    if server.down:
+        return
+    server.down = True
+    server.probe_backoff_us = _PROBE_BACKOFF_US
+    server.probe_due_us = now_us + server.probe_backoff_us
+    effects.append(WriteLog("server_down", (("server", server.address),)))
+
+
+def probe_server(server: ServerState, now_us: int, effects: Effects) -> None:
+    """Probe a server that is down, with an exponential backoff."""
+    if server.probing or now_us < server.probe_due_us:
+        return
+    server.probing = True
+    server.probe_backoff_us = min(2 * server.probe_backoff_us, _PROBE_BACKOFF_LIMIT_US)
+    server.probe_due_us = now_us + server.probe_backoff_us
+    effects.append(OpenProbe(server.address))
+
+
+@handles(ProbeAnswered)
+def handle_probe_answered(state: State, event: ProbeAnswered, effects: Effects) -> None:
+    """End the outage of a server, and tell a restart from a broken connection."""
+    server = fanout.get_server(state, event.server)
+    server.probing = False
+    state.silence.record_probe(server.address, True, event.now_us)
+    restarted = bool(server.boot_id) and server.boot_id != event.boot_id
+    if restarted:
+        _confirm_crash(state, server, event.now_us, effects)
+        state.warmup.record_refused(server.address, event.now_us)
+    if server.down:
+        effects.append(WriteLog("server_up", (("server", server.address),)))
+    retries.record_alive(server, event.boot_id)
+    server.crash_fingerprints.clear()
+    state.dirty_servers.add(server.address)
+    _release_crash_waiting(state, server, event.now_us, effects)
+
+
+@handles(ProbeFailed)
+def handle_probe_failed(state: State, event: ProbeFailed, effects: Effects) -> None:
+    """Treat a server whose probe failed as down; what was in flight may have crashed it."""
+    server = fanout.get_server(state, event.server)
+    server.probing = False
+    state.silence.record_probe(server.address, False, event.now_us)
+    mark_down(state, server, event.now_us, effects)
+    _confirm_crash(state, server, event.now_us, effects)
+    _release_crash_waiting(state, server, event.now_us, effects)
+
+
+def _confirm_crash(state: State, server: ServerState, now_us: int, effects: Effects) -> None:
+    if not server.crash_fingerprints:
+        return
+    fingerprints = tuple(sorted(server.crash_fingerprints))
+    server.crash_fingerprints.clear()
+    state.suspects.record_crash(server.address, fingerprints, now_us)
+    effects.append(Count("server_crashes_total"))
+    effects.append(
+        WriteLog(
+            "server_crashed",
+            (("server", server.address), ("requests_in_flight", len(fingerprints))),
+        )
+    )
+
+
+def _release_crash_waiting(
+    state: State, server: ServerState, now_us: int, effects: Effects
+) -> None:
+    waiting, server.crash_waiting = server.crash_waiting, []
+    for query_id, leaf in waiting:
+        open_query = state.queries.get(query_id)
+        if open_query is None or leaf not in open_query.parts:
+            continue
+        standing = state.suspects.classify(open_query.query.fingerprint, now_us)
+        open_query.suspect = standing is not Standing.CLEAR
+        part = open_query.parts[leaf]
+        if standing is Standing.REFUSED:
+            parts.set_missing(state, open_query, part, MissingReason.REQUEST_SUSPECT)
+            finish.finish_if_done(state, open_query, now_us, effects)
+            continue
+        retries.retry_leaf(
+            state, open_query, part, FailureKind.RESET, RunState.UNKNOWN, now_us, effects
+        )
--- /dev/null
+++ b/mimosapost/core/fanout.py
@@ -0,0 +1,358 @@
+"""Sends of a query: first sends, hedges and retries, each checked at the moment of sending."""
+
+from __future__ import annotations
+
+from mimosapost.core import finish
+from mimosapost.core.parts import cancel_sends, set_missing, stop_waiting
+from mimosapost.core.registry import Effects
+from mimosapost.core.state import (
+    LeafPart,
+    OpenQuery,
+    OpenSend,
+    ServerState,
+    ServiceState,
+    State,
+)
+from mimosapost.core.timers import TimerKind
+from mimosapost.model.codes import MissingReason
+from mimosapost.model.effects import Count, EmitSend
+from mimosapost.model.identities import SlotId
+from mimosapost.model.published import SlotSettings
+from mimosapost.model.queries import SubRequest
+from mimosapost.planning.coverage import Coverage
+from mimosapost.planning.plans import Plan, create_plan
+from mimosapost.routing.choice import Candidate, choose_slot
+from mimosapost.routing.eligibility import check_slot
+from mimosapost.routing.hedges import HedgeContext
+
+__all__ = [
+    "hedge_send",
+    "pump_server",
+    "pump_waiting",
+    "replan_query",
+    "send_leaf",
+    "start_query",
+]
+
+# Own latency estimates contain the network already; this only breaks ties between slots that
+# are not measured yet in favour of the near one.
+LOCALITY_US = {"domain": 0, "region": 500, "other": 2_000}
+
+
+def start_query(
+    state: State, open_query: OpenQuery, service: ServiceState, now_us: int, effects: Effects
+) -> None:
+    """Pin the snapshot of an admitted query and send to each leaf."""
+    map_version, index_version = service.index_floor
+    floor = index_version if map_version == service.settings.map_version else 0
+    _start_plan(
+        state, open_query, service, create_plan(service.settings, floor), now_us, effects
+    )
+
+
+def replan_query(
+    state: State,
+    open_query: OpenQuery,
+    service: ServiceState,
+    plan: Plan,
+    now_us: int,
+    effects: Effects,
+) -> None:
+    """Drop all parts of the old plan and send the query again at a newer snapshot."""
+    for part in open_query.parts.values():
+        cancel_sends(state, part, effects)
+        stop_waiting(state, part)
+    effects.append(Count("queries_replanned_total"))
+    _start_plan(state, open_query, service, plan, now_us, effects)
+
+
+def _start_plan(
+    state: State,
+    open_query: OpenQuery,
+    service: ServiceState,
+    plan: Plan,
+    now_us: int,
+    effects: Effects,
+) -> None:
+    open_query.plan = plan
+    open_query.service = service.settings
+    open_query.coverage = Coverage(plan)
+    open_query.parts = {leaf.name: LeafPart(leaf) for leaf in plan.leafs}
+    open_query.open_leafs = len(plan.leafs)
+    for part in list(open_query.parts.values()):
+        send_leaf(state, open_query, part, now_us, effects)
+    service.hedge_budget.earn(len(plan.leafs))
+    service.retry_budget.earn(len(plan.leafs))
+    finish.finish_if_done(state, open_query, now_us, effects)
+
+
+def send_leaf(
+    state: State,
+    open_query: OpenQuery,
+    part: LeafPart,
+    now_us: int,
+    effects: Effects,
+    *,
+    hedge: bool = False,
+) -> bool:
+    """Choose a slot of a leaf and emit a send, or let the leaf wait for an allowance.
+
+    :param hedge: whether this is a hedge; a hedge never waits.
+    :returns: whether a send was emitted.
+    """
+    service = state.services.get(open_query.query.service)
+    if service is None:
+        set_missing(state, open_query, part, MissingReason.NO_ELIGIBLE_SLOT)
+        return False
+    slots = list_eligible(service, part)
+    if not slots:
+        if not hedge and not part.open_sends:
+            set_missing(state, open_query, part, MissingReason.NO_ELIGIBLE_SLOT)
+        return False
+    if open_query.suspect and _count_live(state, slots) < 2:
+        if not part.open_sends:
+            set_missing(state, open_query, part, MissingReason.REQUEST_SUSPECT)
+        return False
+    slot = _choose(state, open_query, part, slots, now_us)
+    if slot is None:
+        if not hedge:
+            _wait(state, open_query, part, slots)
+        return False
+    _emit(state, open_query, part, service, slot, now_us, effects, hedge=hedge)
+    return True
+
+
+def list_eligible(service: ServiceState, part: LeafPart) -> list[SlotSettings]:
+    """Return the slots of a leaf that may get new work by the newest configuration."""
+    slots = []
+    for planned in part.settings.slots:
+        slot = service.slots.get(planned.server)
+        if check_slot(slot, service.view) is None:
+            slots.append(slot)
+    return slots
+
+
+def _count_live(state: State, slots: list[SlotSettings]) -> int:
+    return sum(not get_server(state, slot.server).down for slot in slots)
+
+
+def _choose(
+    state: State,
+    open_query: OpenQuery,
+    part: LeafPart,
+    slots: list[SlotSettings],
+    now_us: int,
+) -> SlotSettings | None:
+    """Choose an untried slot first, then any; ``None`` if no allowance is free."""
+    untried = [slot for slot in slots if slot.server not in part.tried]
+    for group in (untried, slots):
+        if not group:
+            continue
+        candidates = [
+            _create_candidate(state, open_query, part, slot, now_us) for slot in group
+        ]
+        index = choose_slot(candidates, state.rng)
+        if index is not None:
+            return group[index]
+        if open_query.suspect:
+            return None
+    return None
+
+
+def _create_candidate(
+    state: State,
+    open_query: OpenQuery,
+    part: LeafPart,
+    slot: SlotSettings,
+    now_us: int,
+) -> Candidate:
+    server = get_server(state, slot.server)
+    slot_id = SlotId(open_query.query.service, part.settings.name, slot.name)
+    return Candidate(
+        slot_id=slot_id,
+        server=slot.server,
+        in_flight=len(server.sends),
+        allowance=get_server_allowance(state, server, now_us, suspect=open_query.suspect),
+        latency_us=state.latency.get_slot_us(slot_id, now_us),
+        locality_us=_get_locality_us(state, slot.domain),
+        reported_load=server.load,
+        report_age_us=now_us - server.load_us if server.load_us else 1 << 40,
+        live=not server.down,
+    )
+
+
+def _get_locality_us(state: State, domain: str) -> int:
+    if domain == state.identity.domain:
+        return LOCALITY_US["domain"]
+    if state.regions.get(domain) == state.identity.region:
+        return LOCALITY_US["region"]
+    return LOCALITY_US["other"]
+
+
+def is_server_eligible(state: State, server: ServerState) -> bool:
+    """Return whether any service may send new work to a server."""
+    for service in state.services.values():
+        slot = service.slots.get(server.address)
+        if slot is not None and check_slot(slot, service.view) is None:
+            return True
+    return False
+
+
+def get_server(state: State, address: str) -> ServerState:
+    """Return the state of a backend server, creating it on first use."""
+    server = state.servers.get(address)
+    if server is None:
+        server = state.servers[address] = ServerState(address)
+    return server
+
+
+def get_server_allowance(
+    state: State, server: ServerState, now_us: int, *, suspect: bool = False
+) -> int:
+    """Return how many requests this instance may have in flight at a server.
+
+    The warm-up limit is that of the whole fleet; the lease table gives this instance's share
+    of it. A suspect request runs alone, and nothing else runs beside it.
+    """
+    if server.exclusive or (suspect and server.sends):
+        return 0
+    limit = state.warmup.get_limit(server.address, now_us)
+    return state.leases.get_allowance(limit, server.address, now_us)
+
+
+def _emit(
+    state: State,
+    open_query: OpenQuery,
+    part: LeafPart,
+    service: ServiceState,
+    slot: SlotSettings,
+    now_us: int,
+    effects: Effects,
+    *,
+    hedge: bool,
+) -> None:
+    query = open_query.query
+    deadline_us = query.deadline_us - state.policy.answer_margin_us
+    send_id = state.next_send_id
+    state.next_send_id += 1
+    send = OpenSend(
+        send_id,
+        query.query_id,
+        query.service,
+        part.settings.name,
+        slot,
+        now_us,
+        deadline_us,
+        query.fingerprint,
+        query.repeatable,
+        open_query.suspect,
+        hedge,
+    )
+    state.sends[send_id] = send
+    server = get_server(state, slot.server)
+    server.sends.add(send_id)
+    server.exclusive = server.exclusive or open_query.suspect
+    part.open_sends.append(send_id)
+    part.tried.append(slot.server)
+    if hedge:
+        part.hedges += 1
+    else:
+        part.attempts += 1
+    effects.append(
+        EmitSend(
+            send_id=send_id,
+            server=slot.server,
+            request=_create_sub_request(state, open_query, part, send_id, deadline_us - now_us),
+            deadline_us=deadline_us,
+            connections=state.leases.get_allowance(
+                service.settings.connections, slot.server, now_us
+            ),
+            max_answer_bytes=service.settings.max_answer_bytes,
+            traceparent=query.traceparent,
+        )
+    )
+    state.silence.record_sent(slot.server, send_id, now_us)
+    if query.repeatable and state.policy.hedge and part.hedges < state.policy.max_hedges:
+        delay_us = state.hedges.get_delay_us(query.service)
+        state.timers.add(now_us + delay_us, TimerKind.HEDGE, send_id)
+
+
+def _create_sub_request(
+    state: State, open_query: OpenQuery, part: LeafPart, send_id: int, remaining_us: int
+) -> SubRequest:
+    query = open_query.query
+    snapshot = open_query.plan.snapshot
+    return SubRequest(
+        request_id=f"{state.identity.incarnation:x}-{send_id}",
+        service=query.service,
+        leaf=part.settings.name,
+        map_version=snapshot.map_version,
+        index_version=snapshot.index_version,
+        deadline_ms=max(1, remaining_us // 1000),
+        body=query.body,
+        repeatable=query.repeatable,
+        idempotency_key=query.idempotency_key,
+        limit=query.limit,
+    )
+
+
+def hedge_send(state: State, send_id: int, now_us: int, effects: Effects) -> None:
+    """Hedge a send that is still open after the hedge delay, if policy and budget allow."""
+    send = state.sends.get(send_id)
+    open_query = state.queries.get(send.query_id) if send is not None else None
+    if open_query is None or send.wasted:
+        return
+    service = state.services.get(send.service)
+    part = open_query.parts.get(send.leaf)
+    if service is None or part is None or part.done or send_id not in part.open_sends:
+        return
+    context = HedgeContext(
+        repeatable=open_query.query.repeatable,
+        suspect=open_query.suspect,
+        overloaded=state.waiting_leafs > 0 or len(service.queue) > 0,
+        sends_open=len(part.open_sends),
+        hedges_sent=part.hedges,
+        remaining_us=open_query.query.deadline_us - now_us,
+        expected_us=state.latency.get_median_us(send.service),
+    )
+    if not state.hedges.decide(context) or not service.hedge_budget.available:
+        return
+    if send_leaf(state, open_query, part, now_us, effects, hedge=True):
+        service.hedge_budget.try_spend()
+        effects.append(Count("sends_hedged_total"))
+
+
+def _wait(
+    state: State, open_query: OpenQuery, part: LeafPart, slots: list[SlotSettings]
+) -> None:
+    if part.waiting:
+        return
+    part.waiting = True
+    state.waiting_leafs += 1
+    entry = (open_query.query.query_id, part.settings.name)
+    for slot in slots:
+        get_server(state, slot.server).waiting.add(open_query.query.priority, entry)
+
+
+def pump_server(state: State, server: ServerState, now_us: int, effects: Effects) -> None:
+    """Send waiting leafs while the server has a free allowance."""
+    # Each entry is looked at once, so that one leaf that must go on waiting ends the loop.
+    for _ in range(len(server.waiting)):
+        if len(server.sends) >= get_server_allowance(state, server, now_us):
+            return
+        query_id, leaf = server.waiting.pop()
+        open_query = state.queries.get(query_id)
+        part = open_query.parts.get(leaf) if open_query is not None else None
+        if part is None or not part.waiting:
+            continue
+        stop_waiting(state, part)
+        send_leaf(state, open_query, part, now_us, effects)
+        finish.finish_if_done(state, open_query, now_us, effects)
+
+
+def pump_waiting(state: State, now_us: int, effects: Effects) -> None:
+    """Look at all servers with waiting leafs, because an allowance may have grown."""
+    if state.waiting_leafs:
+        for server in list(state.servers.values()):
+            if server.waiting:
+                pump_server(state, server, now_us, effects)
--- /dev/null
+++ b/mimosapost/core/finish.py
@@ -0,0 +1,175 @@
+"""End of queries: the answer, its run state, and the release of limits."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import msgspec
+
+from mimosapost.core import parts
+from mimosapost.core.registry import Effects
+from mimosapost.core.state import OpenQuery, State
+from mimosapost.merging import find_merge
+from mimosapost.model.codes import MissingReason, ResultCode, RunState
+from mimosapost.model.effects import AnswerCaller, Count, SendPeer
+from mimosapost.model.messages import ForwardAnswer
+from mimosapost.model.queries import Answer, MissingLeaf, Query
+
+__all__ = ["deliver", "finish_at_deadline", "finish_if_done", "refuse", "refuse_open"]
+
+
+def refuse(state: State, query: Query, code: ResultCode, now_us: int, effects: Effects) -> None:
+    """Refuse a query for which nothing was ever sent."""
+    deliver(state, query, Answer(code, RunState.NOT_RUN), now_us, effects)
+
+
+def refuse_open(
+    state: State, open_query: OpenQuery, code: ResultCode, now_us: int, effects: Effects
+) -> None:
+    """Refuse an open query; its run state tells what is known of its sends."""
+    run = get_run_state(open_query)
+    missing = open_query.coverage.list_missing() if open_query.coverage else ()
+    snapshot = open_query.plan.snapshot if open_query.plan else None
+    answer = Answer(code, run, snapshot=snapshot, missing=missing)
+    _close(state, open_query, answer, now_us, effects)
+
+
+def finish_if_done(state: State, open_query: OpenQuery, now_us: int, effects: Effects) -> None:
+    """Answer a query when no leaf is open, or when its coverage can no longer suffice."""
+    if open_query.query.query_id not in state.queries or open_query.coverage is None:
+        return
+    if open_query.open_leafs == 0:
+        _answer(state, open_query, now_us, effects)
+        return
+    reachable = open_query.coverage.covered_count + open_query.open_leafs
+    wanted = open_query.query.min_coverage * len(open_query.plan.leafs)
+    # Non-idempotent work goes on, because stopping it would only make its outcome unknown.
+    if reachable < wanted and open_query.query.repeatable:
+        refuse_open(state, open_query, ResultCode.COVERAGE_TOO_LOW, now_us, effects)
+
+
+def finish_at_deadline(
+    state: State, open_query: OpenQuery, now_us: int, effects: Effects
+) -> None:
+    """Answer a query with what it has."""
+    if open_query.coverage is None:
+        refuse_open(state, open_query, ResultCode.DEADLINE_EXCEEDED, now_us, effects)
+        return
+    for part in open_query.parts.values():
+        if not part.done:
+            reason = _explain_open_part(open_query, part)
+            parts.set_missing(state, open_query, part, reason)
+    _answer(state, open_query, now_us, effects)
+
+
+def _explain_open_part(open_query: OpenQuery, part: parts.LeafPart) -> MissingReason:
+    if part.waiting and not part.open_sends:
+        return MissingReason.LIMIT_REACHED
+    if part.open_sends and not open_query.query.repeatable:
+        return MissingReason.OUTCOME_UNKNOWN
+    return MissingReason.TIMED_OUT
+
+
+def get_run_state(open_query: OpenQuery) -> RunState:
+    """Return what is known about the execution of an open query.
+
+    ``NOT_RUN`` needs proof: every send was confirmed not to have run. An emitted send that
+    the edge has not confirmed counts as unknown.
+    """
+    in_flight = sum(len(part.open_sends) for part in open_query.parts.values())
+    unknown = open_query.unknown_sends + in_flight
+    if unknown and not (open_query.ran and open_query.query.repeatable):
+        return RunState.UNKNOWN
+    return RunState.RAN if open_query.ran else RunState.NOT_RUN
+
+
+def _answer(state: State, open_query: OpenQuery, now_us: int, effects: Effects) -> None:
+    query, coverage = open_query.query, open_query.coverage
+    if coverage.covered_count == 0:
+        refuse_open(
+            state, open_query, _explain_no_part(coverage.list_missing()), now_us, effects
+        )
+        return
+    if coverage.covered_share < query.min_coverage and query.repeatable:
+        refuse_open(state, open_query, ResultCode.COVERAGE_TOO_LOW, now_us, effects)
+        return
+    merge = find_merge(open_query.service.merge)
+    result = msgspec.json.encode(merge.merge_parts(coverage.list_parts(), query.limit))
+    if len(result) > open_query.service.max_answer_bytes:
+        refuse_open(state, open_query, ResultCode.ANSWER_TOO_LARGE, now_us, effects)
+        return
+    missing = coverage.list_missing()
+    if open_query.suspect and not missing:
+        state.suspects.record_answered(query.fingerprint, now_us)
+    answer = Answer(
+        ResultCode.PARTIAL if missing else ResultCode.COMPLETE,
+        get_run_state(open_query),
+        msgspec.Raw(result),
+        open_query.plan.snapshot,
+        coverage.list_covered(),
+        missing,
+    )
+    _close(state, open_query, answer, now_us, effects)
+
+
+_NO_PART_CODES = {
+    MissingReason.OUTCOME_UNKNOWN: ResultCode.OUTCOME_UNKNOWN,
+    MissingReason.TIMED_OUT: ResultCode.DEADLINE_EXCEEDED,
+    MissingReason.LIMIT_REACHED: ResultCode.OVERLOADED,
+    MissingReason.REQUEST_SUSPECT: ResultCode.REQUEST_REFUSED,
+}
+
+
+def _explain_no_part(missing: tuple[MissingLeaf, ...]) -> ResultCode:
+    reasons = {leaf.reason for leaf in missing}
+    for reason, code in _NO_PART_CODES.items():
+        if reason in reasons:
+            return code
+    return ResultCode.COVERAGE_TOO_LOW
+
+
+def _close(
+    state: State, open_query: OpenQuery, answer: Answer, now_us: int, effects: Effects
+) -> None:
+    query = open_query.query
+    del state.queries[query.query_id]
+    for part in open_query.parts.values():
+        parts.stop_waiting(state, part)
+        parts.cancel_sends(state, part, effects)
+    service = state.services.get(query.service)
+    if open_query.plan is not None:
+        state.caller_open[query.caller] -= 1
+        if not state.caller_open[query.caller]:
+            del state.caller_open[query.caller]
+        if service is not None:
+            service.open_queries -= 1
+            state.dirty_services.add(query.service)
+    elif service is not None:
+        service.queue.remove(query.query_id)
+    if open_query.ticket_number:
+        _close_ticket(state, open_query, answer)
+    deliver(state, query, answer, now_us, effects)
+    for joined in open_query.joined:
+        deliver(state, joined, answer, now_us, effects)
+
+
+def _close_ticket(state: State, open_query: OpenQuery, answer: Answer) -> None:
+    number = open_query.ticket_number
+    state.tickets_running.pop(number, None)
+    if answer.run is RunState.NOT_RUN:
+        state.tickets.release(number)
+    else:
+        state.tickets.finish(number, answer)
+
+
+def deliver(state: State, query: Query, answer: Answer, now_us: int, effects: Effects) -> None:
+    """Send an answer to the caller, or to the instance that forwarded the query."""
+    reply_to = state.reply_to.pop(query.query_id, None)
+    if reply_to is not None:
+        peer, forward_id = reply_to
+        message = ForwardAnswer(forward_id, msgspec.json.encode(answer))
+        effects.append(SendPeer(peer, state.peer_addresses.get(peer, ""), message))
+        return
+    ticket = state.tickets.issue(query.caller, now_us) or ""
+    effects.append(AnswerCaller(query.query_id, replace(answer, ticket=ticket)))
+    effects.append(Count("queries_total", (("code", str(int(answer.code))),)))
--- /dev/null
+++ b/mimosapost/core/forwarding.py
@@ -0,0 +1,114 @@
+"""Forwarding of non-idempotent queries to the instance that issued their ticket."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import msgspec
+
+from mimosapost.core import finish
+from mimosapost.core.registry import Effects
+from mimosapost.core.state import ForwardedQuery, State
+from mimosapost.core.timers import TimerKind
+from mimosapost.model.codes import ResultCode, RunState
+from mimosapost.model.effects import Count, SendPeer
+from mimosapost.model.messages import Forward, ForwardAnswer
+from mimosapost.model.queries import Answer, Query
+
+__all__ = [
+    "expire_forward",
+    "fail_forwards",
+    "forward_query",
+    "read_forward",
+    "read_forward_answer",
+]
+
+# Time for the answer to travel back between regions before the caller's own deadline.
+_RETURN_MARGIN_US = 15_000
+
+
+def forward_query(
+    state: State, query: Query, issuer: str, incarnation: int, now_us: int, effects: Effects
+) -> None:
+    """Forward a query to the issuer of its ticket.
+
+    Only the issuer knows whether the ticket was used, so without the issuer the outcome of an
+    earlier attempt is unknown and the query is not run.
+    """
+    member = state.members.find(issuer, incarnation)
+    if member is None or query.forwarded_by:
+        _answer_unreachable(state, query, now_us, effects)
+        return
+    state.forwards[query.query_id] = ForwardedQuery(query, issuer)
+    state.timers.add(
+        query.deadline_us - state.policy.answer_margin_us,
+        TimerKind.FORWARD_DEADLINE,
+        query.query_id,
+    )
+    remaining_us = query.deadline_us - now_us - _RETURN_MARGIN_US
+    message = Forward(
+        query.query_id, incarnation, msgspec.json.encode(query), max(0, remaining_us)
+    )
+    effects.append(SendPeer(issuer, member.peer_address, message))
+    effects.append(Count("queries_forwarded_total"))
+
+
+def _answer_unreachable(state: State, query: Query, now_us: int, effects: Effects) -> None:
+    answer = Answer(
+        ResultCode.ISSUER_UNREACHABLE,
+        RunState.UNKNOWN,
+        detail="outcome unknown, not repeated: the issuer of the ticket cannot be reached",
+    )
+    finish.deliver(state, query, answer, now_us, effects)
+
+
+def expire_forward(state: State, query_id: int, now_us: int, effects: Effects) -> None:
+    """Answer a forwarded query whose issuer did not answer in time."""
+    forwarded = state.forwards.pop(query_id, None)
+    if forwarded is not None:
+        _answer_unreachable(state, forwarded.query, now_us, effects)
+
+
+def fail_forwards(state: State, peer: str, now_us: int, effects: Effects) -> None:
+    """Answer all queries forwarded to an instance whose link was lost."""
+    lost = [key for key, forwarded in state.forwards.items() if forwarded.peer == peer]
+    for query_id in lost:
+        expire_forward(state, query_id, now_us, effects)
+
+
+def read_forward(state: State, peer: str, message: Forward, now_us: int) -> Query | None:
+    """Turn a forwarded query into a query of this instance.
+
+    :returns: the query, or ``None`` if it is for another incarnation or malformed; the
+        sender then answers "outcome unknown" at its deadline.
+    """
+    if message.target_incarnation != state.identity.incarnation:
+        return None
+    try:
+        query = msgspec.json.decode(message.query, type=Query)
+    except (msgspec.ValidationError, msgspec.DecodeError):
+        return None
+    query_id = state.next_internal_id
+    state.next_internal_id -= 1
+    state.reply_to[query_id] = (peer, message.forward_id)
+    return replace(
+        query,
+        query_id=query_id,
+        deadline_us=now_us + message.remaining_us,
+        forwarded_by=peer,
+    )
+
+
+def read_forward_answer(
+    state: State, peer: str, message: ForwardAnswer, now_us: int, effects: Effects
+) -> None:
+    """Deliver the issuer's answer to the caller of this instance."""
+    forwarded = state.forwards.get(message.forward_id)
+    if forwarded is None or forwarded.peer != peer:
+        return
+    try:
+        answer = msgspec.json.decode(message.answer, type=Answer)
+    except (msgspec.ValidationError, msgspec.DecodeError):
+        return
+    del state.forwards[message.forward_id]
+    finish.deliver(state, forwarded.query, answer, now_us, effects)
--- /dev/null
+++ b/mimosapost/core/parts.py
@@ -0,0 +1,39 @@
+"""Progress of single leafs: giving up, waiting and cancelling."""
+
+from __future__ import annotations
+
+from mimosapost.core.registry import Effects
+from mimosapost.core.state import LeafPart, OpenQuery, State
+from mimosapost.model.codes import MissingReason
+from mimosapost.model.effects import CancelSend
+
+__all__ = ["cancel_sends", "set_missing", "stop_waiting"]
+
+
+def set_missing(
+    state: State, open_query: OpenQuery, part: LeafPart, reason: MissingReason
+) -> None:
+    """Give a leaf up for this query, with the reason that the answer will state."""
+    if part.done:
+        return
+    part.done = True
+    stop_waiting(state, part)
+    open_query.open_leafs -= 1
+    open_query.coverage.set_missing(part.settings.name, reason)
+
+
+def stop_waiting(state: State, part: LeafPart) -> None:
+    """Mark a leaf as no longer waiting; its queue entries become outdated."""
+    if part.waiting:
+        part.waiting = False
+        state.waiting_leafs -= 1
+
+
+def cancel_sends(state: State, part: LeafPart, effects: Effects) -> None:
+    """Cancel all open sends of a leaf; they keep their allowance until the edge confirms."""
+    for send_id in part.open_sends:
+        send = state.sends.get(send_id)
+        if send is not None and not send.wasted:
+            send.wasted = True
+            effects.append(CancelSend(send_id))
+    part.open_sends.clear()
--- /dev/null
+++ b/mimosapost/core/retries.py
@@ -0,0 +1,106 @@
+"""Closing of sends and retries of leafs."""
+
+from __future__ import annotations
+
+from mimosapost.core import fanout, finish, parts
+from mimosapost.core.registry import Effects
+from mimosapost.core.state import LeafPart, OpenQuery, OpenSend, ServerState, State
+from mimosapost.model.codes import FailureKind, MissingReason, RunState
+from mimosapost.model.effects import Count
+from mimosapost.model.identities import SlotId
+
+__all__ = ["close_send", "get_slot_id", "record_alive", "retry_leaf"]
+
+_REASONS = {
+    FailureKind.REFUSED: MissingReason.CONNECTION_FAILED,
+    FailureKind.RESET: MissingReason.CONNECTION_FAILED,
+    FailureKind.CLOSED: MissingReason.CONNECTION_FAILED,
+    FailureKind.SHED: MissingReason.SERVER_REFUSED,
+    FailureKind.MALFORMED: MissingReason.MALFORMED_ANSWER,
+    FailureKind.TOO_LARGE: MissingReason.ANSWER_TOO_LARGE,
+    FailureKind.WITHDRAWN: MissingReason.TIMED_OUT,
+}
+
+
+def close_send(state: State, send_id: int, now_us: int) -> OpenSend | None:
+    """Remove a send that the edge confirmed and free its allowance.
+
+    :returns: the send, or ``None`` if it was confirmed already.
+    """
+    send = state.sends.pop(send_id, None)
+    if send is None:
+        return None
+    address = send.slot.server
+    server = state.servers[address]
+    server.sends.discard(send_id)
+    if send.suspect:
+        server.exclusive = False
+    state.silence.record_done(address, send_id, now_us)
+    state.dirty_servers.add(address)
+    open_query = state.queries.get(send.query_id)
+    if open_query is not None:
+        part = open_query.parts.get(send.leaf)
+        if part is not None and send_id in part.open_sends:
+            part.open_sends.remove(send_id)
+    return send
+
+
+def get_slot_id(send: OpenSend) -> SlotId:
+    """Return the slot that a send went to."""
+    return SlotId(send.service, send.leaf, send.slot.name)
+
+
+def record_alive(server: ServerState, boot_id: str) -> None:
+    """Note that a server answered."""
+    server.down = False
+    server.probe_backoff_us = 0
+    if boot_id:
+        server.boot_id = boot_id
+
+
+def retry_leaf(
+    state: State,
+    open_query: OpenQuery,
+    part: LeafPart,
+    kind: FailureKind,
+    run: RunState,
+    now_us: int,
+    effects: Effects,
+    final_reason: MissingReason | None = None,
+) -> None:
+    """Send a leaf again after a failed send, or give it up.
+
+    A non-idempotent leaf is sent again only if the failed send was proven not to have run.
+
+    :param kind: how the send failed.
+    :param run: what is known about its execution.
+    :param final_reason: reason to report if the leaf is given up.
+    """
+    if part.done:
+        return
+    reason = final_reason or _REASONS[kind]
+    if run is not RunState.NOT_RUN and not open_query.query.repeatable:
+        unknown = run is RunState.UNKNOWN
+        parts.set_missing(
+            state, open_query, part, MissingReason.OUTCOME_UNKNOWN if unknown else reason
+        )
+    elif not part.open_sends:
+        _retry_or_give_up(state, open_query, part, reason, now_us, effects)
+    finish.finish_if_done(state, open_query, now_us, effects)
+
+
+def _retry_or_give_up(
+    state: State,
+    open_query: OpenQuery,
+    part: LeafPart,
+    reason: MissingReason,
+    now_us: int,
+    effects: Effects,
+) -> None:
+    service = state.services.get(open_query.query.service)
+    allowed = service is not None and part.attempts < state.policy.max_attempts
+    if allowed and service.retry_budget.try_spend():
+        effects.append(Count("sends_retried_total"))
+        fanout.send_leaf(state, open_query, part, now_us, effects)
+        return
+    parts.set_missing(state, open_query, part, reason)
--- /dev/null
+++ b/mimosapost/core/schedule.py
@@ -0,0 +1,148 @@
+"""Timers and housekeeping: everything that no outside event triggers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mimosapost.core import admission, failures, fanout, finish, forwarding, peering, stopping
+from mimosapost.core.registry import Effects, handles
+from mimosapost.core.state import ServerState, State
+from mimosapost.core.timers import TimerKind
+from mimosapost.model.effects import CancelSend, CloseConnections, OpenProbe
+from mimosapost.model.events import Ticked
+from mimosapost.routing.silence import SilenceAction
+
+__all__ = ["arm_periodic_timers", "fire_due_timers", "run_pumps"]
+
+TimerFunction = Callable[[State, int, int, Effects], None]
+
+_TIMERS: dict[TimerKind, TimerFunction] = {}
+# Answers that arrived during a pause are read within this time; no hedge is sent before.
+_RESUME_GRACE_US = 20_000
+
+
+def fires(kind: TimerKind) -> Callable[[TimerFunction], TimerFunction]:
+    """Register the function that runs when a timer of a kind is due."""
+
+    def decorate(function: TimerFunction) -> TimerFunction:
+        _TIMERS[kind] = function
+        return function
+
+    return decorate
+
+
+def arm_periodic_timers(state: State) -> None:
+    """Add the first timer of each periodic kind."""
+    now_us = state.started_us
+    state.timers.add(now_us + state.policy.housekeeping_us, TimerKind.HOUSEKEEPING)
+    state.timers.add(now_us, TimerKind.HEARTBEAT)
+    state.timers.add(now_us, TimerKind.GOSSIP)
+
+
+@handles(Ticked)
+def handle_ticked(state: State, event: Ticked, effects: Effects) -> None:
+    """Fire all timers that are due."""
+    fire_due_timers(state, event.now_us, effects)
+
+
+def fire_due_timers(state: State, now_us: int, effects: Effects) -> None:
+    """Fire all timers that are due, in the order of their due times."""
+    # Each timer that fires re-arms itself later than now, so the loop ends.
+    while (due := state.timers.pop_due(now_us)) is not None:
+        kind, key = due
+        _TIMERS[kind](state, key, now_us, effects)
+    state.timers.armed_us = 0
+
+
+@fires(TimerKind.QUERY_DEADLINE)
+def end_query(state: State, key: int, now_us: int, effects: Effects) -> None:
+    """Answer a query at its deadline with what it has."""
+    open_query = state.queries.get(key)
+    if open_query is not None:
+        finish.finish_at_deadline(state, open_query, now_us, effects)
+
+
+@fires(TimerKind.FORWARD_DEADLINE)
+def end_forward(state: State, key: int, now_us: int, effects: Effects) -> None:
+    """Answer a forwarded query whose issuer is silent."""
+    forwarding.expire_forward(state, key, now_us, effects)
+
+
+@fires(TimerKind.HEDGE)
+def hedge(state: State, key: int, now_us: int, effects: Effects) -> None:
+    """Hedge a send that is still open, unless the process has just resumed from a pause."""
+    if now_us - state.resumed_us < _RESUME_GRACE_US and key in state.sends:
+        state.timers.add(now_us + _RESUME_GRACE_US, TimerKind.HEDGE, key)
+        return
+    fanout.hedge_send(state, key, now_us, effects)
+
+
+@fires(TimerKind.HEARTBEAT)
+def beat(state: State, key: int, now_us: int, effects: Effects) -> None:
+    """Ask the witnesses to acknowledge this instance's lease."""
+    peering.send_heartbeats(state, now_us, effects)
+    state.timers.add(now_us + state.policy.heartbeat_us, TimerKind.HEARTBEAT)
+
+
+@fires(TimerKind.GOSSIP)
+def exchange(state: State, key: int, now_us: int, effects: Effects) -> None:
+    """Exchange versions and suspects with some peers."""
+    peering.send_gossip(state, now_us, effects)
+    state.timers.add(now_us + state.policy.heartbeat_us, TimerKind.GOSSIP)
+
+
+@fires(TimerKind.HOUSEKEEPING)
+def keep_house(state: State, key: int, now_us: int, effects: Effects) -> None:
+    """Probe, detect silence, and look at queues whose limits may have changed."""
+    state.timers.add(now_us + state.policy.housekeeping_us, TimerKind.HOUSEKEEPING)
+    peering.finish_join(state, now_us, effects)
+    for server in list(state.servers.values()):
+        if server.down and fanout.is_server_eligible(state, server):
+            failures.probe_server(server, now_us, effects)
+        if server.sends:
+            _check_silence(state, server, now_us, effects)
+    fanout.pump_waiting(state, now_us, effects)
+    for service in list(state.services.values()):
+        if len(service.queue):
+            admission.pump_service(state, service, now_us, effects)
+    stopping.finish_stop(state, now_us, effects)
+
+
+def _check_silence(state: State, server: ServerState, now_us: int, effects: Effects) -> None:
+    match state.silence.decide(server.address, now_us):
+        case SilenceAction.PROBE:
+            if not server.probing:
+                server.probing = True
+                effects.append(OpenProbe(server.address))
+        case SilenceAction.CLOSE:
+            effects.append(CloseConnections(server.address))
+            close_sends(state, state.silence.take_silent(server.address), effects)
+        case SilenceAction.DEAD:
+            failures.mark_down(state, server, now_us, effects)
+            close_sends(state, tuple(sorted(server.sends)), effects)
+        case _:
+            pass
+
+
+def close_sends(state: State, send_ids: tuple[int, ...], effects: Effects) -> None:
+    """Close the connections of sends; each is then retried by its repeat rule."""
+    for send_id in send_ids:
+        send = state.sends.get(send_id)
+        if send is not None and not send.closing:
+            send.closing = True
+            effects.append(CancelSend(send_id, close=True))
+
+
+def run_pumps(state: State, now_us: int, effects: Effects) -> None:
+    """Use the allowances that the last event freed."""
+    while state.dirty_servers or state.dirty_services:
+        servers, state.dirty_servers = state.dirty_servers, set()
+        services, state.dirty_services = state.dirty_services, set()
+        for address in sorted(servers):
+            server = state.servers[address]
+            if len(server.waiting):
+                fanout.pump_server(state, server, now_us, effects)
+        for name in sorted(services):
+            service = state.services.get(name)
+            if service is not None and len(service.queue):
+                admission.pump_service(state, service, now_us, effects)
--- /dev/null
+++ b/mimosapost/core/state.py
@@ -0,0 +1,296 @@
+"""State of one instance, owned by the reducer alone."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from mimosapost.core.timers import Timers
+from mimosapost.core.waiting import WaitingLeafs
+from mimosapost.limits.admission import AdmissionQueue
+from mimosapost.limits.budgets import Budget
+from mimosapost.limits.leases import LeaseTable
+from mimosapost.limits.warmup import WarmupTable
+from mimosapost.membership.configs import ConfigBook
+from mimosapost.membership.members import MemberTable
+from mimosapost.model.identities import InstanceIdentity
+from mimosapost.model.published import (
+    CallerSettings,
+    LeafSettings,
+    ServiceSettings,
+    SlotSettings,
+)
+from mimosapost.model.queries import Query
+from mimosapost.once.tickets import TicketBook
+from mimosapost.planning.coverage import Coverage
+from mimosapost.planning.plans import Plan
+from mimosapost.routing.eligibility import EligibilityView
+from mimosapost.routing.hedges import HedgePolicy
+from mimosapost.routing.latency import LatencyBook
+from mimosapost.routing.silence import SilenceBook
+from mimosapost.suspects.book import SuspectBook
+
+__all__ = [
+    "ForwardedQuery",
+    "LeafPart",
+    "OpenQuery",
+    "OpenSend",
+    "Policy",
+    "ServerState",
+    "ServiceState",
+    "State",
+    "create_state",
+]
+
+HEDGE_BUDGET_RATIO = 0.05
+RETRY_BUDGET_RATIO = 0.10
+BUDGET_BURST = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """Figures of the decision path that tests and baselines change.
+
+    :param max_deadline_us: longest deadline of any query; leases rely on it.
+    :param lease_us: validity of an acknowledged heartbeat.
+    :param heartbeat_us: period of heartbeats and gossip.
+    :param housekeeping_us: period of checks that no event triggers.
+    :param pause_us: gap between events that counts as a pause of the process.
+    :param answer_margin_us: time kept for merging and sending the answer.
+    :param join_us: longest wait for peers before an instance serves.
+    :param drain_us: time that the balancer needs to stop sending.
+    :param stop_us: longest wait for requests in flight at a graceful stop.
+    :param max_attempts: first send and retries of one leaf; hedges are not counted.
+    :param max_hedges: hedges of one leaf.
+    :param hedge: whether repeatable work is hedged.
+    """
+
+    max_deadline_us: int = 2_000_000
+    lease_us: int = 1_000_000
+    heartbeat_us: int = 500_000
+    housekeeping_us: int = 50_000
+    pause_us: int = 500_000
+    answer_margin_us: int = 3_000
+    join_us: int = 2_000_000
+    drain_us: int = 3_000_000
+    stop_us: int = 30_000_000
+    max_attempts: int = 3
+    max_hedges: int = 2
+    hedge: bool = True
+
+
+@dataclass(slots=True)
+class LeafPart:
+    """Progress of one leaf of an open query."""
+
+    settings: LeafSettings
+    done: bool = False
+    waiting: bool = False
+    attempts: int = 0
+    hedges: int = 0
+    open_sends: list[int] = field(default_factory=list)
+    tried: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class OpenQuery:
+    """A query that has no answer yet."""
+
+    query: Query
+    service: ServiceSettings
+    arrived_us: int
+    plan: Plan | None = None
+    coverage: Coverage | None = None
+    parts: dict[str, LeafPart] = field(default_factory=dict)
+    open_leafs: int = 0
+    suspect: bool = False
+    ticket_number: int = 0
+    ran: bool = False
+    unknown_sends: int = 0
+    joined: list[Query] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class OpenSend:
+    """A send from the moment it is emitted until the edge confirms its end."""
+
+    send_id: int
+    query_id: int
+    service: str
+    leaf: str
+    slot: SlotSettings
+    sent_us: int
+    deadline_us: int
+    fingerprint: int
+    repeatable: bool
+    suspect: bool
+    hedge: bool
+    wasted: bool = False
+    closing: bool = False
+
+
+@dataclass(slots=True)
+class ServerState:
+    """What this instance knows of one backend server."""
+
+    address: str
+    sends: set[int] = field(default_factory=set)
+    exclusive: bool = False
+    load: float = 0.0
+    load_us: int = 0
+    boot_id: str = ""
+    down: bool = False
+    probe_due_us: int = 0
+    probe_backoff_us: int = 0
+    probing: bool = False
+    crash_fingerprints: set[int] = field(default_factory=set)
+    crash_waiting: list[tuple[int, str]] = field(default_factory=list)
+    waiting: WaitingLeafs = field(default_factory=WaitingLeafs)
+
+
+@dataclass(slots=True)
+class ServiceState:
+    """A service of the newest accepted configuration, with its queues and budgets."""
+
+    team: str
+    settings: ServiceSettings
+    view: EligibilityView
+    slots: dict[str, SlotSettings]
+    queue: AdmissionQueue
+    hedge_budget: Budget
+    retry_budget: Budget
+    open_queries: int = 0
+    index_floor: tuple[int, int] = (0, 0)
+
+
+@dataclass(slots=True)
+class ForwardedQuery:
+    """A query that was forwarded to the issuer of its ticket."""
+
+    query: Query
+    peer: str
+
+
+@dataclass(slots=True)
+class State:
+    """Everything one instance knows. Only handlers change it."""
+
+    identity: InstanceIdentity
+    policy: Policy
+    rng: random.Random
+    configs: ConfigBook
+    members: MemberTable
+    leases: LeaseTable
+    warmup: WarmupTable
+    latency: LatencyBook
+    hedges: HedgePolicy
+    silence: SilenceBook
+    suspects: SuspectBook
+    tickets: TicketBook
+    timers: Timers
+    ceiling: int
+    started_us: int
+    last_event_us: int
+    seed_peers: tuple[str, ...] = ()
+    services: dict[str, ServiceState] = field(default_factory=dict)
+    servers: dict[str, ServerState] = field(default_factory=dict)
+    callers: dict[str, CallerSettings] = field(default_factory=dict)
+    caller_teams: dict[str, str] = field(default_factory=dict)
+    caller_digests: dict[str, CallerSettings] = field(default_factory=dict)
+    caller_open: dict[str, int] = field(default_factory=dict)
+    queries: dict[int, OpenQuery] = field(default_factory=dict)
+    sends: dict[int, OpenSend] = field(default_factory=dict)
+    forwards: dict[int, ForwardedQuery] = field(default_factory=dict)
+    tickets_running: dict[int, int] = field(default_factory=dict)
+    reply_to: dict[int, tuple[str, int]] = field(default_factory=dict)
+    leaving_addresses: frozenset[str] = frozenset()
+    regions: dict[str, str] = field(default_factory=dict)
+    fleet_domains_out: frozenset[str] = frozenset()
+    next_send_id: int = 1
+    next_forward_id: int = 1
+    next_internal_id: int = -1
+    waiting_leafs: int = 0
+    dirty_services: set[str] = field(default_factory=set)
+    dirty_servers: set[str] = field(default_factory=set)
+    resumed_us: int = 0
+    subtrees_wanted: set[str] = field(default_factory=set)
+    joined: bool = False
+    peers_heard: set[str] = field(default_factory=set)
+    peer_addresses: dict[str, str] = field(default_factory=dict)
+    team_domains_out: dict[str, frozenset[str]] = field(default_factory=dict)
+    recent_teams: tuple[str, ...] = ()
+    gossip_round: int = 0
+    stop_requested_us: int = 0
+    stopped: bool = False
+
+    def is_draining(self, now_us: int) -> bool:
+        """Return whether new queries are refused because of a graceful stop."""
+        requested = self.stop_requested_us
+        return bool(requested) and now_us >= requested + self.policy.drain_us
+
+    def is_ready(self, now_us: int) -> bool:
+        """Return whether the balancer may send queries to this instance."""
+        configured = self.configs.get_fleet() is not None and bool(self.services)
+        usable = self.leases.describe(now_us).usable_in_us == 0
+        return configured and usable and self.joined and not self.stop_requested_us
+
+
+def create_state(
+    identity: InstanceIdentity,
+    check: Callable,
+    secret: bytes,
+    seed: int,
+    now_us: int,
+    policy: Policy | None = None,
+    ceiling: int = 4,
+    seed_peers: tuple[str, ...] = (),
+) -> State:
+    """Create the state of an instance that has just started.
+
+    :param identity: identity of the instance.
+    :param check: pure check of a published subtree, as in :class:`ConfigBook`.
+    :param secret: random key for tickets.
+    :param seed: seed of the random numbers that decisions use.
+    :param now_us: monotonic time in microseconds.
+    :param policy: figures of the decision path.
+    :param ceiling: instances that could exist, until the fleet subtree states it.
+    :param seed_peers: peer addresses that are asked before serving.
+    """
+    policy = policy or Policy()
+    latency = LatencyBook()
+    state = State(
+        identity=identity,
+        policy=policy,
+        rng=random.Random(seed),
+        configs=ConfigBook(check),
+        members=MemberTable(identity),
+        leases=create_leases(identity, ceiling, now_us, policy),
+        warmup=WarmupTable(),
+        latency=latency,
+        hedges=HedgePolicy(latency),
+        silence=SilenceBook(),
+        suspects=SuspectBook(),
+        tickets=TicketBook(identity.name, identity.incarnation, secret),
+        timers=Timers(),
+        ceiling=ceiling,
+        started_us=now_us,
+        last_event_us=now_us,
+        seed_peers=seed_peers,
+        joined=not seed_peers,
+    )
+    return state
+
+
+def create_leases(
+    identity: InstanceIdentity, ceiling: int, now_us: int, policy: Policy
+) -> LeaseTable:
+    """Create the lease table of an instance for a ceiling."""
+    return LeaseTable(
+        identity.seat,
+        identity.incarnation,
+        ceiling,
+        now_us,
+        policy.lease_us,
+        policy.max_deadline_us,
+    )
--- /dev/null
+++ b/mimosapost/once/tickets.py
@@ -0,0 +1,263 @@
+"""Tickets: at-most-once execution of requests that must not be repeated.
+
+A non-idempotent request runs only on the instance incarnation that issued its ticket. The
+memory of that one process decides, so neither a partition nor a pause can make two deciders.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+from mimosapost.model.queries import Answer
+
+__all__ = ["Ticket", "TicketBook", "TicketDecision", "TicketState", "parse_ticket"]
+
+_SEPARATOR = "~"
+_MAC_BYTES = 16
+MAX_TICKET_LENGTH = 256
+
+
+class TicketState(Enum):
+    """What the book decided about a request that brought a ticket."""
+
+    BEGAN = "began"
+    RUNNING = "running"
+    FINISHED = "finished"
+    FOREIGN = "foreign"
+    EXPIRED = "expired"
+    INVALID = "invalid"
+    REUSED = "reused"
+    FULL = "full"
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Parsed ticket.
+
+    :param issuer: name of the issuing instance.
+    :param incarnation: incarnation of the issuer.
+    :param number: number of the ticket within that incarnation.
+    :param expires_us: expiry on the issuer's monotonic clock, in microseconds.
+    :param mac: message authentication code over the other fields and the caller.
+    """
+
+    issuer: str
+    incarnation: int
+    number: int
+    expires_us: int
+    mac: str
+
+
+@dataclass(frozen=True, slots=True)
+class TicketDecision:
+    """Decision about a ticket, with the stored answer or the issuer where there is one."""
+
+    state: TicketState
+    number: int = 0
+    answer: Answer | None = None
+    issuer: str = ""
+    incarnation: int = 0
+
+
+def parse_ticket(text: str) -> Ticket | None:
+    """Parse a ticket without checking its authenticity.
+
+    :param text: ticket as a caller sent it.
+    :returns: the ticket, or ``None`` if it is malformed.
+
+    >>> parse_ticket("front-1~00000000000000ff~7~900~ab").number
+    7
+    >>> parse_ticket("nonsense") is None
+    True
+    """
+    parts = text.split(_SEPARATOR)
+    if len(text) > MAX_TICKET_LENGTH or len(parts) != 5:
+        return None
+    issuer, incarnation, number, expires_us, mac = parts
+    digits = number.isascii() and number.isdigit() and expires_us.isascii()
+    if not (digits and expires_us.isdigit()):
+        return None
+    try:
+        return Ticket(issuer, int(incarnation, 16), int(number), int(expires_us), mac)
+    except ValueError:
+        return None
+
+
+@dataclass(slots=True)
+class _Entry:
+    caller: str
+    fingerprint: int
+    expires_us: int
+    running: bool
+    answer: Answer | None
+    result_bytes: int
+
+
+class TicketBook:
+    """Issues tickets and remembers the used ones until they expire.
+
+    Issued tickets cost no memory, because their authentication code proves them. Used tickets
+    are kept until expiry; when the table is full, a further ticket is refused before the
+    request runs. Stored results are dropped oldest first when their bytes exceed the bound;
+    the fact that the request ran is kept.
+
+    :param issuer: name of this instance.
+    :param incarnation: incarnation of this instance.
+    :param secret: random key of this incarnation.
+    :param lifetime_us: lifetime of a ticket in microseconds.
+    :param capacity: largest number of used tickets kept.
+    :param result_capacity_bytes: largest size of all stored results, as JSON.
+
+    >>> book = TicketBook("front-1", 1, b"k" * 32, lifetime_us=1_000_000)
+    >>> text = book.issue("desk", now_us=0)
+    >>> book.begin(text, "desk", fingerprint=5, now_us=10).state
+    <TicketState.BEGAN: 'began'>
+    >>> book.begin(text, "desk", fingerprint=5, now_us=20).state
+    <TicketState.RUNNING: 'running'>
+    """
+
+    def __init__(
+        self,
+        issuer: str,
+        incarnation: int,
+        secret: bytes,
+        lifetime_us: int = 120_000_000,
+        capacity: int = 20_000,
+        result_capacity_bytes: int = 16 * 2**20,
+    ) -> None:
+        self._issuer = issuer
+        self._incarnation = incarnation
+        self._secret = secret
+        self._lifetime_us = lifetime_us
+        self._capacity = capacity
+        self._result_capacity_bytes = result_capacity_bytes
+        self._next_number = 1
+        self._entries: OrderedDict[int, _Entry] = OrderedDict()
+        self._result_bytes = 0
+
+    def __len__(self) -> int:
+        """Return the number of used tickets that are kept."""
+        return len(self._entries)
+
+    def issue(self, caller: str, now_us: int) -> str | None:
+        """Issue a ticket for a caller.
+
+        :param caller: identity of the caller; no other caller can use the ticket.
+        :param now_us: monotonic time in microseconds.
+        :returns: the ticket, or ``None`` when the table of used tickets is full.
+        """
+        self._drop_expired(now_us)
+        if len(self._entries) >= self._capacity:
+            return None
+        number = self._next_number
+        self._next_number += 1
+        expires_us = now_us + self._lifetime_us
+        mac = self._sign(caller, number, expires_us)
+        fields = (self._issuer, f"{self._incarnation:016x}", str(number), str(expires_us), mac)
+        return _SEPARATOR.join(fields)
+
+    def begin(self, text: str, caller: str, fingerprint: int, now_us: int) -> TicketDecision:
+        """Decide whether a request may run under its ticket.
+
+        :param text: ticket as the caller sent it.
+        :param caller: identity of the caller.
+        :param fingerprint: hash of service and body; a ticket serves one request only.
+        :param now_us: monotonic time in microseconds.
+        :returns: ``BEGAN`` exactly once for a ticket, unless :meth:`release` undid it.
+        """
+        ticket = parse_ticket(text)
+        if ticket is None:
+            return TicketDecision(TicketState.INVALID)
+        if (ticket.issuer, ticket.incarnation) != (self._issuer, self._incarnation):
+            return TicketDecision(
+                TicketState.FOREIGN, issuer=ticket.issuer, incarnation=ticket.incarnation
+            )
+        expected = self._sign(caller, ticket.number, ticket.expires_us)
+        if not hmac.compare_digest(expected.encode(), ticket.mac.encode()):
+            return TicketDecision(TicketState.INVALID)
+        entry = self._entries.get(ticket.number)
+        if entry is not None:
+            return self._decide_used(ticket.number, entry, fingerprint)
+        # The entry of an expired ticket may have been dropped, so its use is unknown.
+        if ticket.expires_us <= now_us:
+            return TicketDecision(TicketState.EXPIRED)
+        self._drop_expired(now_us)
+        if len(self._entries) >= self._capacity:
+            return TicketDecision(TicketState.FULL)
+        self._entries[ticket.number] = _Entry(
+            caller, fingerprint, ticket.expires_us, running=True, answer=None, result_bytes=0
+        )
+        return TicketDecision(TicketState.BEGAN, number=ticket.number)
+
+    def finish(self, number: int, answer: Answer) -> None:
+        """Store the final answer of a request.
+
+        :param number: number of the ticket that began.
+        :param answer: answer to hand out when the request is sent again.
+        """
+        entry = self._entries.get(number)
+        if entry is None:
+            return
+        entry.running = False
+        entry.answer = answer
+        entry.result_bytes = len(msgspec.json.encode(answer.result))
+        self._result_bytes += entry.result_bytes
+        self._shrink_results()
+
+    def release(self, number: int) -> None:
+        """Make a ticket usable again after its request was proven not to have run.
+
+        :param number: number of the ticket that began.
+        """
+        entry = self._entries.pop(number, None)
+        if entry is not None:
+            self._result_bytes -= entry.result_bytes
+
+    def _decide_used(self, number: int, entry: _Entry, fingerprint: int) -> TicketDecision:
+        if entry.fingerprint != fingerprint:
+            return TicketDecision(TicketState.REUSED, number=number)
+        if entry.running:
+            return TicketDecision(TicketState.RUNNING, number=number)
+        return TicketDecision(TicketState.FINISHED, number=number, answer=entry.answer)
+
+    def _sign(self, caller: str, number: int, expires_us: int) -> str:
+        text = f"{number}{_SEPARATOR}{expires_us}{_SEPARATOR}{caller}"
+        digest = hashlib.blake2b(text.encode(), key=self._secret, digest_size=_MAC_BYTES)
+        return digest.hexdigest()
+
+    def _drop_expired(self, now_us: int) -> None:
+        # Entries are in order of use, not of expiry; an early ticket used late only delays
+        # the removal of those behind it, and lifetimes are equal, so the delay is bounded.
+        while self._entries:
+            number, entry = next(iter(self._entries.items()))
+            if entry.running or entry.expires_us > now_us:
+                return
+            self.release(number)
+
+    def _shrink_results(self) -> None:
+        if self._result_bytes <= self._result_capacity_bytes:
+            return
+        for entry in self._entries.values():
+            if entry.answer is not None and entry.result_bytes:
+                entry.answer = _drop_result(entry.answer)
+                self._result_bytes -= entry.result_bytes
+                entry.result_bytes = 0
+            if self._result_bytes <= self._result_capacity_bytes:
+                return
+
+
+def _drop_result(answer: Answer) -> Answer:
+    return Answer(
+        code=answer.code,
+        run=answer.run,
+        snapshot=answer.snapshot,
+        covered=(),
+        missing=answer.missing,
+        detail="the request ran; its result is no longer stored",
+    )
