--- /dev/null
+++ b/mimosapost/bench/load.py
@@ -0,0 +1,271 @@
+"""Open-loop load: queries leave at a fixed rate, whatever the answers do.
+
+Latency counts from the intended time of a query, so that a wait in the generator or the tier
+does not hide (no coordinated omission). Every answer is compared with the result computed
+from its own snapshot and coverage.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from mimosapost.merging import find_merge
+from mimosapost.model.codes import ResultCode
+from mimosapost.model.published import ServiceSettings
+from mimosapost.standins.results import compute_items
+
+__all__ = ["Balancer", "LoadPlan", "LoadResult", "QueryKind", "run_load"]
+
+# 1 us to 60 s with 3 significant digits.
+_HISTOGRAM = (1, 60_000_000, 3)
+_READY_POLL_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class QueryKind:
+    """One kind of query in the mix.
+
+    :param weight: relative frequency.
+    :param deadline_ms: deadline that the caller states.
+    """
+
+    service: ServiceSettings
+    caller: str
+    token: str
+    priority: str
+    weight: float = 1.0
+    deadline_ms: int = 1_000
+    limit: int = 10
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """A run of the generator.
+
+    :param rate_per_s: queries a second, with exponential gaps.
+    :param seconds: duration.
+    :param seed: seed of gaps, kinds and bodies.
+    """
+
+    rate_per_s: float
+    seconds: float
+    seed: int
+    kinds: tuple[QueryKind, ...]
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """Outcome of a run, times in microseconds."""
+
+    histogram: HdrHistogram = field(default_factory=lambda: HdrHistogram(*_HISTOGRAM))
+    codes: Counter[int] = field(default_factory=Counter)
+    runs: Counter[str] = field(default_factory=Counter)
+    missing_reasons: Counter[int] = field(default_factory=Counter)
+    queries: int = 0
+    answered: int = 0
+    connection_errors: int = 0
+    leafs_wanted: int = 0
+    leafs_covered: int = 0
+    wrong: list[str] = field(default_factory=list)
+    timeline: list[tuple[float, float, int, float]] = field(default_factory=list)
+    example: dict[str, Any] | None = None
+
+    @property
+    def coverage(self) -> float:
+        """Share of leafs covered over all answered queries, from 0 to 1."""
+        return self.leafs_covered / self.leafs_wanted if self.leafs_wanted else 0.0
+
+    def get_quantile_ms(self, quantile: float) -> float:
+        """Return a latency quantile in milliseconds; ``quantile`` is from 0 to 1."""
+        return self.histogram.get_value_at_percentile(100 * quantile) / 1_000
+
+    def export(self) -> dict[str, Any]:
+        """Return the result as JSON-compatible values."""
+        return {
+            "queries": self.queries,
+            "answered": self.answered,
+            "connection_errors": self.connection_errors,
+            "coverage": round(self.coverage, 6),
+            "p50_ms": self.get_quantile_ms(0.50),
+            "p90_ms": self.get_quantile_ms(0.90),
+            "p99_ms": self.get_quantile_ms(0.99),
+            "max_ms": self.histogram.get_max_value() / 1_000,
+            "codes": {str(code): n for code, n in sorted(self.codes.items())},
+            "runs": dict(sorted(self.runs.items())),
+            "missing_reasons": {str(r): n for r, n in sorted(self.missing_reasons.items())},
+            "wrong": self.wrong[:20],
+            "wrong_count": len(self.wrong),
+        }
+
+
+class Balancer:
+    """Stand-in for the platform's balancer: random choice among ready instances.
+
+    It polls readiness, so it goes on sending to a stopping instance for a short while, as the
+    real one does.
+
+    :param targets: caller addresses of the entry instances.
+    :param seed: seed of the choice.
+    """
+
+    def __init__(self, targets: Sequence[str], seed: int) -> None:
+        self._targets = tuple(targets)
+        self._ready = list(targets)
+        self._rng = random.Random(seed)
+
+    def choose(self) -> str:
+        """Return the address that gets the next query."""
+        return self._rng.choice(self._ready or self._targets)
+
+    async def watch(self, session: aiohttp.ClientSession) -> None:
+        """Poll readiness until cancelled."""
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        while True:
+            ready = []
+            for target in self._targets:
+                try:
+                    async with session.get(f"http://{target}/readyz", timeout=timeout) as got:
+                        if got.status == 200:
+                            ready.append(target)
+                except (aiohttp.ClientError, OSError, TimeoutError):
+                    continue
+            self._ready = ready
+            await asyncio.sleep(_READY_POLL_S)
+
+
+def check_answer(kind: QueryKind, body: Any, answer: dict[str, Any]) -> str:
+    """Compare an answer with the result computed from its snapshot and coverage.
+
+    :returns: description of the difference, empty if there is none.
+    """
+    if answer["code"] not in (ResultCode.COMPLETE, ResultCode.PARTIAL):
+        return ""
+    covered = answer["coverage"]["covered"]
+    missing = [leaf["leaf"] for leaf in answer["coverage"]["missing"]]
+    names = [leaf.name for leaf in kind.service.leafs]
+    if sorted(covered + missing) != sorted(names):
+        return "covered and missing leafs do not add up to the shard map"
+    index_version = answer["snapshot"]["index_version"]
+    parts = [
+        compute_items(kind.service.name, leaf, body, index_version)
+        for leaf in names
+        if leaf in covered
+    ]
+    expected = find_merge(kind.service.merge).merge_parts(parts, kind.limit)
+    if answer["result"] != expected:
+        return f"result differs from that of snapshot {answer['snapshot']}"
+    return ""
+
+
+async def run_load(
+    plan: LoadPlan,
+    targets: Sequence[str],
+    clock_s: Callable[[], float],
+    on_progress: Callable[[float, LoadResult], None] | None = None,
+) -> LoadResult:
+    """Run a plan against entry instances.
+
+    :param plan: rate, duration, seed and mix.
+    :param targets: caller addresses of the entry instances.
+    :param clock_s: monotonic clock in seconds.
+    :param on_progress: called about once a second with the elapsed time and the result.
+    """
+    rng = random.Random(plan.seed)
+    result = LoadResult()
+    balancer = Balancer(targets, plan.seed)
+    async with AsyncExitStack() as stack:
+        connector = aiohttp.TCPConnector(limit=0)
+        session = await stack.enter_async_context(aiohttp.ClientSession(connector=connector))
+        watcher = asyncio.create_task(balancer.watch(session))
+        stack.callback(watcher.cancel)
+        weights = [kind.weight for kind in plan.kinds]
+        started_s = clock_s()
+        due_s = 0.0
+        reported_s = 0.0
+        tasks: set[asyncio.Task[None]] = set()
+        while (due_s := due_s + rng.expovariate(plan.rate_per_s)) < plan.seconds:
+            delay_s = started_s + due_s - clock_s()
+            if delay_s > 0:
+                await asyncio.sleep(delay_s)
+            kind = rng.choices(plan.kinds, weights)[0]
+            body = {"kind": "search", "term": rng.randrange(1_000_000), "count": 5}
+            result.queries += 1
+            task = asyncio.create_task(
+                _send_query(session, balancer, kind, body, started_s, due_s, clock_s, result)
+            )
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            if on_progress is not None and due_s - reported_s >= 1.0:
+                reported_s = due_s
+                on_progress(due_s, result)
+        await asyncio.gather(*tasks)
+    return result
+
+
+async def _send_query(
+    session: aiohttp.ClientSession,
+    balancer: Balancer,
+    kind: QueryKind,
+    body: Any,
+    started_s: float,
+    due_s: float,
+    clock_s: Callable[[], float],
+    result: LoadResult,
+) -> None:
+    request = {
+        "request": body,
+        "priority": kind.priority,
+        "deadline_ms": kind.deadline_ms,
+        "repeatable": True,
+        "limit": kind.limit,
+    }
+    headers = {"X-Caller": kind.caller, "Authorization": f"Bearer {kind.token}"}
+    url = f"http://{balancer.choose()}/v1/services/{kind.service.name}/query"
+    timeout = aiohttp.ClientTimeout(total=kind.deadline_ms / 1_000 + 2.0)
+    try:
+        async with session.post(
+            url, data=msgspec.json.encode(request), headers=headers, timeout=timeout
+        ) as response:
+            answer = msgspec.json.decode(await response.read())
+    except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError):
+        result.connection_errors += 1
+        return
+    elapsed_us = int((clock_s() - started_s - due_s) * 1e6)
+    _record(result, kind, body, answer, due_s, elapsed_us)
+
+
+def _record(
+    result: LoadResult,
+    kind: QueryKind,
+    body: Any,
+    answer: dict[str, Any],
+    due_s: float,
+    elapsed_us: int,
+) -> None:
+    result.codes[answer["code"]] += 1
+    result.runs[answer["run"]] += 1
+    wanted = len(kind.service.leafs)
+    covered = 0
+    if answer["code"] in (ResultCode.COMPLETE, ResultCode.PARTIAL):
+        result.answered += 1
+        result.histogram.record_value(max(1, elapsed_us))
+        covered = len(answer["coverage"]["covered"])
+        result.example = result.example or answer
+    for leaf in (answer.get("coverage") or {}).get("missing", ()):
+        result.missing_reasons[leaf["reason"]] += 1
+    result.leafs_wanted += wanted
+    result.leafs_covered += covered
+    result.timeline.append((due_s, elapsed_us / 1_000, answer["code"], covered / wanted))
+    fault = check_answer(kind, body, answer)
+    if fault:
+        result.wrong.append(f"{kind.service.name}: {fault}")
