Check local and published settings with every fault at once

Cause: an instance must refuse a wrong document with path, value and expectation, and what one instance accepts all must accept. Change: bounded JSON reading, strict pydantic checks of the frozen classes, a registry of rules over the decoded document, local settings, and a check of a whole directory whose rules across files only warn.

--- /dev/null
+++ b/mimosapost/settings/faults.py
@@ -0,0 +1,104 @@
+"""Faults of a settings document, each on one line, without secrets."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+__all__ = ["Fault", "create_fault", "format_path", "format_value"]
+
+Location = Sequence[str | int]
+
+_SHOWN = 60
+_SECRET = re.compile(r"token|secret|password|passwd|credential|authorization", re.IGNORECASE)
+_PLAIN_KEY = re.compile(r"[A-Za-z0-9_][A-Za-z0-9_-]*")
+_USERINFO = re.compile(r"//[^/@]*@")
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One reason why a document is refused.
+
+    :param path: position in the document, for example ``services[0].leafs[2].name``.
+    :param value: what was found: printable, shortened, secrets masked.
+    :param expected: what the position accepts.
+
+    >>> str(Fault("services[0].connections", "0", "at least 1"))
+    'services[0].connections: found 0, expected at least 1'
+    """
+
+    path: str
+    value: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: found {self.value}, expected {self.expected}"
+
+
+def create_fault(location: Location, value: Any, expected: str) -> Fault:
+    """Return a fault whose path and value are safe to print on one line.
+
+    :param location: keys and list indexes from the root of the document.
+    :param value: the decoded JSON value that was found.
+    :param expected: what the position accepts.
+    :returns: the fault.
+    """
+    return Fault(format_path(location), format_value(location, value), expected)
+
+
+def format_path(location: Location) -> str:
+    """Return the path of a position, with unusual keys quoted and long ones shortened.
+
+    :param location: keys and list indexes from the root of the document.
+    :returns: one printable line; ``(document)`` for the root.
+
+    >>> format_path(("services", 0, "name"))
+    'services[0].name'
+    """
+    parts: list[str] = []
+    for key in location:
+        if isinstance(key, int):
+            parts.append(f"[{key}]")
+        elif _PLAIN_KEY.fullmatch(key) and len(key) <= _SHOWN:
+            parts.append(f".{key}" if parts else key)
+        else:
+            parts.append(f"[{_quote(key)}]")
+    return "".join(parts) or "(document)"
+
+
+def format_value(location: Location, value: Any) -> str:
+    """Return a short printable form of a value; objects and lists show only their size.
+
+    A value below a key that names a secret is masked. Containers are not shown, because they
+    could hold a secret further down.
+
+    :param location: keys and list indexes from the root of the document.
+    :param value: the decoded JSON value.
+    :returns: one printable line.
+
+    >>> format_value(("callers", 0, "token_digest"), "abc")
+    '***'
+    """
+    if any(isinstance(key, str) and _SECRET.search(key) for key in location):
+        return "***"
+    if isinstance(value, Mapping):
+        return f"an object of {len(value)} keys"
+    if isinstance(value, (list, tuple)):
+        return f"a list of {len(value)} items"
+    if isinstance(value, str):
+        return _quote(_USERINFO.sub("//***@", value))
+    if value is None or isinstance(value, bool):
+        return json.dumps(value)
+    return _shorten(str(value))
+
+
+def _quote(text: str) -> str:
+    # ASCII escapes keep control characters and lone surrogates out of logs and terminals.
+    return json.dumps(_shorten(text))
+
+
+def _shorten(text: str) -> str:
+    return text if len(text) <= _SHOWN else f"{text[:_SHOWN]}..."
--- /dev/null
+++ b/mimosapost/settings/published.py
@@ -0,0 +1,61 @@
+"""Check of published subtrees.
+
+The result is a pure function of the text: what one instance accepts all instances accept.
+Rules that need another document are therefore not applied here but only by
+:mod:`mimosapost.settings.tree`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from returns.result import Result
+
+from mimosapost.model.published import FleetTree, TeamTree
+from mimosapost.settings.checking import check_document
+from mimosapost.settings.faults import Fault
+from mimosapost.settings.rules import DEFAULT_MERGES, FLEET
+
+__all__ = ["check_fleet", "check_subtree", "check_team"]
+
+
+def check_team(
+    text: bytes, merges: Collection[str] = DEFAULT_MERGES
+) -> Result[TeamTree, tuple[Fault, ...]]:
+    """Check the subtree of a team.
+
+    :param text: UTF-8 JSON text.
+    :param merges: names of the registered merges.
+    :returns: the subtree, or every fault.
+
+    >>> check_team(b'{"team": "booking", "version": 1}').unwrap().team
+    'booking'
+    >>> [str(fault) for fault in check_team(b'{"team": "booking", "version": 0}').failure()]
+    ['version: found 0, expected at least 1']
+    """
+    return check_document("team", TeamTree, text, merges)
+
+
+def check_fleet(text: bytes) -> Result[FleetTree, tuple[Fault, ...]]:
+    """Check the subtree named ``fleet``.
+
+    :param text: UTF-8 JSON text.
+    :returns: the subtree, or every fault.
+    """
+    return check_document("fleet", FleetTree, text)
+
+
+def check_subtree(
+    team: str, text: bytes, merges: Collection[str] = DEFAULT_MERGES
+) -> Result[TeamTree | FleetTree, tuple[Fault, ...]]:
+    """Check the subtree that was published under a path.
+
+    :param team: last part of the path; ``fleet`` is the fleet's subtree. The team that a
+        team's subtree names must equal it.
+    :param text: UTF-8 JSON text.
+    :param merges: names of the registered merges.
+    :returns: the subtree, or every fault.
+    """
+    if team == FLEET:
+        return check_fleet(text)
+    return check_document("team", TeamTree, text, merges, extra=("team", team))
--- /dev/null
+++ b/mimosapost/settings/rules.py
@@ -0,0 +1,264 @@
+"""Rules that span several settings of one document, in a registry.
+
+Rules read the decoded JSON and pass over what has the wrong type, because the type check
+reports that already. So one run reports type faults and broken rules together.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
+from dataclasses import MISSING, dataclass, fields
+from typing import Any
+
+from mimosapost.model.published import ServiceSettings
+from mimosapost.settings.faults import Fault, create_fault
+
+__all__ = [
+    "DEFAULT_MERGES",
+    "FLEET",
+    "Document",
+    "Location",
+    "Rule",
+    "apply_rules",
+    "check_address",
+    "find_repeated",
+    "get_rules",
+    "is_ip",
+    "is_number",
+    "list_texts",
+    "rule",
+]
+
+DEFAULT_MERGES = ("concat", "sum", "top_k")
+FLEET = "fleet"
+
+Document = Mapping[str, Any]
+Location = tuple[str | int, ...]
+RuleFunction = Callable[[Document, Collection[str]], Iterator[Fault]]
+
+_RULES: dict[str, list[Rule]] = {"team": [], "fleet": [], "local": []}
+_SERVICE_DEFAULTS = {
+    field.name: field.default
+    for field in fields(ServiceSettings)
+    if field.default is not MISSING
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """A registered rule; the first line of the function's docstring states it."""
+
+    name: str
+    function: RuleFunction
+
+    @property
+    def statement(self) -> str:
+        """What the rule demands, in one sentence."""
+        return (self.function.__doc__ or "").strip().splitlines()[0]
+
+
+def rule(kind: str) -> Callable[[RuleFunction], RuleFunction]:
+    """Register a rule for one kind of document.
+
+    :param kind: ``team``, ``fleet`` or ``local``.
+    :returns: a decorator that returns its function unchanged.
+    """
+
+    def register(function: RuleFunction) -> RuleFunction:
+        _RULES[kind].append(Rule(function.__name__, function))
+        return function
+
+    return register
+
+
+def get_rules(kind: str) -> tuple[Rule, ...]:
+    """Return the rules of one kind of document in order of registration.
+
+    :param kind: ``team``, ``fleet`` or ``local``.
+    :returns: the rules.
+    """
+    return tuple(_RULES[kind])
+
+
+def apply_rules(kind: str, document: Any, merges: Collection[str]) -> tuple[Fault, ...]:
+    """Return every broken rule of a decoded document.
+
+    :param kind: ``team``, ``fleet`` or ``local``.
+    :param document: decoded JSON; anything but an object breaks no rule.
+    :param merges: names of the registered merges.
+    :returns: the faults in order of the rules.
+    """
+    if not isinstance(document, dict):
+        return ()
+    return tuple(f for entry in _RULES[kind] for f in entry.function(document, merges))
+
+
+@rule("team")
+def team_name_is_free(document: Document, _: Collection[str]) -> Iterator[Fault]:
+    """Require another team name than ``fleet``, which names the subtree of every team."""
+    if document.get("team") == FLEET:
+        yield create_fault(("team",), FLEET, f"another name than {FLEET}, which is reserved")
+
+
+@rule("team")
+def services_are_unique(document: Document, _: Collection[str]) -> Iterator[Fault]:
+    """Require unique names of services within a team."""
+    yield from find_repeated(_list_names(document, ("services",)), "service of this team")
+
+
+@rule("team")
+def leafs_are_unique(document: Document, _: Collection[str]) -> Iterator[Fault]:
+    """Require unique names of leafs within a service."""
+    for location, service in _list_objects(document, ("services",)):
+        yield from find_repeated(
+            _list_names(service, ("leafs",), location), "leaf of this service"
+        )
+
+
+@rule("team")
+def slots_are_unique(document: Document, _: Collection[str]) -> Iterator[Fault]:
+    """Require unique names of slots within a leaf."""
+    for location, leaf in _list_objects(document, ("services", "leafs")):
+        yield from find_repeated(_list_names(leaf, ("slots",), location), "slot of this leaf")
+
+
+@rule("team")
+def callers_are_unique(document: Document, _: Collection[str]) -> Iterator[Fault]:
+    """Require unique names of callers within a team."""
+    yield from find_repeated(_list_names(document, ("callers",)), "caller of this team")
+
+
+@rule("team")
+def caller_services_exist(document: Document, _: Collection[str]) -> Iterator[Fault]:
+    """Require that the services of a caller are services of the same team."""
+    known = {name for _, name in _list_names(document, ("services",))}
+    for location, caller in _list_objects(document, ("callers",)):
+        for index, name in enumerate(_get_list(caller, "services")):
+            if isinstance(name, str) and name not in known:
+                path = (*location, "services", index)
+                yield create_fault(path, name, "a service of this team")
+
+
+@rule("team")
+def cold_limit_within_connections(document: Document, _: Collection[str]) -> Iterator[Fault]:
+    """Require a ``cold_limit`` of at most ``connections``."""
+    for location, service in _list_objects(document, ("services",)):
+        cold = service.get("cold_limit", _SERVICE_DEFAULTS["cold_limit"])
+        connections = service.get("connections", _SERVICE_DEFAULTS["connections"])
+        if _is_int(cold) and _is_int(connections) and cold > connections:
+            expected = f"at most the connections of a server ({connections})"
+            yield create_fault((*location, "cold_limit"), cold, expected)
+
+
+@rule("team")
+def merge_is_registered(document: Document, merges: Collection[str]) -> Iterator[Fault]:
+    """Require the name of a registered merge (``concat``, ``sum``, ``top_k``)."""
+    for location, service in _list_objects(document, ("services",)):
+        merge = service.get("merge", _SERVICE_DEFAULTS["merge"])
+        if isinstance(merge, str) and merge not in merges:
+            expected = f"one of {', '.join(sorted(merges))}"
+            yield create_fault((*location, "merge"), merge, expected)
+
+
+@rule("team")
+def servers_are_addresses(document: Document, _: Collection[str]) -> Iterator[Fault]:
+    """Require an IPv4 address and a port of 1 to 65535 for each backend server."""
+    for location, slot in _list_objects(document, ("services", "leafs", "slots")):
+        yield from check_address(slot.get("server"), (*location, "server"))
+
+
+@rule("fleet")
+def teams_are_unique(document: Document, _: Collection[str]) -> Iterator[Fault]:
+    """Require unique names of teams."""
+    yield from find_repeated(list_texts(document, "teams"), "team of the fleet")
+
+
+@rule("fleet")
+def team_names_are_free(document: Document, _: Collection[str]) -> Iterator[Fault]:
+    """Require other team names than ``fleet``."""
+    for location, name in list_texts(document, "teams"):
+        if name == FLEET:
+            yield create_fault(location, name, f"another name than {FLEET}, which is reserved")
+
+
+def _get_list(parent: Document, key: str) -> list[Any]:
+    value = parent.get(key)
+    return value if isinstance(value, list) else []
+
+
+def _list_objects(
+    parent: Document, keys: tuple[str, ...], base: Location = ()
+) -> Iterator[tuple[Location, Document]]:
+    for index, member in enumerate(_get_list(parent, keys[0])):
+        if isinstance(member, dict):
+            location = (*base, keys[0], index)
+            if len(keys) == 1:
+                yield location, member
+            else:
+                yield from _list_objects(member, keys[1:], location)
+
+
+def _list_names(
+    parent: Document, keys: tuple[str, ...], base: Location = ()
+) -> Iterator[tuple[Location, str]]:
+    for location, member in _list_objects(parent, keys, base):
+        if isinstance(member.get("name"), str):
+            yield (*location, "name"), member["name"]
+
+
+def list_texts(parent: Document, key: str) -> Iterator[tuple[Location, str]]:
+    """Yield location and text of each string in a list of a document.
+
+    :param parent: object that holds the list.
+    :param key: key of the list.
+    """
+    for index, member in enumerate(_get_list(parent, key)):
+        if isinstance(member, str):
+            yield (key, index), member
+
+
+def find_repeated(named: Iterable[tuple[Location, str]], what: str) -> Iterator[Fault]:
+    """Yield a fault for each name that stood before.
+
+    :param named: pairs of location and name.
+    :param what: what the names belong to, for the expectation.
+    """
+    seen: set[str] = set()
+    for location, name in named:
+        if name in seen:
+            yield create_fault(location, name, f"a name that no other {what} has")
+        seen.add(name)
+
+
+def check_address(value: Any, location: Location) -> Iterator[Fault]:
+    """Yield a fault unless a text is an IPv4 address with a port.
+
+    :param value: decoded JSON; anything but a string is passed over.
+    :param location: where the value stands.
+    """
+    if not isinstance(value, str):
+        return
+    host, _, port = value.rpartition(":")
+    # isdecimal alone also accepts digits of other scripts, as the pattern of the type does.
+    valid = port.isascii() and port.isdecimal() and 1 <= int(port[:6]) <= 65535
+    if not valid or not is_ip(host):
+        yield create_fault(location, value, "ip:port, an IPv4 address and a port of 1 to 65535")
+
+
+def is_ip(text: str) -> bool:
+    """Return whether a text is an IPv4 address."""
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_int(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def is_number(value: Any) -> bool:
+    """Return whether a decoded JSON value is a number."""
+    return isinstance(value, (int, float)) and not isinstance(value, bool)
--- /dev/null
+++ b/mimosapost/settings/tests/test_documents.py
@@ -0,0 +1,47 @@
+"""Guards against documents that crash the reader or hide a fault from it."""
+
+import pytest
+from returns.result import Success
+
+from mimosapost.settings.documents import MAX_BYTES, MAX_DEPTH, read_document
+
+TABLE = [
+    # text, path, part of the value found
+    (b"", "(document)", "an error at line 1 column 1"),
+    (b"{", "(document)", "an error at line 1 column 2"),
+    (b"\xff\xfe{}", "(document)", "a wrong byte at offset 0"),
+    (b"\xef\xbb\xbf{}", "(document)", "an error at line 1 column 1"),
+    (b" " * (MAX_BYTES + 1), "(document)", f"{MAX_BYTES + 1} bytes"),
+    (b"[" * 100_000, "(document)", "deeper nesting"),
+    (b'{"a":' * 100_000, "(document)", "deeper nesting"),
+    (b'["' + b"\\" * 500_000, "(document)", "an error at"),
+    (b'{"a": 1, "a": 2}', "a", "a duplicate key"),
+    (b'{"a": [{"b": {}}, {"b": 1, "b": 2}]}', "a[1].b", "a duplicate key"),
+    (b'{"\\n": 1, "\\n": 2}', '["\\n"]', "a duplicate key"),
+    (b'{"a": NaN}', "a", "NaN"),
+    (b'{"a": [-Infinity]}', "a[0]", "-Infinity"),
+    (b'{"a": 1e999}', "a", "1e999"),
+    (b'{"a": ' + b"9" * 5000 + b"}", "a", "9" * 60 + "..."),
+]
+
+
+@pytest.mark.parametrize(("text", "path", "found"), TABLE, ids=range(len(TABLE)))
+def test_refuses_with_path(text, path, found):
+    (fault,) = read_document(text).failure()
+    assert fault.path == path
+    assert found in fault.value
+
+
+def test_reports_all_marks_at_once():
+    faults = read_document(b'{"a": NaN, "b": {"c": 1, "c": 2}, "d": Infinity}').failure()
+    assert [fault.path for fault in faults] == ["a", "b.c", "d"]
+
+
+def test_accepts_up_to_both_bounds():
+    nested = b"[" * MAX_DEPTH + b"]" * MAX_DEPTH
+    assert isinstance(read_document(nested), Success)
+    assert isinstance(read_document(nested.ljust(MAX_BYTES)), Success)
+
+
+def test_brackets_within_strings_are_no_nesting():
+    assert read_document(b'["\\"' + b"[" * 100 + b'"]').unwrap() == ['"' + "[" * 100]
--- /dev/null
+++ b/mimosapost/settings/tests/test_tree.py
@@ -0,0 +1,87 @@
+"""Guards against faults between files that the check of a directory misses."""
+
+import json
+
+import pytest
+
+from mimosapost.settings.tests.test_published import create_fleet, create_team, edit
+from mimosapost.settings.tree import check_tree
+
+REGIONS = {"porto-a": "porto", "braga-a": "braga"}
+
+
+def write_tree(root, fleet=None, **teams):
+    (root / "teams").mkdir()
+    fleet = fleet or create_fleet(regions=REGIONS, teams=sorted(teams))
+    (root / "fleet.json").write_text(json.dumps(fleet))
+    for name, tree in teams.items():
+        (root / "teams" / f"{name}.json").write_text(json.dumps(tree))
+
+
+def create_repair(**changes):
+    slot = ("services", 0, "leafs", 0, "slots", 0)
+    repair = edit(create_team(team="repair"), ("services", 0, "name"), "history")
+    repair = edit(repair, ("callers", 0, "name"), "bench")
+    repair = edit(repair, ("callers", 0, "services"), ["history"])
+    return edit(repair, (*slot, "domain"), "porto-a") | changes
+
+
+# Change of the second team or the fleet, file and path of the warning.
+WARNINGS = [
+    (("services", 0, "name"), "search", "repair.json", "services[0].name"),
+    (("callers", 0, "name"), "desk", "repair.json", "callers[0].name"),
+    (("services", 0, "leafs", 0, "slots", 1, "domain"), "x", "repair.json", "slots[1].domain"),
+    (("domains_out",), ["x"], "repair.json", "domains_out[0]"),
+]
+
+
+def test_valid_tree_is_clean(tmp_path):
+    write_tree(tmp_path, booking=create_team(), repair=create_repair())
+    report = check_tree(tmp_path)
+    assert [tree.team for tree in report.teams] == ["booking", "repair"]
+    assert (report.faults, report.warnings) == ((), ())
+
+
+@pytest.mark.parametrize(("location", "value", "file", "path"), WARNINGS)
+def test_rules_across_files_only_warn(tmp_path, location, value, file, path):
+    repair = edit(create_repair(), location, value)
+    repair["callers"][0]["services"] = [repair["services"][0]["name"]]
+    write_tree(tmp_path, booking=create_team(), repair=repair)
+    report = check_tree(tmp_path)
+    assert report.faults == ()
+    assert len(report.teams) == 2
+    (warning,) = report.warnings
+    assert warning.file.endswith(file)
+    assert warning.fault.path.endswith(path)
+
+
+FLEETS = [
+    ({"teams": ["booking", "gone"]}, "fleet.json", "teams[1]"),
+    ({"teams": []}, "booking.json", "team"),
+    ({"domains_out": ["x"]}, "fleet.json", "domains_out[0]"),
+]
+
+
+@pytest.mark.parametrize(("changes", "file", "path"), FLEETS)
+def test_fleet_and_teams_are_compared(tmp_path, changes, file, path):
+    fleet = create_fleet(regions=REGIONS) | changes
+    write_tree(tmp_path, fleet, booking=create_team())
+    report = check_tree(tmp_path)
+    (warning,) = report.warnings
+    assert warning.file.endswith(file)
+    assert warning.fault.path == path
+    assert report.faults == ()
+
+
+def test_faults_of_every_file_are_reported(tmp_path):
+    write_tree(tmp_path, create_fleet(version=0), booking=create_repair(), repair={})
+    (tmp_path / "teams" / "zz.json").mkdir()
+    report = check_tree(tmp_path)
+    assert report.fleet is None
+    files = [entry.file.rsplit("/", 1)[1] for entry in report.faults]
+    assert files == ["fleet.json", "booking.json", "repair.json", "repair.json", "zz.json"]
+
+
+def test_missing_fleet_file_is_a_fault(tmp_path):
+    (fault,) = check_tree(tmp_path).faults
+    assert "No such file" in str(fault)
