--- /dev/null
+++ b/mimosapost/commands/entry.py
@@ -0,0 +1,78 @@
+"""Entry point of the console script ``mimosapost``."""
+
+from __future__ import annotations
+
+import io
+import sys
+from collections.abc import Callable, Sequence
+from contextlib import redirect_stderr, suppress
+
+import defopt
+
+from mimosapost.commands.registry import CommandError, load_commands
+
+__all__ = ["main"]
+
+_PROGRAM = "mimosapost"
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run one command.
+
+    :param argv: arguments without the program's name, those of the process by default.
+    :returns: exit status: 0, 2 for bad arguments, files or settings, else the command's own.
+    """
+    arguments = list(sys.argv[1:] if argv is None else argv)
+    try:
+        call = _bind(arguments)
+        if call is None:
+            return 2
+        status = call()
+        sys.stdout.flush()
+        return status or 0
+    except CommandError as error:
+        return _report(str(error))
+    except BrokenPipeError:
+        return _discard_output()
+    except OSError as error:
+        name = f": {error.filename}" if error.filename else ""
+        return _report(f"{error.strerror or error}{name}")
+    except KeyboardInterrupt:
+        return 130
+
+
+def _bind(arguments: list[str]) -> Callable[[], int | None] | None:
+    commands = load_commands(arguments[0] if arguments else "")
+    if not commands:
+        _report(f"command {arguments[0]} is not available")
+        return None
+    usage = io.StringIO()
+    try:
+        with redirect_stderr(usage):
+            return defopt.bind(
+                commands,
+                argv=arguments,
+                argparse_kwargs={"prog": _PROGRAM},
+                no_negated_flags=True,
+            )
+    except SystemExit as error:
+        if not error.code:
+            raise
+        # argparse writes its usage first; the last line is the reason.
+        lines = usage.getvalue().strip().splitlines() or ["bad arguments"]
+        sys.stderr.write(f"{lines[-1]}\n")
+        return None
+
+
+def _report(message: str) -> int:
+    text = " ".join(message.splitlines())
+    sys.stderr.write(f"{_PROGRAM}: error: {text if text.isprintable() else ascii(text)}\n")
+    return 2
+
+
+def _discard_output() -> int:
+    # The reader of a pipe ended. Closing here keeps the interpreter from flushing at exit,
+    # which would fail again with a traceback.
+    with suppress(BrokenPipeError):
+        sys.stdout.close()
+    return 1
--- a/mimosapost/model/codes.py
+++ b/mimosapost/model/codes.py
@@ -3,8 +3,19 @@
 from __future__ import annotations
 
 from enum import Enum, IntEnum
+from typing import NamedTuple
 
-__all__ = ["FailureKind", "MissingReason", "Priority", "ResultCode", "RunState", "get_status"]
+__all__ = [
+    "Explanation",
+    "FailureKind",
+    "MissingReason",
+    "Priority",
+    "ResultCode",
+    "RunState",
+    "get_explanation",
+    "get_meaning",
+    "get_status",
+]
 
 
 class RunState(Enum):
@@ -94,6 +105,141 @@
     return _STATUS[code]
 
 
+class Explanation(NamedTuple):
+    """Run states, meaning and advice of a result code, for the generated page.
+
+    :param runs: run states that occur with the code; the answer's own ``run`` is binding.
+    :param meaning: what happened.
+    :param action: what the caller should do.
+    """
+
+    runs: tuple[RunState, ...]
+    meaning: str
+    action: str
+
+
+_NOT_RUN = (RunState.NOT_RUN,)
+_RAN = (RunState.RAN,)
+_UNKNOWN = (RunState.UNKNOWN,)
+_EXPLANATIONS = {
+    ResultCode.COMPLETE: Explanation(
+        _RAN, "The result covers every leaf of the service.", "Use the result."
+    ),
+    ResultCode.PARTIAL: Explanation(
+        _RAN,
+        "The result covers the listed leafs only; the others are listed with reasons.",
+        "Use the result for the covered leafs, or ask again if it is repeatable.",
+    ),
+    ResultCode.MALFORMED_REQUEST: Explanation(
+        _NOT_RUN, "The request breaks the protocol.", "Correct the request."
+    ),
+    ResultCode.REQUEST_TOO_LARGE: Explanation(
+        _NOT_RUN, "Body, headers or nesting exceed their bounds.", "Send a smaller request."
+    ),
+    ResultCode.UNKNOWN_SERVICE: Explanation(
+        _NOT_RUN, "No team publishes a service of this name.", "Correct the name."
+    ),
+    ResultCode.UNKNOWN_CALLER: Explanation(
+        _NOT_RUN, "Caller or bearer token is missing or unknown.", "Correct the credentials."
+    ),
+    ResultCode.CALLER_NOT_ALLOWED: Explanation(
+        _NOT_RUN, "The caller may not use this service.", "Ask the team of the service."
+    ),
+    ResultCode.TICKET_REQUIRED: Explanation(
+        _NOT_RUN,
+        "A request that must not be repeated came without a ticket.",
+        "Send it again with the ticket of this answer.",
+    ),
+    ResultCode.TICKET_REUSED: Explanation(
+        _NOT_RUN,
+        "The ticket belongs to another request; this request did not run.",
+        "Send it again with a new ticket.",
+    ),
+    ResultCode.TICKET_INVALID: Explanation(
+        _NOT_RUN,
+        "The ticket is malformed or belongs to another caller.",
+        "Send it again with a ticket of this caller.",
+    ),
+    ResultCode.OVERLOADED: Explanation(
+        _NOT_RUN, "The queue of the instance is full.", "Send again after a random delay."
+    ),
+    ResultCode.CALLER_LIMIT: Explanation(
+        _NOT_RUN,
+        "The caller has as many open queries as it may have.",
+        "Wait for answers before sending more.",
+    ),
+    ResultCode.DEADLINE_TOO_SHORT: Explanation(
+        _NOT_RUN,
+        "The request could not finish before its deadline.",
+        "Send again with a longer deadline or later.",
+    ),
+    ResultCode.COVERAGE_TOO_LOW: Explanation(
+        (RunState.NOT_RUN, RunState.RAN, RunState.UNKNOWN),
+        "Fewer leafs are covered than the caller accepts.",
+        "Accept a lower coverage, or send again if it did not run or is repeatable.",
+    ),
+    ResultCode.REQUEST_REFUSED: Explanation(
+        (RunState.NOT_RUN, RunState.UNKNOWN),
+        "The request was in flight when backend servers crashed, and is refused for 60 s.",
+        "Don't send it again; report it to the team of the service.",
+    ),
+    ResultCode.STOPPING: Explanation(
+        _NOT_RUN, "The instance is stopping.", "Send it to another instance."
+    ),
+    ResultCode.NOT_CONFIGURED: Explanation(
+        _NOT_RUN, "The instance has no settings yet.", "Send it to another instance."
+    ),
+    ResultCode.TICKETS_EXHAUSTED: Explanation(
+        _NOT_RUN,
+        "The instance has no room for another ticket.",
+        "Send again later or to another instance.",
+    ),
+    ResultCode.CALLER_GONE: Explanation(
+        (RunState.NOT_RUN, RunState.RAN, RunState.UNKNOWN),
+        "The caller closed its connection; only logs and metrics show this code.",
+        "Treat a broken connection as an unknown outcome.",
+    ),
+    ResultCode.ISSUER_UNREACHABLE: Explanation(
+        _UNKNOWN,
+        "The instance that issued the ticket is gone or unreachable; nothing was repeated.",
+        "Find out by other means whether the request ran.",
+    ),
+    ResultCode.TICKET_EXPIRED: Explanation(
+        _UNKNOWN,
+        "The ticket is no longer kept, so an earlier run cannot be ruled out.",
+        "Find out whether the request ran, then send it with a new ticket.",
+    ),
+    ResultCode.DEADLINE_EXCEEDED: Explanation(
+        (RunState.NOT_RUN, RunState.UNKNOWN),
+        "The deadline passed before there was a result.",
+        "Send again if it did not run or is repeatable.",
+    ),
+    ResultCode.OUTCOME_UNKNOWN: Explanation(
+        _UNKNOWN,
+        "The request was sent to backend servers and its outcome is not known.",
+        "Find out whether it ran; it was not repeated.",
+    ),
+    ResultCode.ANSWER_TOO_LARGE: Explanation(
+        _RAN, "The merged result exceeds its bound.", "Ask for fewer items."
+    ),
+    ResultCode.INTERNAL_ERROR: Explanation(
+        _UNKNOWN, "The instance failed.", "Report it; send again if it is repeatable."
+    ),
+}
+
+
+def get_explanation(code: ResultCode) -> Explanation:
+    """Return run states, meaning and advice of a result code.
+
+    :param code: result code of a query.
+    :returns: its explanation.
+
+    >>> get_explanation(ResultCode.STOPPING).action
+    'Send it to another instance.'
+    """
+    return _EXPLANATIONS[code]
+
+
 class MissingReason(IntEnum):
     """Why an answer does not cover a leaf."""
 
@@ -110,6 +256,30 @@
     STOPPED = 6011
 
 
+_MEANINGS = {
+    MissingReason.TIMED_OUT: "No slot answered before the deadline.",
+    MissingReason.NO_ELIGIBLE_SLOT: "Every slot was out of service, leaving or dead.",
+    MissingReason.SNAPSHOT_GONE: "No slot holds the pinned snapshot any more.",
+    MissingReason.SERVER_REFUSED: "Backend servers refused the work.",
+    MissingReason.CONNECTION_FAILED: "Connections failed and no retry was possible.",
+    MissingReason.LIMIT_REACHED: "The limits of the backend servers left no room in time.",
+    MissingReason.REQUEST_SUSPECT: "The request is suspected of crashing backend servers.",
+    MissingReason.OUTCOME_UNKNOWN: "A send may have run and must not be repeated.",
+    MissingReason.MALFORMED_ANSWER: "The answer broke the protocol.",
+    MissingReason.ANSWER_TOO_LARGE: "The answer exceeded its bound.",
+    MissingReason.STOPPED: "The instance stopped.",
+}
+
+
+def get_meaning(reason: MissingReason) -> str:
+    """Return the meaning of a reason in one sentence.
+
+    :param reason: why a leaf is missing.
+    :returns: its meaning.
+    """
+    return _MEANINGS[reason]
+
+
 class FailureKind(Enum):
     """How a send ended without an answer."""
 
--- a/mimosapost/model/published.py
+++ b/mimosapost/model/published.py
@@ -31,7 +31,7 @@
     """One replica of a leaf."""
 
     __pydantic_config__: ClassVar[ConfigDict] = _STRICT
-    name: Name
+    name: Annotated[Name, Field(description="name, unique within the leaf")]
     server: Annotated[Address, Field(description="address of the backend server")]
     domain: Annotated[Name, Field(description="failure domain of the backend server")]
     leaving: Annotated[bool, Field(description="the server is leaving: no new work")] = False
@@ -42,8 +42,11 @@
     """One shard of a service."""
 
     __pydantic_config__: ClassVar[ConfigDict] = _STRICT
-    name: Name
-    slots: Annotated[tuple[SlotSettings, ...], Field(min_length=1, max_length=16)]
+    name: Annotated[Name, Field(description="name, unique within the service")]
+    slots: Annotated[
+        tuple[SlotSettings, ...],
+        Field(min_length=1, max_length=16, description="replicas of the leaf"),
+    ]
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,10 +54,12 @@
     """A named group of backend servers with its limits."""
 
     __pydantic_config__: ClassVar[ConfigDict] = _STRICT
-    name: Name
-    map_version: Version
-    index_version: Version
-    leafs: Annotated[tuple[LeafSettings, ...], Field(min_length=1, max_length=5000)]
+    name: Annotated[Name, Field(description="name, unique in the deployment")]
+    map_version: Annotated[Version, Field(description="version of the shard map")]
+    index_version: Annotated[Version, Field(description="version of the data")]
+    leafs: Annotated[
+        tuple[LeafSettings, ...], Field(min_length=1, max_length=5000, description="shard map")
+    ]
     merge: Annotated[Name, Field(description="name of a registered merge")] = "concat"
     connections: Annotated[
         int, Field(ge=1, le=100_000, description="connections that a server accepts in all")
@@ -65,15 +70,21 @@
     ramp_answers: Annotated[
         int, Field(ge=1, le=1_000_000, description="good answers that end a ramp stage")
     ] = 20
-    ramp_interval_ms: Annotated[int, Field(ge=0, le=600_000)] = 500
+    ramp_interval_ms: Annotated[
+        int, Field(ge=0, le=600_000, description="shortest time of a ramp stage")
+    ] = 500
     concurrency: Annotated[
         int, Field(ge=1, le=10_000_000, description="open queries of the whole fleet")
     ] = 200
     queue_limit: Annotated[
         int, Field(ge=0, le=1_000_000, description="waiting queries of one instance")
     ] = 200
-    max_deadline_ms: Annotated[int, Field(ge=1, le=60_000)] = 2_000
-    max_answer_bytes: Annotated[int, Field(ge=64, le=64 * 2**20)] = 2**20
+    max_deadline_ms: Annotated[
+        int, Field(ge=1, le=60_000, description="longest deadline of a query")
+    ] = 2_000
+    max_answer_bytes: Annotated[
+        int, Field(ge=64, le=64 * 2**20, description="largest answer of a server")
+    ] = 2**20
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,16 +92,24 @@
     """A caller and what it may use."""
 
     __pydantic_config__: ClassVar[ConfigDict] = _STRICT
-    name: Name
+    name: Annotated[Name, Field(description="identity that the caller sends in X-Caller")]
     token_digest: Annotated[
         str,
         Field(pattern=r"^[0-9a-f]{64}$", description="SHA-256 of the bearer token, in hex"),
     ]
-    services: Annotated[tuple[Name, ...], Field(max_length=10_000)]
+    services: Annotated[
+        tuple[Name, ...],
+        Field(
+            max_length=10_000, description="services of the same team that the caller may use"
+        ),
+    ]
     concurrency: Annotated[
         int, Field(ge=1, le=10_000_000, description="open queries of the whole fleet")
     ] = 100
-    top_priority: Literal["urgent", "normal", "background"] = "urgent"
+    top_priority: Annotated[
+        Literal["urgent", "normal", "background"],
+        Field(description="highest priority class that the caller may ask for"),
+    ] = "urgent"
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,11 +117,21 @@
     """The subtree of one team."""
 
     __pydantic_config__: ClassVar[ConfigDict] = _STRICT
-    team: Name
-    version: Version
-    services: Annotated[tuple[ServiceSettings, ...], Field(max_length=10_000)] = ()
-    callers: Annotated[tuple[CallerSettings, ...], Field(max_length=10_000)] = ()
-    domains_out: Annotated[tuple[Name, ...], Field(max_length=1_000)] = ()
+    team: Annotated[Name, Field(description="name of the team, equal to the path")]
+    version: Annotated[
+        Version, Field(description="version of the subtree, higher replaces lower")
+    ]
+    services: Annotated[
+        tuple[ServiceSettings, ...],
+        Field(max_length=10_000, description="services of the team"),
+    ] = ()
+    callers: Annotated[
+        tuple[CallerSettings, ...], Field(max_length=10_000, description="callers of the team")
+    ] = ()
+    domains_out: Annotated[
+        tuple[Name, ...],
+        Field(max_length=1_000, description="failure domains out of service for this team"),
+    ] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,10 +139,17 @@
     """The subtree named ``fleet``: facts that hold for every team."""
 
     __pydantic_config__: ClassVar[ConfigDict] = _STRICT
-    version: Version
-    teams: Annotated[tuple[Name, ...], Field(max_length=1_000)]
+    version: Annotated[
+        Version, Field(description="version of the subtree, higher replaces lower")
+    ]
+    teams: Annotated[
+        tuple[Name, ...], Field(max_length=1_000, description="teams whose subtrees are read")
+    ]
     regions: Annotated[dict[Name, Name], Field(description="region of each failure domain")]
-    domains_out: Annotated[tuple[Name, ...], Field(max_length=1_000)] = ()
+    domains_out: Annotated[
+        tuple[Name, ...],
+        Field(max_length=1_000, description="failure domains out of service for every team"),
+    ] = ()
     instance_ceiling: Annotated[
         int, Field(ge=1, le=10_000, description="instances that could exist at a time")
     ] = 4
--- a/mimosapost/model/tests/test_codes.py
+++ b/mimosapost/model/tests/test_codes.py
@@ -1,10 +1,26 @@
-"""Guards against result codes that no HTTP status carries."""
+"""Guards against result codes without HTTP status or explanation."""
 
 import pytest
 
-from mimosapost.model.codes import ResultCode, get_status
+from mimosapost.model.codes import (
+    MissingReason,
+    ResultCode,
+    get_explanation,
+    get_meaning,
+    get_status,
+)
 
 
 @pytest.mark.parametrize("code", list(ResultCode))
 def test_each_code_has_a_status(code):
     assert 200 <= get_status(code) <= 599
+
+
+@pytest.mark.parametrize("code", list(ResultCode))
+def test_each_code_is_explained(code):
+    assert all(get_explanation(code))
+
+
+@pytest.mark.parametrize("reason", list(MissingReason))
+def test_each_reason_is_explained(reason):
+    assert get_meaning(reason)
