Add the published trees of both deployments as examples

Cause: commands, demo and benchmarks need settings in the sizes of the design page. Conclusion: both trees pass the check without faults or warnings.

--- /dev/null
+++ b/mimosapost/standins/tests/test_trees.py
@@ -0,0 +1,88 @@
+"""Guards against example deployments that instances would refuse or that differ in size."""
+
+from hashlib import sha256
+from itertools import chain
+from pathlib import Path
+
+import pytest
+from returns.result import Success
+
+from mimosapost.settings.local import check_local
+from mimosapost.settings.published import check_subtree
+from mimosapost.settings.tree import check_tree
+from mimosapost.standins.trees import (
+    create_sapatilha,
+    create_sunbrook,
+    create_token,
+    write_deployment,
+)
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+CREATORS = {"sapatilha": create_sapatilha, "sunbrook": create_sunbrook}
+# Deployment, team, services, leafs, slots, connections: section 2 of the design page.
+SIZES = [
+    ("sapatilha", "booking", 20, 2, 2, 25),
+    ("sapatilha", "repair", 30, 2, 2, 25),
+    ("sapatilha", "billing", 1, 3, 3, 110),
+    ("sapatilha", "courier", 1, 3, 3, 110),
+    ("sunbrook", "dispatch", 20, 2, 2, 25),
+    ("sunbrook", "counter", 30, 2, 2, 25),
+    ("sunbrook", "billing", 1, 7, 3, 40),
+    ("sunbrook", "sorting", 1, 3, 3, 40),
+]
+
+
+@pytest.mark.parametrize(("name", "team", "services", "leafs", "slots", "connections"), SIZES)
+def test_sizes_are_those_of_the_design(name, team, services, leafs, slots, connections):
+    (tree,) = (tree for tree in CREATORS[name]().teams if tree.team == team)
+    assert len(tree.services) == services
+    for service in tree.services:
+        assert service.connections == connections
+        assert [len(leaf.slots) for leaf in service.leafs] == [slots] * leafs
+
+
+@pytest.mark.parametrize("name", CREATORS)
+def test_servers_are_unique_and_replicas_apart(name):
+    deployment = CREATORS[name]()
+    services = chain.from_iterable(tree.services for tree in deployment.teams)
+    leafs = [leaf for service in services for leaf in service.leafs]
+    servers = [slot.server for leaf in leafs for slot in leaf.slots]
+    assert len(set(servers)) == len(servers)
+    for leaf in leafs:
+        assert len({slot.domain for slot in leaf.slots}) == len(leaf.slots)
+        assert all(slot.domain in deployment.fleet.regions for slot in leaf.slots)
+
+
+@pytest.mark.parametrize("name", CREATORS)
+def test_documents_are_accepted_and_unchanged(name):
+    deployment = CREATORS[name]()
+    trees = (deployment.fleet, *deployment.teams)
+    for (path, text), tree in zip(deployment.list_documents(), trees, strict=True):
+        assert check_subtree(Path(path).stem, text.encode()) == Success(tree)
+
+
+@pytest.mark.parametrize("name", CREATORS)
+def test_committed_examples_are_current_and_clean(name):
+    for path, text in CREATORS[name]().list_documents():
+        assert (EXAMPLES / name / path).read_text() == text
+    report = check_tree(EXAMPLES / name)
+    assert (report.faults, report.warnings) == ((), ())
+
+
+def test_local_example_is_accepted():
+    assert isinstance(check_local((EXAMPLES / "local.json").read_bytes()), Success)
+
+
+@pytest.mark.parametrize("name", CREATORS)
+def test_token_digests_match(name):
+    for tree in CREATORS[name]().teams:
+        assert tree.callers
+        for caller in tree.callers:
+            assert caller.token_digest == sha256(create_token(caller.name).encode()).hexdigest()
+
+
+def test_smaller_deployment_keeps_addresses(tmp_path):
+    small, full = create_sapatilha(1), create_sapatilha()
+    assert small.teams[0].services == full.teams[0].services[:1]
+    write_deployment(small, tmp_path)
+    assert check_tree(tmp_path).faults == ()
