--- /dev/null
+++ b/mimosapost/commands/tests/test_entry.py
@@ -0,0 +1,107 @@
+"""Guards against tracebacks, wrong exit statuses and slow imports of the program."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from mimosapost.commands.entry import main
+from mimosapost.settings.tests.test_published import create_fleet, create_local, create_team
+
+ERRORS = [
+    ([], "too few arguments"),
+    (["nope"], "invalid choice: 'nope'"),
+    (["check"], "at least one file"),
+    (["check", "--nope", "x"], "unrecognized arguments: --nope"),
+    (["check", "gone.json"], "No such file or directory"),
+    (["check", "a\0b"], "null byte"),
+    (["check", "line\nbreak.json"], "No such file or directory"),
+    (["reference", "--docs", "gone"], "gone is no directory"),
+]
+
+
+@pytest.mark.parametrize(("arguments", "reason"), ERRORS)
+def test_errors_are_one_line(arguments, reason, capsys, tmp_path, monkeypatch):
+    monkeypatch.chdir(tmp_path)
+    assert main(arguments) == 2
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 1
+    assert reason in lines[0]
+
+
+def test_unreadable_file_is_one_line(capsys, tmp_path):
+    assert main(["check", str(tmp_path), "/dev/null"]) == 2
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 2
+    assert "expected a regular file" in lines[1]
+
+
+def test_check_imports_no_server_modules():
+    script = (
+        "import sys; from mimosapost.commands.entry import main; main(['check', '/dev/null']);"
+        "sys.exit(any(name in sys.modules for name in ('aiohttp', 'mode', 'capnp')))"
+    )
+    done = subprocess.run([sys.executable, "-c", script], capture_output=True, timeout=60)
+    assert done.returncode == 0
+
+
+def test_closed_pipe_gives_no_traceback():
+    script = (
+        "import sys; from mimosapost.commands.entry import main;"
+        "sys.stdin.read(); sys.exit(main(['check', *['/nope'] * 9]))"
+    )
+    child = subprocess.Popen(
+        [sys.executable, "-c", script],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+    child.stdout.close()
+    child.stdin.close()
+    errors = child.stderr.read().decode()
+    child.stderr.close()
+    assert child.wait(60) == 1
+    assert "Traceback" not in errors
+    assert "Exception ignored" not in errors
+
+
+# Path below the directory, document, path of the fault; "" where the file is valid.
+FILES = [
+    ("a.json", create_team(), ""),
+    ("a.json", create_team(version=0), "version"),
+    ("a.json", create_fleet(), ""),
+    ("a.json", create_local(), ""),
+    ("a.json", create_local(seat=-1), "seat"),
+    ("fleet.json", create_local(), "regions"),
+    ("teams/booking.json", create_team(), ""),
+    ("teams/repair.json", create_team(), "team"),
+]
+
+
+@pytest.mark.parametrize(("name", "document", "path"), FILES)
+def test_check_finds_the_kind_of_a_file(name, document, path, tmp_path, capsys):
+    file = tmp_path / name
+    file.parent.mkdir(exist_ok=True)
+    file.write_text(json.dumps(document))
+    assert main(["check", str(file)]) == (2 if path else 0)
+    assert f"{file}: {path}: found" in capsys.readouterr().out or not path
+
+
+def test_check_prints_every_fault_of_every_path(tmp_path, capsys):
+    tree = tmp_path / "tree"
+    (tree / "teams").mkdir(parents=True)
+    (tree / "fleet.json").write_text(json.dumps(create_fleet(teams=["gone"])))
+    (tree / "teams" / "booking.json").write_text(json.dumps(create_team(version=0, x=1)))
+    (tmp_path / "local.json").write_text(json.dumps(create_local(seat="0")))
+    assert main(["check", str(tree), str(tmp_path / "local.json")]) == 2
+    output = capsys.readouterr().out
+    for part in ("booking.json: version:", "booking.json: x:", "local.json: seat:", "3 faults"):
+        assert part in output
+    assert "warning: " in output
+
+
+def test_warnings_alone_are_no_failure(tmp_path, capsys):
+    (tmp_path / "fleet.json").write_text(json.dumps(create_fleet()))
+    assert main(["check", str(tmp_path)]) == 0
+    assert "warning: " in capsys.readouterr().out
--- a/mimosapost/settings/tree.py
+++ b/mimosapost/settings/tree.py
@@ -33,7 +33,8 @@
     fault: Fault
 
     def __str__(self) -> str:
-        return f"{self.file}: {self.fault}"
+        file = self.file if self.file.isprintable() else ascii(self.file)
+        return f"{file}: {self.fault}"
 
 
 @dataclass(frozen=True, slots=True)
