Add member table, configuration book and gossip decisions

Cause: the reducer needs the fleet's members and the newest subtrees without a clock. Subtrees are ordered by (version, XXH3 digest) and refused texts are remembered. Gossip announces at most 16 versions a message and texts cross a link only on request.

--- /dev/null
+++ b/mimosapost/membership/gossip.py
@@ -0,0 +1,133 @@
+"""Decisions of the gossip protocol, as pure functions.
+
+A gossip message announces versions. The receiver requests what it lacks and announces back
+what the sender lacks, so a text crosses a link only after its receiver asked for it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from random import Random
+
+from mimosapost.model.messages import TreeVersion
+
+__all__ = [
+    "FANOUT",
+    "MAX_ANNOUNCED",
+    "READS_PER_S",
+    "choose_announced",
+    "choose_pushes",
+    "choose_reader",
+    "choose_requests",
+]
+
+FANOUT = 3
+READS_PER_S = 20
+_ALWAYS_READING = 8
+# 16 versions make a message of about 0.7 KB; 12 such messages a second (3 targets sent and
+# received every 0.5 s) stay below the 14 KB/s of control traffic allowed to an instance.
+MAX_ANNOUNCED = 16
+# A request names few teams, because each may be answered with 1 MB of text.
+_MAX_REQUESTED = 4
+
+
+def choose_announced(
+    versions: Sequence[TreeVersion],
+    recent: Iterable[str],
+    round_number: int,
+    limit: int = MAX_ANNOUNCED,
+) -> tuple[TreeVersion, ...]:
+    """Choose the versions that one gossip message announces.
+
+    Recently changed teams come first and take at most three quarters of the message. The
+    rest rotates through all teams, so that an instance that missed a change still hears it.
+
+    :param versions: own accepted versions, ordered by team.
+    :param recent: teams whose subtree changed lately, newest first.
+    :param round_number: number of the gossip round, which selects the rotating part.
+    :param limit: largest number of versions.
+    :returns: all versions if they fit, otherwise ``limit`` of them.
+    """
+    if len(versions) <= limit:
+        return tuple(versions)
+    by_team = {entry.team: entry for entry in versions}
+    chosen: dict[str, TreeVersion] = {}
+    for team in recent:
+        if len(chosen) >= limit * 3 // 4:
+            break
+        if team in by_team:
+            chosen[team] = by_team[team]
+    start = round_number * (limit - limit * 3 // 4) % len(versions)
+    for index in range(len(versions)):
+        if len(chosen) >= limit:
+            break
+        entry = versions[(start + index) % len(versions)]
+        chosen.setdefault(entry.team, entry)
+    return tuple(chosen.values())
+
+
+def choose_requests(
+    own: Iterable[TreeVersion],
+    theirs: Iterable[TreeVersion],
+    is_unwanted: Callable[[TreeVersion], bool] = lambda _: False,
+    limit: int = _MAX_REQUESTED,
+) -> tuple[str, ...]:
+    """Choose the teams whose text to request from a peer.
+
+    :param own: all own accepted versions.
+    :param theirs: versions that the peer announced.
+    :param is_unwanted: tells which versions were refused or are already requested.
+    :param limit: largest number of teams.
+    :returns: teams of which the peer holds something newer.
+    """
+    held = {entry.team: _rank(entry) for entry in own}
+    newer = (
+        entry.team
+        for entry in theirs
+        if _rank(entry) > held.get(entry.team, (-1, 0)) and not is_unwanted(entry)
+    )
+    return tuple(dict.fromkeys(newer))[:limit]
+
+
+def choose_pushes(
+    own: Iterable[TreeVersion],
+    theirs: Sequence[TreeVersion],
+    limit: int = MAX_ANNOUNCED,
+) -> tuple[TreeVersion, ...]:
+    """Choose the versions to announce to a peer because it lacks them.
+
+    :param own: all own accepted versions.
+    :param theirs: versions that the peer announced. A list shorter than ``limit`` is complete,
+        so a team absent from it is unknown to the peer.
+    :param limit: largest number of versions, the same for both sides.
+    :returns: own versions that are newer than the peer's.
+    """
+    told = {entry.team: _rank(entry) for entry in theirs}
+    complete = len(told) < limit
+    lacking = (
+        entry
+        for entry in own
+        if (entry.team in told or complete) and _rank(entry) > told.get(entry.team, (-1, 0))
+    )
+    return tuple(lacking)[:limit]
+
+
+def choose_reader(seat: int, ceiling: int, rng: Random) -> bool:
+    """Decide whether an instance may make one configuration read in this second.
+
+    Each instance asks once a second. With up to 8 instances all may read; above that each may
+    with probability 20 / ceiling, so the fleet makes about 20 reads a second at most.
+
+    :param seat: seat of this instance.
+    :param ceiling: number of seats of the fleet.
+    :param rng: seeded random numbers.
+    :returns: whether to read. A seat outside the ceiling never reads, because the bound counts
+        only the seats below it.
+    """
+    if not 0 <= seat < ceiling:
+        return False
+    return ceiling <= _ALWAYS_READING or rng.random() * ceiling < READS_PER_S
+
+
+def _rank(entry: TreeVersion) -> tuple[int, int]:
+    return entry.version, entry.digest
--- /dev/null
+++ b/mimosapost/membership/peer.capnp
@@ -0,0 +1,94 @@
+@0xc1b6f0a93d5e7284;
+
+# Frames on a peer link. A later protocol adds kinds at the end of the union of Envelope and
+# fields at the end of a struct; it never renumbers or removes one.
+
+struct Identity {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  seat @2 :UInt32;
+  domain @3 :Text;
+  region @4 :Text;
+  peerAddress @5 :Text;
+}
+
+struct Hello {
+  protocol @0 :UInt32;
+  identity @1 :Identity;
+}
+
+struct Heartbeat {
+  seat @0 :UInt32;
+  incarnation @1 :UInt64;
+  number @2 :UInt64;
+}
+
+struct HeartbeatAnswer {
+  witnessSeat @0 :UInt32;
+  witnessIncarnation @1 :UInt64;
+  seat @2 :UInt32;
+  incarnation @3 :UInt64;
+  number @4 :UInt64;
+  acknowledged @5 :Bool;
+  lapsed @6 :List(UInt32);
+}
+
+struct TreeVersion {
+  team @0 :Text;
+  version @1 :UInt64;
+  digest @2 :UInt64;
+}
+
+struct SuspectNote {
+  fingerprint @0 :UInt64;
+  crashes @1 :UInt32;
+  refusedForUs @2 :UInt64;
+}
+
+struct Gossip {
+  identity @0 :Identity;
+  leaving @1 :Bool;
+  versions @2 :List(TreeVersion);
+  suspects @3 :List(SuspectNote);
+  replyWanted @4 :Bool;
+}
+
+struct SubtreeRequest {
+  teams @0 :List(Text);
+}
+
+struct SubtreeReply {
+  team @0 :Text;
+  version @1 :UInt64;
+  text @2 :Data;
+}
+
+struct Forward {
+  forwardId @0 :UInt64;
+  targetIncarnation @1 :UInt64;
+  query @2 :Data;
+  remainingUs @3 :UInt64;
+}
+
+struct ForwardAnswer {
+  forwardId @0 :UInt64;
+  answer @1 :Data;
+}
+
+struct Envelope {
+  union {
+    hello @0 :Hello;
+    heartbeat @1 :Heartbeat;
+    heartbeatAnswer @2 :HeartbeatAnswer;
+    gossip @3 :Gossip;
+    subtreeRequest @4 :SubtreeRequest;
+    subtreeReply @5 :SubtreeReply;
+    forward @6 :Forward;
+    forwardAnswer @7 :ForwardAnswer;
+  }
+}
+
+# Overlays Envelope and reads the ordinal of its union, also one that this schema lacks.
+struct EnvelopeOrdinal {
+  ordinal @0 :UInt16;
+}
--- /dev/null
+++ b/mimosapost/membership/tests/test_configs.py
@@ -0,0 +1,109 @@
+"""Contract of the configuration book and of the gossip decisions."""
+
+from random import Random
+
+import pytest
+from returns.result import Failure, Success
+
+from mimosapost.membership.configs import Accepted, ConfigBook, Refused, Stale, compute_digest
+from mimosapost.membership.gossip import (
+    choose_announced,
+    choose_pushes,
+    choose_reader,
+    choose_requests,
+)
+from mimosapost.model.messages import TreeVersion
+from mimosapost.model.published import FleetTree, TeamTree
+
+
+class Checker:
+    """Accepts every text but those that begin with ``bad``."""
+
+    def __init__(self):
+        self.calls = 0
+
+    def __call__(self, team, text):
+        self.calls += 1
+        if text.startswith(b"bad"):
+            return Failure(("fault",))
+        if team == "fleet":
+            return Success(FleetTree(version=1, teams=(), regions={}))
+        return Success(TeamTree(team=team, version=1))
+
+
+def test_order_and_no_way_back():
+    # Guards against an accepted configuration that reverts to an older one.
+    book = ConfigBook(Checker())
+    low, high = sorted((b"x", b"y"), key=compute_digest)
+    assert isinstance(book.offer("desk", 5, low, 0), Accepted)
+    assert book.offer("desk", 4, b"older", 1) == Stale(5)
+    assert book.offer("desk", 5, low, 1) == Stale(5)
+    assert isinstance(book.offer("desk", 5, high, 2), Accepted)
+    assert book.offer("desk", 5, low, 3) == Stale(5)
+    assert book.get_text("desk") == high
+    assert book.versions() == (TreeVersion("desk", 5, compute_digest(high)),)
+
+
+def test_refused_text_is_checked_once():
+    # Guards against a faulty subtree that is parsed and logged at every gossip round.
+    check = Checker()
+    book = ConfigBook(check)
+    book.offer("desk", 1, b"good", 0)
+    assert book.offer("desk", 2, b"bad", 1) == Refused(("fault",))
+    assert book.offer("desk", 2, b"bad", 2) == Refused(("fault",), repeated=True)
+    assert check.calls == 2
+    assert book.get_text("desk") == b"good"
+    assert book.is_refused(TreeVersion("desk", 2, compute_digest(b"bad")))
+    assert isinstance(book.offer("desk", 2, b"corrected", 3), Accepted)
+
+
+def test_one_invalid_team_leaves_others_in_force():
+    book = ConfigBook(Checker())
+    book.offer("desk", 1, b"bad", 0)
+    book.offer("fleet", 1, b"ok", 0)
+    assert book.get_team("desk") is None
+    assert book.get_fleet().teams == ()
+    assert book.get_team("fleet") is None
+    assert [row["refused_versions"] for row in book.describe(5)] == [[1], []]
+
+
+def versions(*pairs):
+    return tuple(TreeVersion(team, version, 0) for team, version in pairs)
+
+
+def test_requests_and_pushes():
+    own = versions(("a", 1), ("b", 5), ("c", 2))
+    theirs = versions(("a", 3), ("b", 4), ("d", 1))
+    assert choose_requests(own, theirs) == ("a", "d")
+    assert choose_requests(own, theirs, lambda entry: entry.team == "a") == ("d",)
+    assert choose_requests(own, theirs, limit=1) == ("a",)
+    assert choose_pushes(own, theirs) == versions(("b", 5), ("c", 2))
+    # A full list may be only a part of the peer's versions.
+    assert choose_pushes(own, theirs, limit=3) == versions(("b", 5))
+
+
+def test_announced_versions_are_bounded_and_rotate():
+    # Guards against messages that grow with the number of teams, and against a team that is
+    # never announced again after its change.
+    own = versions(*((f"t{i:03}", 1) for i in range(100)))
+    seen = set()
+    for number in range(25):
+        chosen = choose_announced(own, [f"t{i:03}" for i in range(50)], number)
+        assert len(chosen) == 16
+        assert chosen[0].team == "t000"
+        seen.update(entry.team for entry in chosen)
+    assert len(seen) == 100
+
+
+@pytest.mark.parametrize(("ceiling", "most"), [(1, 1), (4, 4), (8, 8), (40, 24), (690, 24)])
+def test_reads_of_the_fleet(ceiling, most):
+    # Guards against a fleet that exhausts the read limit of the configuration service.
+    rng = Random(5)
+    reads = [
+        sum(choose_reader(seat, ceiling, rng) for seat in range(ceiling)) for _ in range(60)
+    ]
+    assert sum(reads) / 60 <= most
+    assert sum(reads) > 0
+    if ceiling <= 8:
+        assert set(reads) == {ceiling}
+    assert not choose_reader(ceiling, ceiling, rng)
