--- a/mimosapost/membership/members.py
+++ b/mimosapost/membership/members.py
@@ -138,6 +138,21 @@
         heard = self._heard.get((instance_name, incarnation))
         return None if heard is None else self._create_member(heard)
 
+    def find_name(self, instance_name: str) -> Member | None:
+        """Return the current incarnation of an instance, to answer a message of it.
+
+        :param instance_name: name of the instance.
+        """
+        known = [
+            heard for heard in self._heard.values() if heard.identity.name == instance_name
+        ]
+        if known:
+            return self._create_member(max(known, key=_rank))
+        entry = self._listed.get(instance_name)
+        if entry is None:
+            return None
+        return Member(entry.name, entry.peer_address, None, entry.leaving)
+
     def find_seat(self, seat: int) -> Member | None:
         """Return the other instance that holds a seat.
 
