--- /dev/null
+++ b/mimosapost/edge/backends.py
@@ -0,0 +1,406 @@
+"""Client towards backend servers: executes sends, cancellations and probes.
+
+Each send ends in exactly one event. ``NOT_RUN`` is reported only with a proof:
+
+- the body was never handed to a connection (refused, or ended while waiting for one);
+- the server said so: 409, or 503 with ``X-Run-State: not-run``, echoing the right request.
+
+Everything else is ``UNKNOWN``. Sub-requests and cancellations use POST only, because aiohttp
+sends idempotent methods again by itself when a kept connection breaks.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from collections.abc import Callable, Coroutine
+from contextlib import suppress
+from typing import Any
+
+import aiohttp
+import msgspec
+from aiohttp import payload
+from aiohttp.http_exceptions import HttpProcessingError
+from yarl import URL
+
+from mimosapost.edge.answers import Rejection, parse_answer, parse_rejection
+from mimosapost.edge.connectors import ServerConnector
+from mimosapost.model.codes import FailureKind, RunState
+from mimosapost.model.effects import CancelSend, CloseConnections, Effect, EmitSend, OpenProbe
+from mimosapost.model.events import (
+    Event,
+    ProbeAnswered,
+    ProbeFailed,
+    SendAnswered,
+    SendFailed,
+    SendRejected,
+)
+from mimosapost.model.queries import SubAnswer
+
+__all__ = ["BackendClient"]
+
+_ENCODE = msgspec.json.Encoder().encode
+_JSON = {"Content-Type": "application/json"}
+_REFUSALS = {
+    errno.ECONNREFUSED,
+    errno.ECONNRESET,
+    errno.ECONNABORTED,
+    errno.EHOSTUNREACH,
+    errno.ENETUNREACH,
+    errno.ETIMEDOUT,
+}
+_REJECTION_BYTES = 4_096
+_PROBE_BYTES = 4_096
+
+
+class _Body(payload.BytesPayload):
+    """Request body that knows whether aiohttp began to write it.
+
+    aiohttp holds the headers back until the first byte of the body, so no byte of the
+    request leaves before ``started`` is set. ``blocked`` keeps it that way once the send
+    has been reported as not run.
+    """
+
+    started = False
+    blocked = False
+
+    async def write_with_length(
+        self,
+        writer: aiohttp.abc.AbstractStreamWriter,
+        content_length: int | None,  # noqa: ARG002
+    ) -> None:
+        if self.blocked:
+            raise ConnectionAbortedError("the send was withdrawn before it was written")
+        self.started = True
+        await writer.write(self._value)
+
+
+class _Server:
+    """Connections to one backend server."""
+
+    __slots__ = ("cancel_url", "connector", "lingering", "search_url", "session", "used_us")
+
+    def __init__(self, address: str, connections: int, local_host: str | None) -> None:
+        base = URL(f"http://{address}")
+        self.search_url = base / "v1/search"
+        self.cancel_url = base / "v1/cancel"
+        self.connector = ServerConnector(connections, local_host)
+        self.session = aiohttp.ClientSession(
+            connector=self.connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=None),
+            headers=_JSON,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            auto_decompress=False,
+        )
+        self.lingering: set[_Send] = set()
+        self.used_us = 0
+
+
+class _Send:
+    """One open send."""
+
+    __slots__ = ("body", "effect", "reported", "server", "task", "timer")
+
+    def __init__(self, effect: EmitSend, server: _Server) -> None:
+        self.effect = effect
+        self.server = server
+        self.body = _Body(_ENCODE(effect.request))
+        self.reported = False
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class BackendClient:
+    """Executes the effects that concern backend servers.
+
+    Events are never delivered from inside :meth:`execute`, so the caller may run it in the
+    middle of a list of effects. Use it as an asynchronous context manager: leaving it ends
+    every open send with an event.
+
+    :param handle: receives each event.
+    :param clock_us: monotonic clock in microseconds.
+    :param idle_us: servers without a send for this long lose their connections.
+    :param probe_timeout_us: time after which a probe failed.
+    :param local_host: IP number that connections come from.
+    """
+
+    def __init__(
+        self,
+        handle: Callable[[Event], None],
+        clock_us: Callable[[], int],
+        *,
+        idle_us: int = 30_000_000,
+        probe_timeout_us: int = 1_000_000,
+        local_host: str | None = None,
+    ) -> None:
+        self._handle = handle
+        self._clock_us = clock_us
+        self._idle_us = idle_us
+        self._probe_timeout = aiohttp.ClientTimeout(total=probe_timeout_us / 1e6)
+        self._local_host = local_host
+        self._servers: dict[str, _Server] = {}
+        self._sends: dict[int, _Send] = {}
+        self._probing: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._sweep_timer: asyncio.TimerHandle | None = None
+        self._executors: dict[type[Effect], Callable[[Any], None]] = {
+            EmitSend: self.emit,
+            CancelSend: self.cancel,
+            OpenProbe: self.probe,
+            CloseConnections: self.close_connections,
+        }
+
+    async def __aenter__(self) -> BackendClient:
+        self._loop = asyncio.get_running_loop()
+        self._sweep_timer = self._loop.call_later(self._idle_us / 2e6, self._sweep)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+        for send in tuple(self._sends.values()):
+            self._fail(send, FailureKind.CLOSED)
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for server in self._servers.values():
+            await server.session.close()
+        self._servers.clear()
+
+    @property
+    def effects(self) -> tuple[type[Effect], ...]:
+        """Effect types that :meth:`execute` accepts."""
+        return tuple(self._executors)
+
+    def execute(self, effect: Effect) -> None:
+        """Execute an effect.
+
+        :param effect: one of :attr:`effects`.
+        :raises KeyError: for an effect of another type.
+        """
+        self._executors[type(effect)](effect)
+
+    def emit(self, effect: EmitSend) -> None:
+        """Send a sub-request; its event follows later."""
+        assert self._loop is not None
+        now_us = self._clock_us()
+        server = self._get_server(effect.server, effect.connections)
+        server.used_us = now_us
+        send = _Send(effect, server)
+        self._sends[effect.send_id] = send
+        send.task = self._start(self._run(send))
+        delay_s = max(0, effect.deadline_us - now_us) / 1e6
+        send.timer = self._loop.call_later(delay_s, self._expire, send)
+
+    def cancel(self, effect: CancelSend) -> None:
+        """Withdraw a send; without effect if it has ended already.
+
+        A send that was written is cancelled at the server over another connection. Unless
+        ``close`` is set, its connection stays open until the answer or the deadline, so that
+        it can be used again.
+        """
+        assert self._loop is not None
+        send = self._sends.pop(effect.send_id, None)
+        if send is None:
+            return
+        self._loop.call_soon(self._fail, send, FailureKind.WITHDRAWN)
+        if not send.body.started:
+            send.body.blocked = True
+            self._stop(send)
+            return
+        self._start(self._tell_cancel(send))
+        if effect.close:
+            self._stop(send)
+        else:
+            send.server.lingering.add(send)
+
+    def probe(self, effect: OpenProbe) -> None:
+        """Open a new connection outside the pool; one probe a server at a time."""
+        if effect.server not in self._probing:
+            self._probing.add(effect.server)
+            self._start(self._run_probe(effect.server))
+
+    def close_connections(self, effect: CloseConnections) -> None:
+        """Close idle connections, and those that only wait for a withdrawn answer."""
+        server = self._servers.get(effect.server)
+        if server is None:
+            return
+        server.connector.close_idle(0)
+        for send in tuple(server.lingering):
+            self._stop(send)
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        assert self._loop is not None
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _get_server(self, address: str, connections: int) -> _Server:
+        server = self._servers.get(address)
+        if server is None:
+            server = self._servers[address] = _Server(address, connections, self._local_host)
+        elif server.connector.limit != connections:
+            server.connector.set_limit(connections)
+        return server
+
+    def _stop(self, send: _Send) -> None:
+        if send.timer is not None:
+            send.timer.cancel()
+        send.server.lingering.discard(send)
+        if send.task is not None:
+            send.task.cancel()
+
+    def _expire(self, send: _Send) -> None:
+        self._fail(send, FailureKind.CLOSED)
+        self._stop(send)
+
+    def _fail(
+        self,
+        send: _Send,
+        kind: FailureKind,
+        run: RunState | None = None,
+        boot_id: str = "",
+    ) -> None:
+        """Report a failed send once; by default its run state follows from its body."""
+        if run is None:
+            run = RunState.UNKNOWN if send.body.started else RunState.NOT_RUN
+        if run is RunState.NOT_RUN:
+            send.body.blocked = True
+        now_us = self._clock_us()
+        self._report(send, SendFailed(now_us, send.effect.send_id, kind, run, boot_id))
+
+    def _report(self, send: _Send, event: Event) -> None:
+        if send.reported:
+            return
+        send.reported = True
+        self._sends.pop(send.effect.send_id, None)
+        self._handle(event)
+
+    async def _run(self, send: _Send) -> None:
+        outcome: SubAnswer | Rejection | FailureKind
+        run: RunState | None = None
+        boot_id = ""
+        try:
+            outcome, run, boot_id = await self._exchange(send)
+        except aiohttp.ClientConnectorError as error:
+            refused = error.errno in _REFUSALS
+            outcome = FailureKind.REFUSED if refused else FailureKind.CLOSED
+        except (aiohttp.ClientResponseError, HttpProcessingError):
+            outcome = FailureKind.MALFORMED
+        except (aiohttp.ClientError, OSError):
+            outcome = FailureKind.RESET
+        except asyncio.CancelledError:
+            outcome = FailureKind.CLOSED
+        finally:
+            if send.timer is not None:
+                send.timer.cancel()
+            send.server.lingering.discard(send)
+        send_id = send.effect.send_id
+        if isinstance(outcome, SubAnswer):
+            self._report(send, SendAnswered(self._clock_us(), send_id, outcome))
+        elif isinstance(outcome, Rejection):
+            rejected = SendRejected(
+                self._clock_us(),
+                send_id,
+                outcome.held_map_version,
+                outcome.held_index_version,
+                outcome.boot_id,
+            )
+            self._report(send, rejected)
+        else:
+            self._fail(send, outcome, run, boot_id)
+
+    async def _exchange(
+        self, send: _Send
+    ) -> tuple[SubAnswer | Rejection | FailureKind, RunState | None, str]:
+        effect = send.effect
+        trace = {"traceparent": effect.traceparent} if effect.traceparent else None
+        response = await send.server.session.post(
+            send.server.search_url, data=send.body, headers=trace, allow_redirects=False
+        )
+        try:
+            status = response.status
+            limit = effect.max_answer_bytes if status == 200 else _REJECTION_BYTES
+            raw = await _read_bounded(response, limit)
+        finally:
+            # Closes the connection unless the answer was read to its end.
+            response.close()
+        if raw is None:
+            return FailureKind.TOO_LARGE, RunState.UNKNOWN, ""
+        if status == 200:
+            answer = parse_answer(raw, effect.request)
+            return answer or FailureKind.MALFORMED, RunState.UNKNOWN, ""
+        rejection = parse_rejection(raw, effect.request.request_id)
+        if rejection is None:
+            return FailureKind.MALFORMED, RunState.UNKNOWN, ""
+        if status == 409:
+            if rejection.held_index_version > 0:
+                return rejection, RunState.NOT_RUN, ""
+            return FailureKind.MALFORMED, RunState.NOT_RUN, rejection.boot_id
+        if status == 503:
+            proven = response.headers.get("X-Run-State") == "not-run"
+            run = RunState.NOT_RUN if proven else RunState.UNKNOWN
+            return FailureKind.SHED, run, rejection.boot_id
+        return FailureKind.MALFORMED, RunState.UNKNOWN, rejection.boot_id
+
+    async def _tell_cancel(self, send: _Send) -> None:
+        """Tell a server to cancel; waits for a connection until the send's deadline."""
+        remaining_us = max(1_000, send.effect.deadline_us - self._clock_us())
+        body = _ENCODE({"request_id": send.effect.request.request_id})
+        with suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with (
+                asyncio.timeout(remaining_us / 1e6),
+                send.server.session.post(
+                    send.server.cancel_url, data=body, allow_redirects=False
+                ) as response,
+            ):
+                await _read_bounded(response, _REJECTION_BYTES)
+
+    async def _run_probe(self, address: str) -> None:
+        boot_id = None
+        try:
+            async with (
+                aiohttp.ClientSession(
+                    connector=ServerConnector(1, self._local_host),
+                    timeout=self._probe_timeout,
+                    auto_decompress=False,
+                ) as session,
+                session.get(f"http://{address}/health", allow_redirects=False) as response,
+            ):
+                raw = await _read_bounded(response, _PROBE_BYTES)
+                if response.status == 200 and raw is not None:
+                    boot_id = parse_rejection(raw, "")
+        except (aiohttp.ClientError, HttpProcessingError, OSError, TimeoutError):
+            boot_id = None
+        finally:
+            self._probing.discard(address)
+        now_us = self._clock_us()
+        if boot_id is None:
+            self._handle(ProbeFailed(now_us, address))
+        else:
+            self._handle(ProbeAnswered(now_us, address, boot_id.boot_id))
+
+    def _sweep(self) -> None:
+        assert self._loop is not None
+        limit_us = self._clock_us() - self._idle_us
+        for address, server in tuple(self._servers.items()):
+            if server.used_us < limit_us and not server.connector.busy:
+                del self._servers[address]
+                self._start(server.session.close())
+        self._sweep_timer = self._loop.call_later(self._idle_us / 2e6, self._sweep)
+
+
+async def _read_bounded(response: aiohttp.ClientResponse, limit: int) -> bytes | None:
+    """Read a body of at most ``limit`` bytes; ``None`` if it is longer."""
+    length = response.content_length
+    if length is not None:
+        return await response.read() if length <= limit else None
+    chunks = bytearray()
+    while chunk := await response.content.readany():
+        chunks += chunk
+        if len(chunks) > limit:
+            return None
+    return bytes(chunks)
