--- /dev/null
+++ b/mimosapost/edge/callers.py
@@ -0,0 +1,311 @@
+"""HTTP server towards callers."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import hmac
+import itertools
+import re
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from mimosapost.edge.wire import (
+    QueryFault,
+    WireQuery,
+    compute_fingerprint,
+    decode_query,
+    encode_answer,
+)
+from mimosapost.model.codes import Priority, ResultCode, RunState, get_status
+from mimosapost.model.effects import AnswerCaller
+from mimosapost.model.events import CallerGone, Event, QueryArrived
+from mimosapost.model.published import CallerSettings, ServiceSettings
+from mimosapost.model.queries import Answer, Query
+
+__all__ = ["ROUTES", "CallerServer"]
+
+ROUTES = (
+    ("POST", "/v1/services/{service}/query"),
+    ("GET", "/healthz"),
+    ("GET", "/readyz"),
+)
+_QUERY_PATH = re.compile(r"/v1/services/([A-Za-z0-9][A-Za-z0-9._-]{0,63})/query")
+_TRACEPARENT = re.compile(r"00-(?!0{32})[0-9a-f]{32}-(?!0{16})[0-9a-f]{16}-[0-9a-f]{2}")
+_CHUNK_BYTES = 64 * 1024
+_JSON = "application/json"
+
+
+class _Connection(RequestHandler):
+    """Connection whose protocol errors carry a result code like every other answer."""
+
+    __slots__ = ("_first_request",)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        # aiohttp's keep-alive timer covers only what follows the first request.
+        self._first_request = self._loop.call_later(self.keepalive_timeout, self._end_silent)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self._first_request.cancel()
+        super().connection_lost(exc)
+
+    def _end_silent(self) -> None:
+        if self._request_count == 0:
+            self.force_close()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,  # noqa: ARG002
+        message: str | None = None,  # noqa: ARG002
+    ) -> web.StreamResponse:
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has begun already")
+        code = ResultCode.INTERNAL_ERROR if status >= 500 else ResultCode.MALFORMED_REQUEST
+        # After the request has reached the core, its outcome is not known here.
+        run = RunState.UNKNOWN if status >= 500 else RunState.NOT_RUN
+        response = _create_response(Answer(code, run, detail="not a valid HTTP request"))
+        response.force_close()
+        return response
+
+
+class _Listener(web.Server):
+    def __call__(self) -> RequestHandler:
+        return _Connection(self, loop=self._loop, **self._kwargs)
+
+
+def _create_response(answer: Answer) -> web.Response:
+    return web.Response(
+        body=encode_answer(answer), status=get_status(answer.code), content_type=_JSON
+    )
+
+
+class CallerServer:
+    """Accepts queries of callers and writes their answers.
+
+    The listener stays open until the exit stack that owns the server closes it; while the
+    instance stops, the core refuses new queries with ``STOPPING``. Closing waits for answers
+    that are being written. A caller that closes its connection, or only its sending side, is
+    reported as gone.
+
+    :param handle: receives each event.
+    :param clock_us: monotonic clock in microseconds.
+    :param find_caller: caller by the SHA-256 digest of its token in hex.
+    :param find_service: settings of a service.
+    :param is_configured: whether settings are in force; until then queries are refused.
+    :param is_ready: whether new queries are wanted, for ``GET /readyz``.
+    :param next_query_id: draws query ids, unique within the incarnation.
+    :param max_body_bytes: largest request body.
+    :param max_headers: largest number of headers.
+    :param read_timeout_s: time in which a request must arrive whole.
+    """
+
+    def __init__(
+        self,
+        handle: Callable[[Event], None],
+        clock_us: Callable[[], int],
+        find_caller: Callable[[str], CallerSettings | None],
+        find_service: Callable[[str], ServiceSettings | None],
+        *,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        is_configured: Callable[[], bool] = lambda: True,
+        is_ready: Callable[[], bool] = lambda: True,
+        next_query_id: Callable[[], int] | None = None,
+        max_body_bytes: int = 256 * 1024,
+        max_headers: int = 64,
+        read_timeout_s: float = 10.0,
+    ) -> None:
+        self._handle = handle
+        self._clock_us = clock_us
+        self._find_caller = find_caller
+        self._find_service = find_service
+        self._host = host
+        self._port = port
+        self._is_configured = is_configured
+        self._is_ready = is_ready
+        self._next_query_id = next_query_id or itertools.count(1).__next__
+        self._max_body_bytes = max_body_bytes
+        self._max_headers = max_headers
+        self._read_timeout_s = read_timeout_s
+        self._open: dict[int, asyncio.Future[Answer]] = {}
+        self._stack = AsyncExitStack()
+        self.address = ""
+
+    async def __aenter__(self) -> CallerServer:
+        listener = _Listener(
+            self._answer,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            max_headers=self._max_headers,
+            keepalive_timeout=max(self._read_timeout_s, 75.0),
+            lingering_time=0,
+        )
+        async with AsyncExitStack() as stack:
+            runner = web.ServerRunner(listener, shutdown_timeout=60.0)
+            await runner.setup()
+            stack.push_async_callback(runner.cleanup)
+            await web.TCPSite(runner, self._host, self._port, backlog=1024).start()
+            self.address = "{}:{}".format(*runner.addresses[0][:2])
+            self._stack = stack.pop_all()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self._stack.aclose()
+
+    @property
+    def open_queries(self) -> int:
+        """Queries that wait for an answer."""
+        return len(self._open)
+
+    def execute(self, effect: AnswerCaller) -> None:
+        """Answer a query; ignored if its caller is gone."""
+        future = self._open.pop(effect.query_id, None)
+        if future is not None and not future.done():
+            future.set_result(effect.answer)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.method == "GET":
+            if request.path == "/healthz":
+                return web.Response(text="alive\n")
+            if request.path == "/readyz":
+                ready = self._is_ready()
+                return web.Response(
+                    text="ready\n" if ready else "not ready\n", status=200 if ready else 503
+                )
+        try:
+            query = await self._read_query(request)
+        except QueryFault as fault:
+            return self._refuse(request, fault)
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self._open[query.query_id] = future
+        self._handle(QueryArrived(self._clock_us(), query))
+        try:
+            answer = await future
+        except asyncio.CancelledError:
+            if self._open.pop(query.query_id, None) is not None:
+                self._handle(CallerGone(self._clock_us(), query.query_id))
+            raise
+        return await self._write(request, answer, query.traceparent)
+
+    def _refuse(self, request: web.BaseRequest, fault: QueryFault) -> web.Response:
+        response = _create_response(
+            Answer(fault.code, RunState.NOT_RUN, detail=fault.detail),
+        )
+        if fault.code is ResultCode.UNKNOWN_CALLER:
+            response.headers["WWW-Authenticate"] = "Bearer"
+        if request.can_read_body and not request.content.is_eof():
+            # The rest of the body would be read as the next request.
+            response.force_close()
+        return response
+
+    async def _read_query(self, request: web.BaseRequest) -> Query:
+        """Check a request step by step.
+
+        :raises QueryFault: if the request is refused.
+        """
+        match = _QUERY_PATH.fullmatch(request.path)
+        if match is None or request.method != "POST":
+            raise QueryFault(ResultCode.MALFORMED_REQUEST, "unknown path or method")
+        if not self._is_configured():
+            raise QueryFault(ResultCode.NOT_CONFIGURED, "no settings are in force yet")
+        caller = self._authenticate(request)
+        name = match[1]
+        if name not in caller.services:
+            raise QueryFault(
+                ResultCode.CALLER_NOT_ALLOWED, "the caller may not use this service"
+            )
+        service = self._find_service(name)
+        if service is None:
+            raise QueryFault(ResultCode.UNKNOWN_SERVICE, "no settings name this service")
+        wire = decode_query(await self._read_body(request))
+        return self._create_query(request, caller, service, wire)
+
+    def _authenticate(self, request: web.BaseRequest) -> CallerSettings:
+        scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+        # Only the digest is looked up, so the time of the look-up tells nothing about the
+        # token; what is compared here is compared in constant time.
+        digest = hashlib.sha256(token.strip().encode(errors="replace")).hexdigest()
+        caller = self._find_caller(digest) if scheme.lower() == "bearer" else None
+        claimed = request.headers.get("X-Caller", "").encode(errors="replace")
+        if (
+            caller is None
+            or not hmac.compare_digest(caller.token_digest, digest)
+            or not hmac.compare_digest(caller.name.encode(), claimed)
+        ):
+            raise QueryFault(ResultCode.UNKNOWN_CALLER, "unknown caller or wrong token")
+        return caller
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        too_large = QueryFault(
+            ResultCode.REQUEST_TOO_LARGE,
+            f"the request body must not exceed {self._max_body_bytes} bytes",
+        )
+        if "Content-Encoding" in request.headers:
+            raise QueryFault(ResultCode.MALFORMED_REQUEST, "the body must not be compressed")
+        if (request.content_length or 0) > self._max_body_bytes:
+            raise too_large
+        body = bytearray()
+        try:
+            async with asyncio.timeout(self._read_timeout_s):
+                while chunk := await request.content.readany():
+                    body += chunk
+                    if len(body) > self._max_body_bytes:
+                        raise too_large
+        except TimeoutError:
+            raise QueryFault(
+                ResultCode.MALFORMED_REQUEST, "the request body did not arrive in time"
+            ) from None
+        except web.RequestPayloadError:
+            raise QueryFault(ResultCode.MALFORMED_REQUEST, "broken request body") from None
+        return bytes(body)
+
+    def _create_query(
+        self,
+        request: web.BaseRequest,
+        caller: CallerSettings,
+        service: ServiceSettings,
+        wire: WireQuery,
+    ) -> Query:
+        now_us = self._clock_us()
+        deadline_ms = min(wire.deadline_ms or service.max_deadline_ms, service.max_deadline_ms)
+        top = Priority[caller.top_priority.upper()]
+        traceparent = request.headers.get("traceparent", "")
+        return Query(
+            query_id=self._next_query_id(),
+            service=service.name,
+            caller=caller.name,
+            body=wire.request,
+            fingerprint=compute_fingerprint(service.name, wire.request),
+            priority=max(top, Priority[wire.priority.upper()]),
+            deadline_us=now_us + deadline_ms * 1_000,
+            repeatable=wire.repeatable,
+            min_coverage=wire.coverage.min_coverage,
+            limit=wire.limit,
+            ticket=wire.ticket,
+            idempotency_key=wire.idempotency_key,
+            traceparent=traceparent if _TRACEPARENT.fullmatch(traceparent) else "",
+        )
+
+    async def _write(
+        self, request: web.BaseRequest, answer: Answer, traceparent: str
+    ) -> web.StreamResponse:
+        headers = {"traceparent": traceparent} if traceparent else {}
+        body = encode_answer(answer)
+        status = get_status(answer.code)
+        if len(body) <= _CHUNK_BYTES:
+            return web.Response(body=body, status=status, content_type=_JSON, headers=headers)
+        response = web.StreamResponse(status=status, headers=headers)
+        response.content_type = _JSON
+        response.content_length = len(body)
+        await response.prepare(request)
+        for offset in range(0, len(body), _CHUNK_BYTES):
+            await response.write(body[offset : offset + _CHUNK_BYTES])
+        await response.write_eof()
+        return response
