Use the membership exchange in the reducer; add the instance service

Cause: gossip decisions stood twice, in core and in membership.exchange. Change: core passes gossip, greetings and subtrees to Exchange; edge.instance joins the reducer with the sockets. Conclusion: one owner for configuration spread.

--- a/mimosapost/core/admission.py
+++ b/mimosapost/core/admission.py
@@ -66,7 +66,7 @@
 ) -> ResultCode | None:
     if state.is_draining(now_us) and not query.forwarded_by:
         return ResultCode.STOPPING
-    if state.configs.get_fleet() is None:
+    if state.configs.get_fleet() is None or not state.joined:
         return ResultCode.NOT_CONFIGURED
     if service is None:
         return ResultCode.UNKNOWN_SERVICE
--- a/mimosapost/core/configuration.py
+++ b/mimosapost/core/configuration.py
@@ -14,44 +14,42 @@
 from mimosapost.limits.admission import AdmissionQueue
 from mimosapost.limits.budgets import Budget
 from mimosapost.membership.configs import Accepted, Refused
+from mimosapost.membership.exchange import Outcome
 from mimosapost.model.effects import Count, WriteLog
 from mimosapost.model.events import ConfigRead, InstancesListed
 from mimosapost.model.published import FleetTree, ServiceSettings, TeamTree
 from mimosapost.routing.eligibility import EligibilityView
 
-__all__ = ["apply_subtree", "handle_config_read", "handle_instances_listed"]
+__all__ = ["apply_outcome", "handle_config_read", "handle_instances_listed"]
 
 
 @handles(ConfigRead)
 def handle_config_read(state: State, event: ConfigRead, effects: Effects) -> None:
     """Offer a subtree that was read from the configuration service."""
-    apply_subtree(state, event.team, event.version, event.text, event.now_us, effects)
+    outcome = state.exchange.offer(event.team, event.version, event.text, event.now_us)
+    apply_outcome(state, outcome, event.now_us, effects)
 
 
-def apply_subtree(
-    state: State, team: str, version: int, text: bytes, now_us: int, effects: Effects
-) -> None:
-    """Put a subtree in force if it is valid and newer than the accepted one."""
-    outcome = state.configs.offer(team, version, text, now_us)
-    match outcome:
+def apply_outcome(state: State, outcome: Outcome, now_us: int, effects: Effects) -> None:
+    """Put an accepted subtree in force, and report what was refused or found."""
+    effects.extend(outcome.sends)
+    if outcome.duplicate is not None:
+        effects.append(WriteLog("seat_held_twice", (("seat", outcome.duplicate.seat),)))
+    match outcome.offered:
         case Accepted(tree=FleetTree() as fleet):
             _apply_fleet(state, fleet, now_us)
         case Accepted(tree=TeamTree() as tree):
             _apply_team(state, tree)
-        case Refused(repeated=False):
-            faults = tuple(str(fault) for fault in outcome.faults)
+        case Refused(faults=faults, repeated=False):
+            text = "; ".join(str(fault) for fault in faults[:5])
             effects.append(
-                WriteLog(
-                    "config_refused",
-                    (("team", team), ("version", version), ("faults", "; ".join(faults[:5]))),
-                )
+                WriteLog("config_refused", (("team", outcome.team), ("faults", text)))
             )
             return
         case _:
             return
-    state.subtrees_wanted.discard(team)
-    state.recent_teams = (team, *(t for t in state.recent_teams if t != team))[:16]
-    effects.append(WriteLog("config_accepted", (("team", team), ("version", version))))
+    version = outcome.offered.tree.version
+    effects.append(WriteLog("config_accepted", (("team", outcome.team), ("version", version))))
     effects.append(Count("config_accepted_total"))
 
 
--- a/mimosapost/core/peering.py
+++ b/mimosapost/core/peering.py
@@ -7,7 +7,6 @@
 from mimosapost.core import admission, configuration, forwarding
 from mimosapost.core.registry import Effects, handles
 from mimosapost.core.state import State
-from mimosapost.membership.gossip import choose_announced, choose_pushes, choose_requests
 from mimosapost.model.effects import SendPeer, WriteLog
 from mimosapost.model.events import PeerLost, PeerMessageArrived
 from mimosapost.model.messages import (
@@ -20,13 +19,10 @@
     PeerMessage,
     SubtreeReply,
     SubtreeRequest,
-    TreeVersion,
 )
 
 __all__ = ["finish_join", "send_gossip", "send_heartbeats"]
 
-GOSSIP_FANOUT = 3
-
 MessageFunction = Callable[[State, str, PeerMessage, int, Effects], None]
 _RECEIVERS: dict[type, MessageFunction] = {}
 
@@ -63,42 +59,32 @@
 
 
 def send_gossip(state: State, now_us: int, effects: Effects) -> None:
-    """Send gossip to random members, and to the seed peers until they were heard."""
-    state.gossip_round += 1
-    gossip = create_gossip(state, now_us, reply_wanted=True)
-    targets = state.members.choose_targets(state.rng, GOSSIP_FANOUT)
-    addresses = {member.peer_address: member.name for member in targets}
+    """Send gossip to random members, and to the seed peers until this instance joined."""
+    leaving = bool(state.stop_requested_us)
+    sends = state.exchange.start_round(now_us, leaving, state.suspects.export(now_us))
+    effects.extend(sends)
     if not state.joined:
-        known = set(state.peer_addresses.values())
+        reached = {send.address for send in sends}
+        gossip = Gossip(state.identity, leaving, state.configs.versions(), (), True)
         for address in state.seed_peers:
-            if address not in known:
-                addresses.setdefault(address, "")
-    for address, name in addresses.items():
-        effects.append(SendPeer(name, address, gossip))
-
-
-def create_gossip(state: State, now_us: int, *, reply_wanted: bool) -> Gossip:
-    """Create a gossip message with a bounded part of what this instance knows."""
-    versions = choose_announced(
-        state.configs.versions(), state.recent_teams, state.gossip_round
-    )
-    suspects = state.suspects.export(now_us)
-    leaving = bool(state.stop_requested_us)
-    return Gossip(state.identity, leaving, versions, suspects, reply_wanted)
+            if address not in reached:
+                effects.append(SendPeer("", address, gossip))
 
 
 @receives(Hello)
-def receive_hello(
-    state: State, peer: str, message: Hello, now_us: int, effects: Effects
+@receives(Gossip)
+@receives(SubtreeRequest)
+@receives(SubtreeReply)
+def receive_exchange(
+    state: State, peer: str, message: PeerMessage, now_us: int, effects: Effects
 ) -> None:
-    """Record the identity of a peer."""
-    state.peer_addresses[peer] = message.identity.peer_address
-    _report_duplicate(state.members.record_hello(message.identity, now_us), effects)
-
-
-def _report_duplicate(duplicate: object, effects: Effects) -> None:
-    if duplicate is not None:
-        effects.append(WriteLog("seat_held_twice", (("seat", duplicate.seat),)))
+    """Pass a message about members and configuration to the exchange."""
+    if isinstance(message, Hello | Gossip):
+        state.peer_addresses[peer] = message.identity.peer_address
+    if isinstance(message, Gossip):
+        state.suspects.merge(message.suspects, now_us)
+    outcome = state.exchange.handle(peer, message, now_us)
+    configuration.apply_outcome(state, outcome, now_us, effects)
 
 
 @receives(Heartbeat)
@@ -118,53 +104,6 @@
     state.leases.record_answer(message, now_us)
 
 
-@receives(Gossip)
-def receive_gossip(
-    state: State, peer: str, message: Gossip, now_us: int, effects: Effects
-) -> None:
-    """Merge what a peer knows, ask for newer subtrees and answer with newer versions."""
-    state.peer_addresses[peer] = message.identity.peer_address
-    _report_duplicate(state.members.record_gossip(message, now_us), effects)
-    state.peers_heard.add(message.identity.peer_address)
-    state.suspects.merge(message.suspects, now_us)
-    own = state.configs.versions()
-    wanted = choose_requests(own, message.versions, state.configs.is_refused)
-    address = message.identity.peer_address
-    if wanted:
-        state.subtrees_wanted.update(wanted)
-        effects.append(SendPeer(peer, address, SubtreeRequest(wanted)))
-    if message.reply_wanted:
-        reply = create_gossip(state, now_us, reply_wanted=False)
-        lacking = choose_pushes(own, message.versions)
-        if lacking:
-            reply = Gossip(reply.identity, reply.leaving, lacking, reply.suspects, False)
-        effects.append(SendPeer(peer, address, reply))
-
-
-@receives(SubtreeRequest)
-def receive_subtree_request(
-    state: State, peer: str, message: SubtreeRequest, now_us: int, effects: Effects
-) -> None:
-    """Send the subtrees that a peer lacks."""
-    versions: dict[str, TreeVersion] = {v.team: v for v in state.configs.versions()}
-    for team in message.teams:
-        text = state.configs.get_text(team)
-        if text is not None:
-            reply = SubtreeReply(team, versions[team].version, text)
-            effects.append(SendPeer(peer, state.peer_addresses.get(peer, ""), reply))
-
-
-@receives(SubtreeReply)
-def receive_subtree_reply(
-    state: State, peer: str, message: SubtreeReply, now_us: int, effects: Effects
-) -> None:
-    """Offer a subtree that a peer sent; it is checked like one that was read."""
-    state.subtrees_wanted.discard(message.team)
-    configuration.apply_subtree(
-        state, message.team, message.version, message.text, now_us, effects
-    )
-
-
 @receives(Forward)
 def receive_forward(
     state: State, peer: str, message: Forward, now_us: int, effects: Effects
@@ -184,15 +123,12 @@
 
 
 def finish_join(state: State, now_us: int, effects: Effects) -> None:
-    """Start serving when all seed peers were heard and their subtrees taken, or after a wait.
+    """Start serving after several rounds of gossip with the seed peers.
 
     A new instance that trusted a stale configuration service alone could go back to an older
-    configuration than the one its peers have in force.
+    configuration than the one its peers have in force. The wait costs nothing, because the
+    lease table allows no send for a longer time after the start.
     """
-    if state.joined:
-        return
-    heard_all = state.peers_heard.issuperset(state.seed_peers)
-    waited = now_us - state.started_us >= state.policy.join_us
-    if waited or (heard_all and not state.subtrees_wanted):
+    if not state.joined and now_us - state.started_us >= state.policy.join_us:
         state.joined = True
-        effects.append(WriteLog("instance_joined", (("peers", len(state.peers_heard)),)))
+        effects.append(WriteLog("instance_joined", (("peers", len(state.peer_addresses)),)))
--- a/mimosapost/core/state.py
+++ b/mimosapost/core/state.py
@@ -13,6 +13,7 @@
 from mimosapost.limits.leases import LeaseTable
 from mimosapost.limits.warmup import WarmupTable
 from mimosapost.membership.configs import ConfigBook
+from mimosapost.membership.exchange import Exchange
 from mimosapost.membership.members import MemberTable
 from mimosapost.model.identities import InstanceIdentity
 from mimosapost.model.published import (
@@ -181,6 +182,7 @@
     rng: random.Random
     configs: ConfigBook
     members: MemberTable
+    exchange: Exchange
     leases: LeaseTable
     warmup: WarmupTable
     latency: LatencyBook
@@ -214,13 +216,9 @@
     dirty_services: set[str] = field(default_factory=set)
     dirty_servers: set[str] = field(default_factory=set)
     resumed_us: int = 0
-    subtrees_wanted: set[str] = field(default_factory=set)
     joined: bool = False
-    peers_heard: set[str] = field(default_factory=set)
     peer_addresses: dict[str, str] = field(default_factory=dict)
     team_domains_out: dict[str, frozenset[str]] = field(default_factory=dict)
-    recent_teams: tuple[str, ...] = ()
-    gossip_round: int = 0
     stop_requested_us: int = 0
     stopped: bool = False
 
@@ -258,13 +256,17 @@
     :param seed_peers: peer addresses that are asked before serving.
     """
     policy = policy or Policy()
+    rng = random.Random(seed)
+    configs = ConfigBook(check)
+    members = MemberTable(identity)
     latency = LatencyBook()
-    state = State(
+    return State(
         identity=identity,
         policy=policy,
-        rng=random.Random(seed),
-        configs=ConfigBook(check),
-        members=MemberTable(identity),
+        rng=rng,
+        configs=configs,
+        members=members,
+        exchange=Exchange(identity, members, configs, rng),
         leases=create_leases(identity, ceiling, now_us, policy),
         warmup=WarmupTable(),
         latency=latency,
@@ -279,7 +281,6 @@
         seed_peers=seed_peers,
         joined=not seed_peers,
     )
-    return state
 
 
 def create_leases(
--- /dev/null
+++ b/mimosapost/edge/instance.py
@@ -0,0 +1,233 @@
+"""One entry instance: joins the reducer with sockets, clocks and random numbers."""
+
+from __future__ import annotations
+
+import itertools
+import secrets
+from collections import deque
+from collections.abc import Callable
+from random import Random
+
+import aiohttp
+import mode
+import structlog
+
+from mimosapost.core.reducer import reduce, start
+from mimosapost.core.state import Policy, State, create_state
+from mimosapost.core.status import describe_state
+from mimosapost.edge.backends import BackendClient
+from mimosapost.edge.callers import CallerServer
+from mimosapost.edge.clock import read_clock_us
+from mimosapost.edge.metrics import Metrics
+from mimosapost.edge.operators import OperatorServer
+from mimosapost.edge.peers import PeerLinks
+from mimosapost.edge.platform import HttpConfigSource, HttpInstanceSource, PlatformReader
+from mimosapost.edge.traces import Tracer
+from mimosapost.merging import list_merges
+from mimosapost.model.effects import (
+    AnswerCaller,
+    CancelSend,
+    CloseConnections,
+    Count,
+    Effect,
+    EmitSend,
+    OpenProbe,
+    SendPeer,
+    StopServing,
+    WakeAt,
+    WriteLog,
+)
+from mimosapost.model.events import Event, StopRequested, Ticked
+from mimosapost.model.identities import InstanceIdentity
+from mimosapost.settings.local import LocalSettings
+from mimosapost.settings.published import check_subtree
+
+__all__ = ["Instance", "create_policy"]
+
+_log = structlog.get_logger()
+
+
+def create_policy(settings: LocalSettings) -> Policy:
+    """Create the decision policy from local settings."""
+    return Policy(
+        lease_us=settings.lease_ms * 1_000,
+        drain_us=int(settings.drain_seconds * 1e6),
+        stop_us=int(settings.stop_deadline_seconds * 1e6),
+    )
+
+
+class Instance(mode.Service):
+    """An entry instance.
+
+    :param settings: local settings.
+    :param policy: figures of the decision path; from the settings where ``None``.
+    """
+
+    def __init__(self, settings: LocalSettings, policy: Policy | None = None) -> None:
+        super().__init__()
+        self._settings = settings
+        self._identity = InstanceIdentity(
+            settings.name,
+            secrets.randbits(63),
+            settings.seat,
+            settings.domain,
+            settings.region,
+            settings.peer_address,
+        )
+        self._state = create_state(
+            self._identity,
+            lambda team, text: check_subtree(team, text, list_merges()),
+            secrets.token_bytes(32),
+            secrets.randbits(63),
+            read_clock_us(),
+            policy or create_policy(settings),
+            ceiling=max(4, settings.seat + 1),
+            seed_peers=settings.seed_peers,
+        )
+        self._events: deque[Event] = deque()
+        self._reducing = False
+        self._timer = None
+        self.metrics = Metrics()
+        self._tracer = Tracer(settings.name, settings.trace_export)
+        self._executors: dict[type[Effect], Callable] = {}
+
+    @property
+    def state(self) -> State:
+        """State of the reducer; for the status page and tests."""
+        return self._state
+
+    async def on_start(self) -> None:
+        """Open everything in dependency order; the exit stack closes it in reverse."""
+        enter = self.async_exit_stack.enter_async_context
+        self.async_exit_stack.callback(self._tracer.close)
+        backends = await enter(BackendClient(self.handle, read_clock_us))
+        peers = PeerLinks(self._identity, self.handle, read_clock_us, self._is_known_peer)
+        await self.add_runtime_dependency(peers)
+        await self._start_platform()
+        callers = await enter(self._create_caller_server())
+        await enter(self._create_operator_server(peers))
+        self._executors = {
+            AnswerCaller: callers.execute,
+            CancelSend: backends.execute,
+            CloseConnections: backends.execute,
+            Count: self.metrics.count,
+            EmitSend: backends.execute,
+            OpenProbe: backends.execute,
+            SendPeer: peers.send,
+            StopServing: self._stop_serving,
+            WakeAt: self._wake_at,
+            WriteLog: _write_log,
+        }
+        _log.info("instance_started", instance=self._identity.name, seat=self._identity.seat)
+        self._execute(start(self._state))
+
+    async def _start_platform(self) -> None:
+        settings = self._settings
+        session = await self.async_exit_stack.enter_async_context(aiohttp.ClientSession())
+        reader = PlatformReader(
+            HttpConfigSource(settings.config_url, session),
+            HttpInstanceSource(settings.instances_url, session),
+            self.handle,
+            read_clock_us,
+            self._list_teams,
+            self._get_held_version,
+            settings.seat,
+            lambda: self._state.ceiling,
+            Random(secrets.randbits(63)),
+        )
+        await self.add_runtime_dependency(reader)
+
+    def _create_caller_server(self) -> CallerServer:
+        host, _, port = self._settings.caller_address.rpartition(":")
+        return CallerServer(
+            self.handle,
+            read_clock_us,
+            lambda digest: self._state.caller_digests.get(digest),
+            self._find_service,
+            host=host,
+            port=int(port),
+            is_configured=lambda: bool(self._state.services),
+            is_ready=self._is_ready,
+            next_query_id=itertools.count(1).__next__,
+        )
+
+    def _create_operator_server(self, peers: PeerLinks) -> OperatorServer:
+        host, _, port = self._settings.operator_address.rpartition(":")
+        return OperatorServer(
+            lambda: {
+                **describe_state(self._state, read_clock_us()),
+                "peer_links": peers.describe(),
+            },
+            self.metrics,
+            self._is_ready,
+            host=host,
+            port=int(port),
+        )
+
+    def _find_service(self, name: str):
+        service = self._state.services.get(name)
+        return service.settings if service is not None else None
+
+    def _is_ready(self) -> bool:
+        return self._state.is_ready(read_clock_us())
+
+    def _is_known_peer(self, name_or_address: str) -> bool:
+        settings = self._settings
+        host = name_or_address.rpartition(":")[0]
+        if settings.known_peers is not None:
+            return host in settings.known_peers
+        return (
+            name_or_address in settings.seed_peers
+            or name_or_address in self._state.peer_addresses
+            or name_or_address in self._state.peer_addresses.values()
+        )
+
+    def _list_teams(self) -> tuple[str, ...]:
+        fleet = self._state.configs.get_fleet()
+        return ("fleet", *fleet.teams) if fleet is not None else ("fleet",)
+
+    def _get_held_version(self, team: str) -> int:
+        for entry in self._state.configs.versions():
+            if entry.team == team:
+                return entry.version
+        return 0
+
+    def handle(self, event: Event) -> None:
+        """Reduce an event and execute its effects; events that arrive meanwhile follow."""
+        self._events.append(event)
+        if self._reducing:
+            return
+        self._reducing = True
+        try:
+            while self._events:
+                self._execute(reduce(self._state, self._events.popleft()))
+        finally:
+            self._reducing = False
+
+    def _execute(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            self._executors[type(effect)](effect)
+
+    def _wake_at(self, effect: WakeAt) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        delay_s = max(0, effect.due_us - read_clock_us()) / 1e6
+        self._timer = self.loop.call_later(delay_s, self._tick)
+
+    def _tick(self) -> None:
+        self.handle(Ticked(read_clock_us()))
+
+    def request_stop(self) -> None:
+        """Begin the graceful stop; further calls change nothing."""
+        self.handle(StopRequested(read_clock_us()))
+
+    def _stop_serving(self, effect: StopServing) -> None:  # noqa: ARG002
+        if self._timer is not None:
+            self._timer.cancel()
+        self.set_shutdown()
+
+
+def _write_log(effect: WriteLog) -> None:
+    _log.info(effect.event, **dict(effect.fields))
+
+
