--- /dev/null
+++ b/mimosapost/limits/tests/fleets.py
@@ -0,0 +1,156 @@
+"""Lease tables joined by a scheduled network, for tests of the limit invariant."""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from random import Random
+
+from mimosapost.limits.leases import LeaseTable
+
+LEASE_US = 1_000_000
+DEADLINE_US = 2_000_000
+HEARTBEAT_US = 500_000
+STEP_US = 100_000
+
+
+class Process:
+    """One incarnation with its own clock, which always uses its whole allowance."""
+
+    def __init__(self, seat, incarnation, ceiling, true_us, rng):
+        # Rates differ by less than the 5% margin; offsets are unrelated.
+        self.rate = rng.uniform(0.977, 1.023)
+        self.offset_us = rng.randrange(10**9)
+        self.true_us = true_us
+        self.table = LeaseTable(
+            seat, incarnation, ceiling, self.read_clock(true_us), LEASE_US, DEADLINE_US
+        )
+        self.heartbeat_due_us = true_us
+        self.paused_until_us = 0
+
+    def read_clock(self, true_us):
+        return self.offset_us + int(true_us * self.rate)
+
+
+class Fleet:
+    """All seats, the messages between them and the work in flight."""
+
+    def __init__(self, ceiling, limits, seed):
+        self.rng = Random(seed)
+        self.ceiling = ceiling
+        self.limits = limits
+        self.now_us = 0
+        self.incarnations = 0
+        self.processes = {}
+        self.messages = []
+        self.blocked = set()
+        self.loss = self.duplication = 0.0
+        self.max_delay_us = 50_000
+        # (key, seat, incarnation) -> end times of its requests in flight
+        self.open = {}
+        self.seen = {"lease": 0, "reuse": 0, "withheld": 0}
+        for seat in range(ceiling):
+            self.start(seat)
+
+    def start(self, seat):
+        self.incarnations += 1
+        self.processes[seat] = Process(
+            seat, self.incarnations, self.ceiling, self.now_us, self.rng
+        )
+
+    def post(self, source, target, message):
+        if (source, target) in self.blocked or self.rng.random() < self.loss:
+            return
+        for _ in range(1 + (self.rng.random() < self.duplication)):
+            due_us = self.now_us + self.rng.randrange(self.max_delay_us)
+            entry = (due_us, self.rng.random(), source, target, message)
+            heapq.heappush(self.messages, entry)
+
+    def step(self):
+        self.now_us += STEP_US
+        while self.messages and self.messages[0][0] <= self.now_us:
+            _, _, source, target, message = heapq.heappop(self.messages)
+            process = self.processes.get(target)
+            if process is None:
+                continue
+            if process.paused_until_us > self.now_us:
+                # Waits in the socket buffer of the paused process.
+                entry = (process.paused_until_us, self.rng.random(), source, target, message)
+                heapq.heappush(self.messages, entry)
+                continue
+            clock_us = process.read_clock(self.now_us)
+            if hasattr(message, "witness_seat"):
+                process.table.record_answer(message, clock_us)
+            else:
+                answer = process.table.answer_heartbeat(message, clock_us)
+                self.post(target, source, answer)
+        for seat, process in self.processes.items():
+            if process.paused_until_us <= self.now_us:
+                self.run(seat, process)
+
+    def run(self, seat, process):
+        clock_us = process.read_clock(self.now_us)
+        if process.heartbeat_due_us <= self.now_us:
+            process.heartbeat_due_us = self.now_us + HEARTBEAT_US
+            heartbeat = process.table.create_heartbeat(clock_us)
+            for witness in process.table.choose_witnesses():
+                self.post(seat, witness, heartbeat)
+        status = process.table.describe(clock_us)
+        self.seen["lease"] += status.lease_left_us > 0
+        self.seen["reuse"] += bool(status.reused)
+        self.seen["withheld"] += bool(status.withheld)
+        end_us = self.now_us + int(DEADLINE_US / process.rate)
+        for key, limit in self.limits.items():
+            allowance = process.table.get_allowance(limit, key, clock_us)
+            ends = self.open.setdefault((key, seat, process.table.incarnation), deque())
+            while ends and ends[0] <= self.now_us:
+                ends.popleft()
+            ends.extend([end_us] * (allowance - len(ends)))
+
+    def count_open(self, key):
+        total = 0
+        for (other, _, _), ends in self.open.items():
+            if other == key:
+                # Ends of one incarnation rise, because its clock rate is fixed.
+                while ends and ends[0] <= self.now_us:
+                    ends.popleft()
+                total += len(ends)
+        return total
+
+    def sum_allowances(self, key):
+        return sum(
+            process.table.get_allowance(self.limits[key], key, process.read_clock(self.now_us))
+            for process in self.processes.values()
+        )
+
+    def disturb(self):
+        """Draw faults for the next phase: partitions, pauses, losses and replacements."""
+        rng = self.rng
+        seats = range(self.ceiling)
+        self.blocked.clear()
+        kind = rng.choice(["calm", "calm", "isolate", "split", "one-way", "pairs", "lost"])
+        if kind in ("isolate", "one-way"):
+            alone = rng.randrange(self.ceiling)
+            inward = {(other, alone) for other in seats if other != alone}
+            self.blocked |= inward
+            if kind == "isolate":
+                self.blocked |= {(b, a) for a, b in inward}
+        elif kind == "split":
+            side = {seat for seat in seats if rng.random() < 0.5}
+            self.blocked = {(a, b) for a in seats for b in seats if (a in side) != (b in side)}
+        elif kind == "pairs":
+            self.blocked = {(a, b) for a in seats for b in seats if rng.random() < 0.3}
+        elif kind == "lost":
+            self.processes.pop(rng.randrange(self.ceiling), None)
+        self.loss = rng.choice([0.0, 0.0, 0.1, 0.4])
+        self.duplication = rng.choice([0.0, 0.3])
+        self.max_delay_us = rng.choice([20_000, 50_000, 400_000, 3_000_000])
+        for seat in seats:
+            if seat not in self.processes:
+                if rng.random() < 0.6:
+                    self.start(seat)
+            elif rng.random() < 0.1:
+                self.start(seat)
+            elif rng.random() < 0.1:
+                pause_us = rng.choice([700_000, 3_000_000, 9_000_000])
+                self.processes[seat].paused_until_us = self.now_us + pause_us
