Add warm-up limits and the admission queue

Cause: cold servers must get little work, and waiting queries need an order and a bound. Change: WarmupTable ramps by answers and time, detects fall-backs by streaks above a learned median, and exchanges notes, because an instance with share 0 of a cold limit learns nothing by itself. AdmissionQueue is deficit round robin over classes, fair queueing over callers. Conclusion: pop looks at no more than 8 entries of each caller.

--- /dev/null
+++ b/mimosapost/limits/tests/test_admission.py
@@ -0,0 +1,221 @@
+"""Guards against starving classes and callers, and queries that start too late."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from mimosapost.limits.admission import AdmissionQueue, Waiting
+from mimosapost.model.codes import Priority
+
+URGENT, NORMAL, BACKGROUND = Priority
+FAR_US = 10**12
+
+
+def build_entry(query_id, priority=NORMAL, caller="a", cost=1, deadline_us=FAR_US):
+    return Waiting(query_id, priority, caller, cost, deadline_us, 0)
+
+
+def accept(entry):
+    return True
+
+
+def fill(queue, groups):
+    """Offer entries of (priority, caller, cost, count)."""
+    query_id = 0
+    for priority, caller, cost, count in groups:
+        for _ in range(count):
+            query_id += 1
+            assert queue.offer(build_entry(query_id, priority, caller, cost), 0)
+
+
+@pytest.mark.parametrize("costs", [(1, 1, 1), (180, 180, 180), (4, 180, 9), (180, 2, 180)])
+def test_classes_share_by_weight(costs):
+    """Guards against starvation, and against weights that ignore the cost of a query.
+
+    Fails when ``pop`` does not subtract the cost from ``chosen.deficit``.
+    """
+    queue = AdmissionQueue(10_000, caller_share=1.0)
+    fill(queue, [(p, "a", c, 2500) for p, c in zip(Priority, costs, strict=True)])
+    served = Counter()
+    total = 12 * 60 * max(costs)
+    while sum(served.values()) < total and min(g.size for g in queue._classes.values()):
+        entry = queue.pop(0, accept)
+        served[entry.priority] += entry.cost
+    for priority, weight in zip(Priority, (8, 3, 1), strict=True):
+        expected = sum(served.values()) * weight / 12
+        assert abs(served[priority] - expected) <= 2 * max(costs) + 12
+
+
+def test_lower_classes_get_all_when_alone():
+    """Guards against capacity that stays unused because of weights."""
+    queue = AdmissionQueue(100)
+    fill(queue, [(BACKGROUND, "a", 180, 20)])
+    assert [queue.pop(0, accept).query_id for _ in range(20)] == list(range(1, 21))
+    assert queue.pop(0, accept) is None
+
+
+@pytest.mark.parametrize("costs", [(1, 1), (1, 10), (7, 3)])
+def test_callers_of_a_class_share_equally(costs):
+    """Guards against a caller that gains by large or many queries.
+
+    Fails when ``take`` adds 1 instead of the cost to the caller's tag.
+    """
+    queue = AdmissionQueue(10_000)
+    fill(queue, [(NORMAL, c, cost, 1000) for c, cost in zip("ab", costs, strict=True)])
+    served = Counter()
+    while sum(served.values()) < 900:
+        entry = queue.pop(0, accept)
+        served[entry.caller] += entry.cost
+    assert abs(served["a"] - served["b"]) <= sum(costs)
+
+
+def test_caller_that_offers_one_at_a_time_gains_nothing():
+    """Guards against a caller that is always first because its queue is always empty.
+
+    Fails when ``add`` does not read ``finished``.
+    """
+    queue = AdmissionQueue(1000)
+    fill(queue, [(NORMAL, "many", 1, 100)])
+    queue.offer(build_entry(1000, caller="single"), 0)
+    served = Counter()
+    for number in range(1001, 1051):
+        entry = queue.pop(0, accept)
+        served[entry.caller] += 1
+        if entry.caller == "single":
+            queue.offer(build_entry(number, caller="single"), 0)
+    assert abs(served["single"] - served["many"]) <= 1
+
+
+def test_blocked_entries_do_not_hold_back_others():
+    """Guards against head-of-line blocking across callers, classes and within a caller."""
+    queue = AdmissionQueue(100)
+    fill(queue, [(URGENT, "a", 1, 3), (NORMAL, "b", 1, 3), (NORMAL, "c", 1, 1)])
+    startable = {2, 7}
+    popped = [queue.pop(0, lambda entry: entry.query_id in startable) for _ in range(3)]
+    assert [entry and entry.query_id for entry in popped] == [2, 7, None]
+    assert [queue.pop(0, accept).query_id for _ in range(5)] == [1, 3, 4, 5, 6]
+
+
+@pytest.mark.parametrize("flood", list(Priority))
+def test_full_queue_keeps_room_for_other_classes_and_callers(flood):
+    """Guards against a flood that closes the queue to everyone else.
+
+    Fails when ``_reserved`` is 0, and when ``_caller_limit`` is ``limit``.
+    """
+    queue = AdmissionQueue(80)
+    accepted = Counter()
+    for number in range(400):
+        caller = "abcd"[number // 100]
+        accepted[caller] += queue.offer(build_entry(number, flood, caller), 0)
+    assert accepted["a"] == 40
+    assert sum(accepted.values()) == 60
+    others = [priority for priority in Priority if priority != flood]
+    for number, priority in enumerate(others * 20, 1000):
+        queue.offer(build_entry(number, priority, f"x{number % 3}"), 0)
+    assert [queue._classes[priority].size for priority in others] == [10, 10]
+    assert len(queue) == 80
+
+
+def test_expired_entries_never_start():
+    """Guards against work that is sent although its caller has stopped waiting.
+
+    Fails when ``_expire`` compares with ``now_us`` instead of ``due_us``.
+    """
+    queue = AdmissionQueue(10)
+    queue.set_run_time(50)
+    assert not queue.offer(build_entry(1, deadline_us=150), 100)
+    assert queue.offer(build_entry(2, deadline_us=200), 100)
+    assert queue.offer(build_entry(3, deadline_us=151), 100)
+    assert queue.pop(150, accept) is None
+    assert [entry.query_id for entry in queue.drop_expired(150)] == [3, 2]
+    assert queue.drop_expired(150) == []
+
+
+def test_offer_is_refused_when_the_wait_exceeds_the_deadline():
+    """Guards against queries that wait although they cannot finish in time."""
+    queue = AdmissionQueue(1000, caller_share=1.0)
+    fill(queue, [(NORMAL, "a", 10, 200)])
+    now_us = 0
+    for _ in range(100):  # one query each 1000 us
+        now_us += 1000
+        queue.pop(now_us, accept)
+    wait_us = queue.estimate_wait_us(NORMAL, now_us)
+    assert 95_000 <= wait_us <= 110_000
+    assert queue.estimate_wait_us(BACKGROUND, now_us) == 0
+    assert not queue.offer(build_entry(5000, deadline_us=now_us + wait_us), now_us)
+    assert queue.offer(build_entry(5001, deadline_us=now_us + wait_us + 1), now_us)
+    # Without a start for 10 s the estimate has to rise.
+    assert queue.estimate_wait_us(NORMAL, now_us + 10_000_000) > 10_000_000
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_random_operations_keep_the_queue_consistent(seed):
+    """Guards against lost, doubled or unbounded entries under every mix of operations.
+
+    Fails when ``remove`` does not call ``discard``.
+    """
+    rng = Random(seed)
+    queue = AdmissionQueue(200)
+    waiting, now_us = {}, 0
+    for number in range(6000):
+        now_us += rng.randrange(20)
+        action = rng.random()
+        if action < 0.5:
+            entry = Waiting(
+                number,
+                rng.choice(list(Priority)),
+                rng.choice("abcdefgh"),
+                rng.randrange(1, 9),
+                now_us + rng.randrange(1, 8000),
+                now_us,
+            )
+            if queue.offer(entry, now_us):
+                waiting[number] = entry
+        elif action < 0.75:
+            allowed = set(rng.sample("abcdefgh", 5))
+            entry = queue.pop(now_us, lambda item, allowed=allowed: item.caller in allowed)
+            if entry is not None:
+                assert waiting.pop(entry.query_id) == entry
+                assert entry.caller in allowed
+                assert entry.deadline_us > now_us
+        elif action < 0.9 and waiting:
+            query_id = rng.choice(list(waiting))
+            expired = waiting[query_id].deadline_us <= now_us
+            if queue.remove(query_id):
+                del waiting[query_id]
+            else:
+                assert expired
+        else:
+            for entry in queue.drop_expired(now_us):
+                assert waiting.pop(entry.query_id).deadline_us <= now_us
+        assert len(queue) <= 200
+        for group in queue._classes.values():
+            assert len(group.heap) <= 2 * len(group.tags) + 64
+            assert group.size == sum(len(entries) for entries in group.callers.values())
+    queue.drop_expired(10**9)
+    assert len(queue) == 0
+
+
+def test_pop_looks_at_few_entries_at_ten_thousand():
+    """Guards against a linear scan for each pop.
+
+    Fails when ``_DEPTH`` is 10,000, because blocked callers are then looked at whole.
+    """
+    queue = AdmissionQueue(10_000, caller_share=1.0)
+    fill(queue, [(URGENT, "a", 1, 2000), (NORMAL, "b", 1, 3000), (BACKGROUND, "c", 1, 1000)])
+    calls = []
+    for _ in range(500):
+        assert queue.pop(0, lambda entry: calls.append(entry) or True)
+    assert len(calls) <= 3 * 500
+    calls.clear()
+    assert queue.pop(0, lambda entry: calls.append(entry)) is None
+    assert len(calls) == 3 * 8
+
+
+def test_queries_that_are_invalid_are_errors():
+    queue = AdmissionQueue(10)
+    assert queue.offer(build_entry(1), 0)
+    for entry in (build_entry(1), build_entry(2, cost=0)):
+        with pytest.raises(ValueError, match="query"):
+            queue.offer(entry, 0)
--- /dev/null
+++ b/mimosapost/limits/tests/test_warmup.py
@@ -0,0 +1,178 @@
+"""Guards against too much work for cold servers, and ramps that never end."""
+
+import pytest
+
+from mimosapost.limits.warmup import WarmupTable
+
+SERVER = "10.0.0.1:80"
+FAST_US = 4_000
+
+
+def build_table(connections=25, cold_limit=2, ramp_answers=20, interval_us=500_000):
+    table = WarmupTable()
+    table.configure(SERVER, connections, cold_limit, ramp_answers, interval_us)
+    return table
+
+
+def feed(table, count, now_us, service_us=FAST_US, boot_id="a", gap_us=30_000):
+    """Record equal answers and return the time after the last one."""
+    for _ in range(count):
+        now_us += gap_us
+        table.record_answer(SERVER, boot_id, service_us, now_us)
+    return now_us
+
+
+def build_warm():
+    table = build_table()
+    now_us = feed(table, 200, 0)
+    assert not table.is_cold(SERVER)
+    return table, now_us
+
+
+def test_unknown_server_gets_nothing_and_is_cold():
+    table = WarmupTable()
+    table.record_answer(SERVER, "a", FAST_US, 0)
+    table.record_refused(SERVER, 0)
+    table.reset(SERVER)
+    assert (table.get_limit(SERVER, 0), table.is_cold(SERVER)) == (0, True)
+    assert table.describe(SERVER, 0) is None
+
+
+@pytest.mark.parametrize(
+    ("answers", "gap_us", "limit"),
+    [
+        (19, 100_000, 2),
+        (20, 100_000, 4),
+        (20, 1_000, 2),  # enough answers, but the interval has not passed
+        (500, 1_000, 2),
+        (502, 1_000, 4),
+        (60, 100_000, 16),
+        (80, 100_000, 25),
+    ],
+)
+def test_limit_doubles_after_answers_and_interval(answers, gap_us, limit):
+    """Guards against a ramp that goes by answers alone or by time alone.
+
+    Fails when the ``and`` between both conditions in ``record_answer`` is ``or``.
+    """
+    table = build_table()
+    feed(table, answers, 0, gap_us=gap_us)
+    assert table.get_limit(SERVER, 0) == limit
+    assert table.is_cold(SERVER) is (limit < 25)
+
+
+@pytest.mark.parametrize(
+    ("event", "cause"),
+    [
+        (lambda table, now: table.record_refused(SERVER, now), "refused"),
+        (lambda table, _: table.reset(SERVER), "reset"),
+        (lambda table, now: table.record_answer(SERVER, "b", FAST_US, now), "restarted"),
+        (lambda table, _: table.record_boot(SERVER, "b"), "restarted"),
+        (lambda table, now: feed(table, 5, now, 5 * FAST_US), "slow"),
+    ],
+)
+def test_events_that_return_a_server_to_cold(event, cause):
+    """Guards against a cold server that gets the load of a warm one."""
+    table, now_us = build_warm()
+    event(table, now_us)
+    status = table.describe(SERVER, now_us)
+    assert (status.limit, status.cold, status.cause) == (2, True, cause)
+    feed(table, 200, now_us, boot_id=status.boot_id)
+    assert not table.is_cold(SERVER)
+
+
+@pytest.mark.parametrize(
+    ("pattern", "cold"),
+    [
+        ([20] + [1] * 99, False),  # 1 straggler in 100 at 20 x the median
+        ([20, 20, 20, 20, 1], False),  # four in a row, again and again
+        ([3] * 100, False),  # slower, but below the jump
+        ([5] * 5, True),
+    ],
+)
+def test_stragglers_are_no_cold_start(pattern, cold):
+    """Guards against capacity lost to stragglers and against a missed fall-back.
+
+    Fails when ``slow_streak`` is not set to 0 by a good answer.
+    """
+    table, now_us = build_warm()
+    for factor in pattern:
+        now_us = feed(table, 1, now_us, factor * FAST_US)
+    assert table.is_cold(SERVER) is cold
+
+
+def test_answers_without_boot_id_do_not_restart():
+    table, now_us = build_warm()
+    feed(table, 1, now_us, boot_id="")
+    assert not table.is_cold(SERVER)
+
+
+@pytest.mark.parametrize("factor", [5, 20, 100])
+def test_server_that_stays_slower_gets_warm_again(factor):
+    """Guards against a larger index that keeps a server cold for ever.
+
+    Fails when ``_BATCH_WEIGHT`` is 0.
+    """
+    table, now_us = build_warm()
+    now_us = feed(table, 20, now_us, factor * FAST_US)
+    assert table.get_limit(SERVER, now_us) == 2
+    feed(table, 400, now_us, factor * FAST_US)
+    assert not table.is_cold(SERVER)
+
+
+def test_state_of_a_server_is_bounded():
+    """Guards against memory that grows with the number of answers."""
+    table = build_table()
+    feed(table, 10_000, 0)
+    assert len(table._servers[SERVER].batch) < 15
+    table.forget(SERVER)
+    assert table.describe(SERVER, 0) is None
+    assert table.export_notes() == ()
+
+
+@pytest.mark.parametrize(
+    ("connections", "cold_limit", "limit"), [(10, 2, 10), (50, 2, 25), (25, 30, 25), (1, 1, 1)]
+)
+def test_new_settings_of_a_warm_server(connections, cold_limit, limit):
+    """Guards against a limit above the newly published number of connections."""
+    table, now_us = build_warm()
+    table.configure(SERVER, connections, cold_limit, 20, 500_000)
+    assert table.get_limit(SERVER, now_us) == limit
+
+
+@pytest.mark.parametrize("values", [(0, 1, 1, 1), (1, 0, 1, 1), (1, 1, -1, 1), (1, 1, 1, -1)])
+def test_settings_out_of_range_are_refused(values):
+    with pytest.raises(ValueError, match="out of range"):
+        WarmupTable().configure(SERVER, *values)
+
+
+def test_instance_without_share_follows_the_others():
+    """Guards against an instance with share 0 of the cold limit that never sends.
+
+    Fails when ``merge_notes`` takes notes only with more returns to cold.
+    """
+    idle, (active, now_us) = build_table(), build_warm()
+    idle.merge_notes(active.export_notes())
+    assert idle.get_limit(SERVER, now_us) == 25
+    active.record_refused(SERVER, now_us)
+    old_notes = idle.export_notes()
+    idle.merge_notes(active.export_notes())
+    assert idle.get_limit(SERVER, now_us) == 2
+    active.merge_notes(old_notes)  # a late note must not undo the return to cold
+    assert active.get_limit(SERVER, now_us) == 2
+
+
+def test_notes_reach_every_server_in_turn():
+    """Guards against servers that are never told to a replaced instance."""
+    table, fresh = WarmupTable(), WarmupTable()
+    names = [f"10.0.0.{number}:80" for number in range(150)]
+    for name in names:
+        table.configure(name, 25, 2, 1, 0)
+        fresh.configure(name, 25, 2, 1, 0)
+        for now_us in range(10):
+            table.record_answer(name, "a", FAST_US, now_us)
+    rounds = [table.export_notes() for _ in range(6)]
+    assert all(len(notes) <= 64 for notes in rounds)
+    for notes in rounds[3:]:  # after the changes themselves were exported
+        fresh.merge_notes(notes)
+    assert not any(fresh.is_cold(name) for name in names)
