Add latency statistics with decay

Cause: hedge delays and slot choice need quantiles that follow changes; hdrhistogram counters never decay. Change: LatencyBook keeps 448 logarithmic counters for each service, halved every 5 s but not before 512 records, and one average for each slot, which falls by half every 10 s without records. record_abandoned takes the lower bound of sends that a hedge overtook.

--- /dev/null
+++ b/mimosapost/routing/tests/test_latency.py
@@ -0,0 +1,130 @@
+from random import Random
+
+import pytest
+
+from mimosapost.model.identities import SlotId
+from mimosapost.routing.latency import LatencyBook
+
+SLOT = SlotId("search", "0", "a")
+SECOND_US = 1_000_000
+
+
+def fill(book, value_us, count, now_us, step_us=0):
+    for _ in range(count):
+        book.record("search", SLOT, value_us, now_us)
+        now_us += step_us
+    return now_us
+
+
+@pytest.mark.parametrize("q", [0.05, 0.5, 0.9, 0.965, 0.99])
+def test_quantile_is_within_bucket_error(q):
+    """Guards against a wrong bucket or rank. Fails when ``seen += count`` becomes ``+= 1``."""
+    rng = Random(3)
+    book = LatencyBook()
+    values = [int(6_000 * rng.lognormvariate(0.0, 0.5)) for _ in range(20_000)]
+    for value_us in values:
+        book.record("search", SLOT, value_us, 0)
+    exact = sorted(values)[int(q * len(values))]
+    assert abs(book.get_quantile_us("search", q) / exact - 1.0) < 0.0125
+
+
+@pytest.mark.parametrize(("before_us", "after_us"), [(6_000, 60_000), (60_000, 6_000)])
+@pytest.mark.parametrize("step_us", [200, 20_000])
+def test_quantiles_follow_a_change(before_us, after_us, step_us):
+    """Guards against statistics that keep old latency for good.
+
+    Fails when ``count * 0.5`` becomes ``count``.
+    """
+    book = LatencyBook()
+    now_us = fill(book, before_us, 200_000, 0, step_us)
+    # Six half-lives: each takes 5 s or 512 records, whichever is later.
+    records = 6 * max(512, 5 * SECOND_US // step_us)
+    fill(book, after_us, records, now_us, step_us)
+    assert abs(book.get_quantile_us("search", 0.965) / after_us - 1.0) < 0.045
+    assert abs(book.get_median_us("search") / after_us - 1.0) < 0.045
+
+
+def test_unknown_service_has_no_quantile():
+    assert LatencyBook().get_median_us("search") == 0
+
+
+@pytest.mark.parametrize("elapsed_us", [-5, 0, 1, 2**40])
+def test_extreme_values_are_bounded(elapsed_us):
+    """Guards against an index outside the counters."""
+    book = LatencyBook()
+    book.record("search", SLOT, elapsed_us, 0)
+    assert 1 <= book.get_median_us("search") < 2**28
+
+
+def test_one_straggler_does_not_condemn_a_slot():
+    """Guards against shunning a healthy slot after one slow answer.
+
+    Fails when ``min(elapsed_us, _SLOT_STEP * value + 1.0)`` becomes ``elapsed_us``.
+    """
+    book = LatencyBook()
+    fill(book, 6_000, 100, 0)
+    fill(book, 120_000, 1, 0)
+    assert book.get_slot_us(SLOT, 0) < 6_000 * 1.3
+    fill(book, 120_000, 20, 0)
+    assert book.get_slot_us(SLOT, 0) > 6_000 * 10
+
+
+def test_slow_estimate_decays_and_recovers():
+    """Guards against a slot that is never tried again after a slow period.
+
+    Fails when ``0.5 ** (idle_us / _SLOT_HALF_LIFE_US)`` becomes ``1.0``.
+    """
+    book = LatencyBook()
+    fill(book, 120_000, 100, 0)
+    assert book.get_slot_us(SLOT, 0) > 100_000
+    assert book.get_slot_us(SLOT, 50 * SECOND_US) < 6_000
+    # One good answer after a long pause counts for nearly everything.
+    book.record("search", SLOT, 6_000, 50 * SECOND_US)
+    assert book.get_slot_us(SLOT, 50 * SECOND_US) < 12_000
+
+
+def test_persistent_slowness_is_remembered():
+    """Guards against trying a slot that stays slow again and again at short intervals.
+
+    Fails when the decayed value is stored instead of ``slot[0]``.
+    """
+    book = LatencyBook()
+    fill(book, 120_000, 100, 0)
+    book.record("search", SLOT, 120_000, 50 * SECOND_US)
+    assert book.get_slot_us(SLOT, 50 * SECOND_US) > 100_000
+
+
+def test_unknown_slot_starts_at_the_median_and_decays():
+    """Guards against a new slot that is never tried beside a fast one."""
+    book = LatencyBook()
+    fill(book, 6_000, 100, 0)
+    other = SlotId("search", "0", "b")
+    assert 5_800 < book.get_slot_us(other, 0) < 6_200
+    assert book.get_slot_us(other, 20 * SECOND_US) < 2_000
+
+
+def test_abandoned_send_never_lowers_a_slot():
+    """Guards against a slot that looks fast because its slow sends are cut short.
+
+    Fails when ``elapsed_us <= slot[0]`` becomes ``elapsed_us < 0``.
+    """
+    book = LatencyBook()
+    fill(book, 50_000, 100, 0)
+    for _ in range(100):
+        book.record_abandoned("search", SLOT, 8_000, 0)
+    assert book.get_slot_us(SLOT, 0) >= 49_999
+    book.record_abandoned("search", SLOT, 100_000, 0)
+    assert book.get_slot_us(SLOT, 0) > 50_000
+
+
+def test_memory_is_bounded():
+    """Guards against growth with each renamed service or slot.
+
+    Fails when ``del self._slots[...]`` or ``del self._sketches[...]`` is dropped.
+    """
+    book = LatencyBook(service_limit=4, slot_limit=8)
+    for number in range(100):
+        service = f"s{number}"
+        book.record(service, SlotId(service, "0", "a"), 1_000, 0)
+    assert len(book._sketches) == 4
+    assert len(book._slots) == 8
