--- /dev/null
+++ b/mimosapost/bench/routing.py
@@ -0,0 +1,69 @@
+"""Cost of the routing functions that run for every send, in microseconds.
+
+Run it with ``python -m mimosapost.bench.routing``. It prints the least of several rounds,
+because other work on the machine only ever adds time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from timeit import repeat
+
+from mimosapost.model.identities import SlotId
+from mimosapost.model.published import SlotSettings
+from mimosapost.routing.choice import Candidate, choose_slot
+from mimosapost.routing.eligibility import EligibilityView, check_slot
+from mimosapost.routing.hedges import HedgePolicy
+from mimosapost.routing.latency import LatencyBook
+
+__all__ = ["measure_costs"]
+
+
+def measure_costs(calls: int = 20_000, rounds: int = 7) -> dict[str, float]:
+    """Measure each function.
+
+    :param calls: calls in a round.
+    :param rounds: number of rounds.
+    :returns: least mean time of a call in microseconds, by name.
+    """
+    rng = Random(1)
+    book = LatencyBook()
+    policy = HedgePolicy(book)
+    slots = [SlotId("search", "0", name) for name in "abc"]
+    samples = [int(6_000 * rng.lognormvariate(0.0, 0.3)) for _ in range(1_000)]
+    clock = iter(range(0, 10**15, 25))
+    values = iter(lambda: samples[next(clock) // 25 % 1_000], -1)
+
+    def record() -> None:
+        book.record("search", slots[0], next(values), next(clock))
+
+    def overhead() -> None:
+        next(values)
+        next(clock)
+
+    candidates = [
+        Candidate(slot, "10.0.0.1:80", number, 6, 6_000, 500, 0.5, 300_000, True)
+        for number, slot in enumerate(slots)
+    ]
+    settings = SlotSettings("a", "10.0.0.1:80", "east")
+    view = EligibilityView(frozenset({"west"}), frozenset({"10.0.0.9:80"}))
+    functions: dict[str, Callable[[], object]] = {
+        "record": record,
+        "record (argument iterators alone)": overhead,
+        "get_slot_us": lambda: book.get_slot_us(slots[0], 10**13),
+        "get_delay_us": lambda: policy.get_delay_us("search"),
+        "choose_slot, 2 candidates": lambda: choose_slot(candidates[:2], rng),
+        "choose_slot, 3 candidates": lambda: choose_slot(candidates, rng),
+        "check_slot": lambda: check_slot(settings, view),
+        "empty call": lambda: None,
+    }
+    return {
+        name: min(repeat(function, number=calls, repeat=rounds)) / calls * 1e6
+        for name, function in functions.items()
+    }
+
+
+if __name__ == "__main__":
+    for name, cost_us in measure_costs().items():
+        print(f"{name}: {cost_us:.2f} us")
