Send small messages before subtrees and settle links at stop

Cause: a lease heartbeat queued behind subtrees of 1 MB could expire, and the last answers to forwarded queries were lost at a graceful shutdown. Change: messages up to 64 KB overtake larger ones; stop waits up to 3 heartbeats for acknowledgements; versions above 2**53 are refused; 8 versions a message, with rotation offset by seat.

--- a/mimosapost/bench/spread.py
+++ b/mimosapost/bench/spread.py
@@ -26,7 +26,7 @@
 from mimosapost.model.messages import Hello
 from mimosapost.model.published import TeamTree
 
-__all__ = ["Fleet", "main", "measure_gossip", "measure_tree"]
+__all__ = ["Fleet", "main", "measure_backlog", "measure_gossip", "measure_tree"]
 
 ROUND_US = 500_000
 _STEADY_ROUNDS = 4
@@ -83,13 +83,14 @@
             queue.extend((name, send) for send in exchange.start_round(self.now_us))
         self.deliver(queue)
 
-    def publish(self, version: int) -> None:
-        """Publish a version of one subtree to the first instance only."""
+    def publish(self, version: int, teams: int = 1) -> None:
+        """Publish a version of some subtrees to the first instance only."""
         name = next(iter(self.exchanges))
         text = b"x" * 20_000 + str(version).encode()
-        outcome = self.exchanges[name].offer("team-000", version, text, self.now_us)
-        if self.at_once:
-            self.deliver(deque((name, send) for send in outcome.sends))
+        for team in range(teams):
+            outcome = self.exchanges[name].offer(f"team-{team:03}", version, text, self.now_us)
+            if self.at_once:
+                self.deliver(deque((name, send) for send in outcome.sends))
 
     def deliver(self, queue: deque[tuple[str, SendPeer]]) -> None:
         """Deliver messages and the messages that answer them."""
@@ -105,10 +106,10 @@
             if self.at_once or not outcome.team:
                 queue.extend((send.peer, answer) for answer in outcome.sends)
 
-    def count_holders(self, version: int) -> int:
-        """Return how many instances hold the version."""
+    def count_holders(self, version: int, teams: int = 1) -> int:
+        """Return how many instances hold the version of the first subtrees."""
         return sum(
-            book.versions()[0].version >= version if book.versions() else False
+            all(entry.version >= version for entry in book.versions()[:teams])
             for book in self.configs.values()
         )
 
@@ -172,6 +173,20 @@
     return Spread(rounds, steady, greeting, extra, core_share)
 
 
+def measure_backlog(fleet: Fleet, teams: int) -> int:
+    """Count rounds after which all hold many changes, as when a partition heals.
+
+    :param fleet: fleet in which one instance learns all changes.
+    :param teams: number of subtrees that changed.
+    """
+    fleet.publish(2, teams)
+    rounds = 0
+    while fleet.count_holders(2, teams) < len(fleet.exchanges) and rounds < _MAX_ROUNDS:
+        fleet.run_round()
+        rounds += 1
+    return rounds
+
+
 def measure_tree(
     size: int, seed: int, lost: float, dead: float, disagreement: float
 ) -> tuple[int, float, float]:
@@ -234,6 +249,9 @@
     for lost, dead in ((0.01, 0.0), (0.0, 0.02), (0.2, 0.1)):
         spread = measure_gossip(lambda x=lost, y=dead: Fleet(690, teams, seed, x, y, False))
         print(f"gossip members=690 lost={lost} dead={dead} rounds={spread.rounds}")
+    for size in (4, 690):
+        rounds = measure_backlog(Fleet(size, teams, seed, at_once=False), min(teams, 20))
+        print(f"backlog members={size} changes={min(teams, 20)} at_once=False rounds={rounds}")
 
 
 if __name__ == "__main__":
--- a/mimosapost/edge/links.py
+++ b/mimosapost/edge/links.py
@@ -33,6 +33,8 @@
 _FIRST_BACKOFF_S = 0.1
 _LAST_BACKOFF_S = 2.0
 _FORGET_S = 30.0
+# Larger messages are subtrees, which must not delay lease heartbeats queued behind them.
+_SMALL_BYTES = 64 * 2**10
 
 _log = structlog.get_logger()
 
@@ -98,6 +100,7 @@
         self._filled = asyncio.Event()
         self._failures = 0
         self._waiting = False
+        self._unacknowledged = 0
         self._held_until_s = 0.0
 
     def offer(self, message: PeerMessage) -> None:
@@ -124,6 +127,10 @@
             self._drop_one()
         self._filled.set()
 
+    def is_settled(self) -> bool:
+        """Return whether the other end acknowledged every message."""
+        return not self._queue and not self._unacknowledged
+
     def abandon(self) -> None:
         """Report the loss of queued and open Forwards before the link is given up."""
         loop = asyncio.get_running_loop()
@@ -180,6 +187,7 @@
             if self._failures:
                 _log.info("peer_link_restored", peer=self.peer, address=self.address)
             self._failures = 0
+            self._unacknowledged = 0
             self._greeted(hello)
             acknowledged = asyncio.create_task(self._read_acknowledgements(reader))
             stack.callback(acknowledged.cancel)
@@ -194,6 +202,7 @@
     async def _read_acknowledgements(self, reader: asyncio.StreamReader) -> None:
         while True:
             await read_frame(reader, self._silence_s, limit=0)
+            self._unacknowledged -= 1
 
     async def _write_queue(self, writer: asyncio.StreamWriter) -> None:
         loop = asyncio.get_running_loop()
@@ -206,18 +215,27 @@
                         await self._filled.wait()
                 except TimeoutError:
                     idle += 1
+                    self._unacknowledged += 1
                     writer.write(EMPTY_FRAME)
                     await writer.drain()
                 continue
             idle = 0
-            message, frame = self._queue.popleft()
-            self._queued_bytes -= len(frame)
+            message, frame = self._take_next()
+            self._unacknowledged += 1
             if isinstance(message, Forward):
                 due_s = loop.time() + message.remaining_us / 1e6
                 self._held_until_s = max(self._held_until_s, due_s)
             writer.write(frame)
             await writer.drain()
 
+    def _take_next(self) -> tuple[PeerMessage, bytes]:
+        sizes = (len(frame) for _, frame in self._queue)
+        index = next((i for i, size in enumerate(sizes) if size <= _SMALL_BYTES), 0)
+        message, frame = self._queue[index]
+        del self._queue[index]
+        self._queued_bytes -= len(frame)
+        return message, frame
+
     def _drop_one(self) -> None:
         for index, (message, frame) in enumerate(self._queue):
             if not isinstance(message, Forward | ForwardAnswer):
@@ -233,6 +251,7 @@
         self.dropped += len(self._queue)
         self._queue.clear()
         self._queued_bytes = 0
+        self._unacknowledged = 0
         self._filled.clear()
         self._held_until_s = 0.0
 
--- a/mimosapost/edge/peers.py
+++ b/mimosapost/edge/peers.py
@@ -81,6 +81,17 @@
         self.async_exit_stack.push_async_callback(server.wait_closed)
         self.async_exit_stack.callback(server.close)
 
+    async def on_stop(self) -> None:
+        """Let queued messages reach their peers, for at most 3 heartbeats.
+
+        The last answers to forwarded queries are among them.
+        """
+        steps = 10 * SILENT_HEARTBEATS
+        for _ in range(steps):
+            if all(link.is_settled() for link in self._links.values()):
+                break
+            await asyncio.sleep(self._silence_s / steps)
+
     def send(self, effect: SendPeer) -> None:
         """Send a message to another instance.
 
--- a/mimosapost/edge/tests/test_peers.py
+++ b/mimosapost/edge/tests/test_peers.py
@@ -15,7 +15,14 @@
 from mimosapost.model.effects import SendPeer
 from mimosapost.model.events import PeerLost, PeerMessageArrived
 from mimosapost.model.identities import InstanceIdentity
-from mimosapost.model.messages import Forward, Gossip, Heartbeat, Hello, SubtreeReply
+from mimosapost.model.messages import (
+    Forward,
+    ForwardAnswer,
+    Gossip,
+    Heartbeat,
+    Hello,
+    SubtreeReply,
+)
 
 BEAT_US = 60_000
 
@@ -220,6 +227,26 @@
         assert one.describe()["messages_dropped"] == 37
 
 
+async def test_heartbeat_overtakes_subtrees():
+    # Guards against leases that expire while several subtrees of 1 MB are under way.
+    async with run_links("one") as (one, _, _), run_links("two") as (_, far, you):
+        for message in (SubtreeReply("desk", 1, bytes(2**20)), Heartbeat(0, 1, 1)):
+            one.send(SendPeer("two", you.peer_address, message))
+        kinds = [type((await far.get()).message) for _ in range(3)]
+        assert kinds == [Hello, Heartbeat, SubtreeReply]
+
+
+async def test_stop_delivers_queued_messages():
+    # Guards against a graceful shutdown that loses answers to forwarded queries.
+    async with run_links("two") as (_, far, you):
+        async with run_links("one") as (one, _, _):
+            for number in range(40):
+                answer = ForwardAnswer(number, bytes(30_000))
+                one.send(SendPeer("two", you.peer_address, answer))
+        got = [(await far.get()).message for _ in range(41)]
+        assert [answer.forward_id for answer in got[1:]] == list(range(40))
+
+
 async def test_queue_full_of_forwards_reports_the_loss():
     async with run_links("one") as (one, events, _), run_links("two") as (_, _, you):
         for number in range(65):
--- a/mimosapost/membership/codec.py
+++ b/mimosapost/membership/codec.py
@@ -43,6 +43,8 @@
 _MAX_TEAMS = 1_001
 _MAX_SUSPECTS = 1_000
 _MAX_SEATS = 10_000
+# Largest version in the published settings. A higher one could never be superseded.
+_MAX_VERSION = 2**53
 _MAX_BODY_BYTES = MAX_FRAME_BYTES - 1_024
 # The deepest message is Envelope, Gossip, list, TreeVersion, text.
 _NESTING_LIMIT = 8
@@ -142,6 +144,12 @@
     return values
 
 
+def _check_version(version: int) -> int:
+    if version > _MAX_VERSION:
+        raise CodecError(f"version {version} is above {_MAX_VERSION}")
+    return version
+
+
 def _write_identity(identity: InstanceIdentity) -> dict[str, Any]:
     return {
         "name": _check_name(identity.name, "name"),
@@ -227,7 +235,7 @@
         "versions": [
             {
                 "team": _check_name(entry.team, "team"),
-                "version": entry.version,
+                "version": _check_version(entry.version),
                 "digest": entry.digest,
             }
             for entry in _check_size(message.versions, _MAX_TEAMS, "versions")
@@ -250,7 +258,9 @@
         identity=_read_identity(reader.identity),
         leaving=reader.leaving,
         versions=tuple(
-            TreeVersion(_check_name(entry.team, "team"), entry.version, entry.digest)
+            TreeVersion(
+                _check_name(entry.team, "team"), _check_version(entry.version), entry.digest
+            )
             for entry in _check_size(reader.versions, _MAX_TEAMS, "versions")
         ),
         suspects=tuple(
@@ -277,7 +287,7 @@
 def _write_subtree_reply(message: SubtreeReply) -> dict[str, Any]:
     return {
         "team": _check_name(message.team, "team"),
-        "version": message.version,
+        "version": _check_version(message.version),
         "text": _check_size(message.text, MAX_TEXT_BYTES, "text"),
     }
 
@@ -285,7 +295,8 @@
 @_reads("subtreeReply")
 def _read_subtree_reply(reader: Any) -> SubtreeReply:
     text = bytes(_check_size(reader.text, MAX_TEXT_BYTES, "text"))
-    return SubtreeReply(_check_name(reader.team, "team"), reader.version, text)
+    team = _check_name(reader.team, "team")
+    return SubtreeReply(team, _check_version(reader.version), text)
 
 
 @_writes(Forward, "forward")
--- a/mimosapost/membership/exchange.py
+++ b/mimosapost/membership/exchange.py
@@ -65,7 +65,8 @@
         self._members = members
         self._configs = configs
         self._rng = rng
-        self._round = 0
+        # Instances that started together must not announce the same rotating part.
+        self._round = own.seat
         self._leaving = False
         self._recent: deque[str] = deque(maxlen=_RECENT_TEAMS)
         self._requested: dict[TreeVersion, int] = {}
--- a/mimosapost/membership/gossip.py
+++ b/mimosapost/membership/gossip.py
@@ -25,9 +25,9 @@
 FANOUT = 3
 READS_PER_S = 20
 _ALWAYS_READING = 8
-# 16 versions make a message of about 0.7 KB; 12 such messages a second (3 targets sent and
-# received every 0.5 s) stay below the 14 KB/s of control traffic allowed to an instance.
-MAX_ANNOUNCED = 16
+# 8 versions make a message of about 0.5 KB. An instance sends and receives 6 such messages a
+# second, each over a new link in a large fleet, out of 14 KB/s of control traffic allowed.
+MAX_ANNOUNCED = 8
 # A request names few teams, because each may be answered with 1 MB of text.
 _MAX_REQUESTED = 4
 
--- a/mimosapost/membership/tests/test_codec.py
+++ b/mimosapost/membership/tests/test_codec.py
@@ -72,6 +72,7 @@
     "suspects": frame(gossip={"identity": identity(), "suspects": [{}] * 1_001}),
     "lapsed": frame(heartbeatAnswer={"lapsed": [1] * 10_001}),
     "text": frame(subtreeReply={"team": "t", "text": b"x" * (2**20 + 1)}),
+    "version": frame(subtreeReply={"team": "t", "version": 2**53 + 1}),
     "bad utf-8": encode_message(SubtreeRequest(("desk",))).replace(
         b"desk", b"\xff\xfe\xfd\xfc"
     ),
--- a/mimosapost/membership/tests/test_configs.py
+++ b/mimosapost/membership/tests/test_configs.py
@@ -7,6 +7,7 @@
 
 from mimosapost.membership.configs import Accepted, ConfigBook, Refused, Stale, compute_digest
 from mimosapost.membership.gossip import (
+    MAX_ANNOUNCED,
     choose_announced,
     choose_pushes,
     choose_reader,
@@ -88,9 +89,9 @@
     # never announced again after its change.
     own = versions(*((f"t{i:03}", 1) for i in range(100)))
     seen = set()
-    for number in range(25):
+    for number in range(50):
         chosen = choose_announced(own, [f"t{i:03}" for i in range(50)], number)
-        assert len(chosen) == 16
+        assert len(chosen) == MAX_ANNOUNCED
         assert chosen[0].team == "t000"
         seen.update(entry.team for entry in chosen)
     assert len(seen) == 100
