--- a/mimosapost/core/forwarding.py
+++ b/mimosapost/core/forwarding.py
@@ -110,5 +110,7 @@
         answer = msgspec.json.decode(message.answer, type=Answer)
     except (msgspec.ValidationError, msgspec.DecodeError):
         return
+    if answer.result is not None:
+        answer = replace(answer, result=msgspec.Raw(msgspec.json.encode(answer.result)))
     del state.forwards[message.forward_id]
     finish.deliver(state, forwarded.query, answer, now_us, effects)
--- /dev/null
+++ b/mimosapost/core/tests/schedules.py
@@ -0,0 +1,147 @@
+"""Seeded fault schedules for the fake fleet; one function for each failure of the brief."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from mimosapost.core.tests.fleet import DOMAINS, Fleet, create_team
+from mimosapost.model import events as ev
+
+FAULTS: dict[str, Callable[[Fleet], None]] = {}
+
+
+def fault(function):
+    """Register a fault under the name of its function; it starts and ends by itself."""
+    FAULTS[function.__name__] = function
+    return function
+
+
+def pick_server(fleet):
+    """Return a seeded choice of server."""
+    return fleet.servers[fleet.rng.choice(sorted(fleet.servers))]
+
+
+@fault
+def stragglers(fleet):
+    """Let 1 in 20 answers take 20 times as long."""
+    fleet.straggler = 0.05
+
+
+@fault
+def lost_replica(fleet):
+    """Crash a server for 0.7 s."""
+    fleet.at(fleet.rng.randrange(300_000), fleet.crash, pick_server(fleet))
+
+
+@fault
+def repartitioning(fleet):
+    """Move all servers to a new snapshot one after the other, then publish it."""
+    version = fleet.team.services[0].map_version + 1
+    for server in fleet.servers.values():
+        fleet.at(fleet.rng.randrange(400_000), setattr, server, "held", (version, version))
+    service = replace(fleet.team.services[0], map_version=version, index_version=version)
+    team = replace(fleet.team, version=fleet.team.version + 1, services=(service,))
+    fleet.at(fleet.rng.randrange(400_000), fleet.publish, team)
+
+
+@fault
+def new_index(fleet):
+    """Move all servers to a new index version; the configuration follows late."""
+    service = fleet.team.services[0]
+    version = service.index_version + 1
+    for server in fleet.servers.values():
+        held = (service.map_version, version)
+        fleet.at(fleet.rng.randrange(200_000), setattr, server, "held", held)
+    team = replace(
+        fleet.team,
+        version=fleet.team.version + 1,
+        services=(replace(service, index_version=version),),
+    )
+    fleet.at(700_000, fleet.publish, team)
+
+
+@fault
+def stale_config_service(fleet):
+    """Offer an old subtree again to every instance."""
+    old = create_team(1)
+    for seat, node in fleet.nodes.items():
+        fleet.at(
+            fleet.rng.randrange(500_000),
+            fleet.deliver,
+            seat,
+            node,
+            ev.ConfigRead,
+            "desk",
+            1,
+            fleet_text(old),
+        )
+
+
+def fleet_text(tree):
+    """Return the published text of a subtree."""
+    from mimosapost.core.tests.fleet import encode
+
+    return encode(tree)
+
+
+@fault
+def domain_out_and_back(fleet):
+    """Take a domain out and bring it back."""
+    domain = fleet.rng.choice(DOMAINS)
+    version = fleet.team.version
+    out = replace(fleet.team, version=version + 1, domains_out=(domain,))
+    back = replace(fleet.team, version=version + 2, domains_out=())
+    fleet.at(50_000, fleet.publish, out)
+    fleet.at(900_000, fleet.publish, back)
+
+
+@fault
+def paused_instance(fleet):
+    """Pause an instance for 0.8 s; its events wait."""
+    seat = fleet.rng.choice(sorted(fleet.nodes))
+
+    def pause():
+        fleet.nodes[seat].paused_until_us = fleet.now_us + 800_000
+
+    fleet.at(fleet.rng.randrange(300_000), pause)
+
+
+@fault
+def replaced_instance(fleet):
+    """Kill an instance and start a new incarnation of its seat after 0.5 s."""
+    seat = fleet.rng.choice(sorted(fleet.nodes))
+    fleet.at(200_000, fleet.kill, seat)
+    fleet.at(700_000, fleet.start_node, seat)
+
+
+@fault
+def partition(fleet):
+    """Cut half of the links between instances, in one direction, for 1.5 s."""
+    seats = sorted(fleet.nodes)
+    links = {(a, b) for a in seats for b in seats if a != b and fleet.rng.random() < 0.5}
+    fleet.at(100_000, fleet.cut.update, links)
+    fleet.at(1_600_000, fleet.cut.clear)
+
+
+@fault
+def lossy_links(fleet):
+    """Lose a third of the messages between instances."""
+    fleet.loss = 0.33
+
+
+@fault
+def poison_request(fleet):
+    """Send a request that crashes each server that runs it, again and again."""
+    nonce = -fleet.rng.randrange(1, 10**6)
+    fleet.poison.add(nonce)
+    for round_number in range(4):
+        seat = fleet.rng.choice(sorted(fleet.nodes))
+        fleet.at(100_000 + 350_000 * round_number, lambda s=seat: fleet.ask(s, nonce=nonce))
+
+
+@fault
+def silent_connections(fleet):
+    """Let half of the work of a server go unanswered for 1 s."""
+    server = pick_server(fleet)
+    fleet.at(100_000, lambda: setattr(server, "silent_until_us", fleet.now_us + 1_000_000))
--- a/mimosapost/edge/instance.py
+++ b/mimosapost/edge/instance.py
@@ -229,5 +229,3 @@
 
 def _write_log(effect: WriteLog) -> None:
     _log.info(effect.event, **dict(effect.fields))
-
-
--- a/mimosapost/routing/silence.py
+++ b/mimosapost/routing/silence.py
@@ -42,6 +42,7 @@
         "quiet_since_us",
         "quiet_us",
         "seen_us",
+        "silent",
         "slowest_at_us",
         "slowest_us",
         "watched",
@@ -64,6 +65,8 @@
         self.answered_us: int | None = None
         # Sends that were quiet when the probe was asked for.
         self.watched: set[int] = set()
+        # Sends that the last ``CLOSE`` was about.
+        self.silent: tuple[int, ...] = ()
         self.dead = False
 
     def get_slowest_us(self, now_us: int) -> float:
@@ -197,7 +200,8 @@
         if entry.answered_us is not None:
             if now_us - entry.answered_us < self._confirm_us:
                 return SilenceAction.NONE
-            for send_id in entry.watched & entry.open.keys():
+            entry.silent = tuple(sorted(entry.watched & entry.open.keys()))
+            for send_id in entry.silent:
                 entry.late[send_id] = entry.open.pop(send_id)
             entry.clear_probe()
             entry.quiet_us = 0
@@ -211,6 +215,17 @@
             return SilenceAction.PROBE
         return SilenceAction.NONE
 
+    def take_silent(self, server: str) -> tuple[int, ...]:
+        """Return the sends that the last ``CLOSE`` was about, once.
+
+        :param server: address of the server.
+        """
+        entry = self._servers.get(server)
+        if entry is None:
+            return ()
+        silent, entry.silent = entry.silent, ()
+        return silent
+
     def is_dead(self, server: str) -> bool:
         """Return whether the last probe of a server failed and no byte arrived since.
 
