--- a/mimosapost/limits/leases.py
+++ b/mimosapost/limits/leases.py
@@ -23,6 +23,7 @@
 # About 8 MB; the largest planned deployment has 13,800 slots at one current limit each.
 _CACHE_ENTRIES = 32_768
 _NEVER = -(2**62)
+_NO_PARTS: dict[int, int] = {}
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,10 +248,12 @@
         if now_us < self._lease_until_us:
             fixed += leased
         if self._reuse_until_us:
-            parts = self._parts.get((limit, key)) or self._add_parts(limit, key)
+            parts = self._parts.get((limit, key))
+            if parts is None:
+                parts = self._add_parts(limit, key)
             for other, until_us in self._reuse_until_us.items():
                 if now_us < until_us:
-                    fixed += parts[other]
+                    fixed += parts.get(other, 0)
         return fixed
 
     def describe(self, now_us: int) -> LeaseStatus:
@@ -341,16 +344,18 @@
         return shares
 
     def _add_parts(self, limit: int, key: str) -> dict[int, int]:
-        """Compute the own share of the leased part of each other member."""
-        if len(self._parts) >= _CACHE_ENTRIES // 4:
+        """Compute the own share of the leased part of each other member, where there is one."""
+        if len(self._parts) >= _CACHE_ENTRIES:
             self._parts.clear()
         parts = {}
         for other in self._owners:
-            heirs = [member for member in self._members if member != other]
             _, leased = self._split(limit, other, key)
-            position = heirs.index(self.seat)
-            parts[other] = compute_share(leased, position, len(heirs), f"{key} {other}")
-        self._parts[limit, key] = parts
+            if leased:
+                heirs = [member for member in self._members if member != other]
+                position = heirs.index(self.seat)
+                parts[other] = compute_share(leased, position, len(heirs), f"{key} {other}")
+        # Most limits of a large deployment leave no leased part; these keys share one value.
+        self._parts[limit, key] = parts = parts or _NO_PARTS
         return parts
 
 
