Name in each invariant test the line that makes it fail

Change: tests of membership in the own group and of a class that was alone; docstrings name the changed line.

--- a/mimosapost/limits/tests/test_admission.py
+++ b/mimosapost/limits/tests/test_admission.py
@@ -48,13 +48,31 @@
 
 
 def test_lower_classes_get_all_when_alone():
-    """Guards against capacity that stays unused because of weights."""
+    """Guards against capacity that stays unused because of weights.
+
+    Fails when ``candidates`` in ``pop`` only holds entries that need no round.
+    """
     queue = AdmissionQueue(100)
     fill(queue, [(BACKGROUND, "a", 180, 20)])
     assert [queue.pop(0, accept).query_id for _ in range(20)] == list(range(1, 21))
     assert queue.pop(0, accept) is None
 
 
+def test_class_is_not_charged_for_time_alone():
+    """Guards against urgent queries that wait because they were alone before.
+
+    Fails when ``pop`` does not add the skipped rounds to ``group.deficit``.
+    """
+    queue = AdmissionQueue(4000, caller_share=1.0)
+    fill(queue, [(URGENT, "a", 4, 2000)])
+    for _ in range(1000):
+        queue.pop(0, accept)
+    for number in range(500):
+        queue.offer(build_entry(5000 + number, BACKGROUND, cost=4), 0)
+    served = Counter(queue.pop(0, accept).priority for _ in range(180))
+    assert 158 <= served[URGENT] <= 162  # 8 of 9
+
+
 @pytest.mark.parametrize("costs", [(1, 1), (1, 10), (7, 3)])
 def test_callers_of_a_class_share_equally(costs):
     """Guards against a caller that gains by large or many queries.
@@ -88,7 +106,10 @@
 
 
 def test_blocked_entries_do_not_hold_back_others():
-    """Guards against head-of-line blocking across callers, classes and within a caller."""
+    """Guards against head-of-line blocking across callers, classes and within a caller.
+
+    Fails when ``find`` does not put blocked callers back.
+    """
     queue = AdmissionQueue(100)
     fill(queue, [(URGENT, "a", 1, 3), (NORMAL, "b", 1, 3), (NORMAL, "c", 1, 1)])
     startable = {2, 7}
@@ -133,7 +154,10 @@
 
 
 def test_offer_is_refused_when_the_wait_exceeds_the_deadline():
-    """Guards against queries that wait although they cannot finish in time."""
+    """Guards against queries that wait although they cannot finish in time.
+
+    Fails when ``offer`` does not add ``wait_us``.
+    """
     queue = AdmissionQueue(1000, caller_share=1.0)
     fill(queue, [(NORMAL, "a", 10, 200)])
     now_us = 0
--- a/mimosapost/limits/tests/test_budgets.py
+++ b/mimosapost/limits/tests/test_budgets.py
@@ -32,7 +32,10 @@
 
 @pytest.mark.parametrize(("ratio", "extra"), [(0.05, 50_010), (0.1, 100_010), (1 / 3, 333_343)])
 def test_long_run_spends_the_whole_budget(ratio, extra):
-    """Guards against a budget that withholds hedges although they are earned."""
+    """Guards against a budget that withholds hedges although they are earned.
+
+    Fails when ``_earned`` is rounded down to whole hundredths of a token.
+    """
     budget = Budget(ratio, 10)
     spent = 0
     for _ in range(1_000_000):
--- a/mimosapost/limits/tests/test_leases.py
+++ b/mimosapost/limits/tests/test_leases.py
@@ -48,7 +48,10 @@
 
 @pytest.mark.parametrize(("ceiling", "lost"), [(3, 0), (4, 2), (5, 4), (7, 3)])
 def test_others_get_the_leased_part_of_a_lost_instance(ceiling, lost):
-    """Guards against capacity that stays unused after the loss of one instance."""
+    """Guards against capacity that stays unused after the loss of one instance.
+
+    Fails when ``heirs`` in ``_add_parts`` includes the lost seat.
+    """
     fleet = Fleet(ceiling, LIMITS, 1)
     run_for(fleet, 5_000_000)
     tables = {seat: process.table for seat, process in fleet.processes.items()}
@@ -66,7 +69,10 @@
 
 
 def test_group_gets_the_leased_part_back_beyond_seven_seats():
-    """Guards against reports of lapsed seats that never reach the group's members."""
+    """Guards against reports of lapsed seats that never reach the group's members.
+
+    Fails when ``heirs`` in ``_add_parts`` includes the lost seat.
+    """
     fleet = Fleet(20, {"10.0.0.1:80": 400}, 1)
     run_for(fleet, 5_000_000)
     assert fleet.sum_allowances("10.0.0.1:80") == 400
@@ -90,7 +96,11 @@
 
 @pytest.mark.parametrize("ceiling", [1, 4, 7, 8, 9, 14, 40, 690])
 def test_groups_partition_the_seats(ceiling):
-    """Guards against members of a group that disagree on its members or witnesses."""
+    """Guards against members of a group that disagree on its members or witnesses.
+
+    Fails when ``choose_group`` takes the remainder of ``seat`` instead of its position.
+    """
+    assert all(seat in choose_group(seat, ceiling)[0] for seat in range(ceiling))
     groups = {choose_group(seat, ceiling) for seat in range(ceiling)}
     members = sorted(seat for group, _ in groups for seat in group)
     assert members == list(range(ceiling))
@@ -149,7 +159,10 @@
 
 
 def test_reported_seat_is_withheld():
-    """Guards against an owner that returns while others still use its leased part."""
+    """Guards against an owner that returns while others still use its leased part.
+
+    Fails when ``_report_lapsed`` does not set ``owner.reported_us``.
+    """
     witness = build_table()
     assert witness.answer_heartbeat(Heartbeat(1, 8, 1), WAIT_US).lapsed == (2, 3)
     assert witness.describe(2 * WAIT_US - 1).withheld == (2, 3)
--- a/mimosapost/limits/tests/test_shares.py
+++ b/mimosapost/limits/tests/test_shares.py
@@ -22,7 +22,10 @@
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(st.integers(0, 5000), st.integers(1, 700), st.text(max_size=20), st.data())
 def test_share_never_falls_when_the_limit_rises(limit, ceiling, key, data):
-    """Guards against sums above the largest of several views of a limit."""
+    """Guards against sums above the largest of several views of a limit.
+
+    Fails when the order of the remainder depends on the limit.
+    """
     seat = data.draw(st.integers(0, ceiling - 1))
     assert compute_share(limit, seat, ceiling, key) <= compute_share(
         limit + 1, seat, ceiling, key
@@ -30,7 +33,10 @@
 
 
 def test_remainders_are_spread_over_the_seats():
-    """Guards against seats that win or lose the remainder of most keys."""
+    """Guards against seats that win or lose the remainder of most keys.
+
+    Fails when ``compute_rank`` does not add ``digest % ceiling``.
+    """
     totals = [
         sum(compute_share(25, seat, 40, f"10.0.{key}.1:80") for key in range(2000))
         for seat in range(40)
--- a/mimosapost/limits/tests/test_warmup.py
+++ b/mimosapost/limits/tests/test_warmup.py
@@ -72,7 +72,10 @@
     ],
 )
 def test_events_that_return_a_server_to_cold(event, cause):
-    """Guards against a cold server that gets the load of a warm one."""
+    """Guards against a cold server that gets the load of a warm one.
+
+    Fails when ``_return_to_cold`` does not set the limit.
+    """
     table, now_us = build_warm()
     event(table, now_us)
     status = table.describe(SERVER, now_us)
@@ -121,7 +124,10 @@
 
 
 def test_state_of_a_server_is_bounded():
-    """Guards against memory that grows with the number of answers."""
+    """Guards against memory that grows with the number of answers.
+
+    Fails when ``_learn`` does not clear the batch.
+    """
     table = build_table()
     feed(table, 10_000, 0)
     assert len(table._servers[SERVER].batch) < 15
@@ -134,7 +140,10 @@
     ("connections", "cold_limit", "limit"), [(10, 2, 10), (50, 2, 25), (25, 30, 25), (1, 1, 1)]
 )
 def test_new_settings_of_a_warm_server(connections, cold_limit, limit):
-    """Guards against a limit above the newly published number of connections."""
+    """Guards against a limit above the newly published number of connections.
+
+    Fails when ``configure`` keeps ``state.limit`` as it is.
+    """
     table, now_us = build_warm()
     table.configure(SERVER, connections, cold_limit, 20, 500_000)
     assert table.get_limit(SERVER, now_us) == limit
@@ -163,7 +172,10 @@
 
 
 def test_notes_reach_every_server_in_turn():
-    """Guards against servers that are never told to a replaced instance."""
+    """Guards against servers that are never told to a replaced instance.
+
+    Fails when ``export_notes`` does not advance ``_position``.
+    """
     table, fresh = WarmupTable(), WarmupTable()
     names = [f"10.0.0.{number}:80" for number in range(150)]
     for name in names:
