--- a/mimosapost/routing/choice.py
+++ b/mimosapost/routing/choice.py
@@ -70,6 +70,11 @@
     :param candidates: eligible slots of one leaf.
     :param rng: seeded source of random numbers.
     :returns: index of the chosen slot, ``None`` if no live slot has free allowance.
+
+    >>> full = Candidate(SlotId("s", "0", "a"), "10.0.0.1:80", 6, 6, 500, 0, 0.0, 0, True)
+    >>> free = Candidate(SlotId("s", "0", "b"), "10.0.0.2:80", 5, 6, 900, 0, 0.9, 0, True)
+    >>> choose_slot([full, free], Random(1))
+    1
     """
     chosen = None
     total = 0.0
--- a/mimosapost/routing/hedges.py
+++ b/mimosapost/routing/hedges.py
@@ -55,6 +55,12 @@
     a straggler is usually one slow answer and not a slow server.
 
     :param book: latency statistics.
+
+    >>> policy = HedgePolicy(LatencyBook())
+    >>> policy.get_delay_us("search")
+    100000
+    >>> policy.decide(HedgeContext(True, False, False, 1, 0, 50_000, 6_000))
+    True
     """
 
     def __init__(self, book: LatencyBook) -> None:
