Let a new instance fetch all subtrees from its peers

Cause: an instance without subtrees was told 8 of 30 by its first peer and learnt the others only as announcements rotated. Change: a subtree request without teams is answered by an announcement of all versions, and a receiver that could not request all of them asks again after the last reply. Conclusion: a new instance holds 30 subtrees before its first gossip round (test_exchange).

--- a/mimosapost/membership/exchange.py
+++ b/mimosapost/membership/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from mimosapost.membership.configs import Accepted, ConfigBook, Refused, Stale
@@ -68,6 +68,7 @@
         # Instances that started together must not announce the same rotating part.
         self._round = own.seat
         self._leaving = False
+        self._unfinished = False
         self._recent: deque[str] = deque(maxlen=_RECENT_TEAMS)
         self._requested: dict[TreeVersion, int] = {}
 
@@ -92,6 +93,18 @@
         announced = choose_announced(self._configs.versions(), tuple(self._recent), self._round)
         return self._send_gossip(announced, suspects, reply_wanted=True)
 
+    def request_all(self) -> tuple[SendPeer, ...]:
+        """Ask members for everything they hold, as a new instance does before it serves.
+
+        A request without teams is answered by an announcement of all versions.
+
+        :returns: one message for each target.
+        """
+        targets = self._members.choose_targets(self._rng, FANOUT)
+        return tuple(
+            SendPeer(target.name, target.peer_address, SubtreeRequest(())) for target in targets
+        )
+
     def offer(self, team: str, version: int, text: bytes, now_us: int) -> Outcome:
         """Take a subtree, and announce it at once if it was accepted.
 
@@ -124,9 +137,24 @@
         if isinstance(message, SubtreeRequest):
             return Outcome(self._answer_request(peer, message))
         if isinstance(message, SubtreeReply):
-            return self.offer(message.team, message.version, message.text, now_us)
+            return self._handle_reply(peer, message, now_us)
         return Outcome()
 
+    def _handle_reply(self, peer: str, message: SubtreeReply, now_us: int) -> Outcome:
+        outcome = self.offer(message.team, message.version, message.text, now_us)
+        for version in [v for v in self._requested if v.team == message.team]:
+            del self._requested[version]
+        member = self._members.find_name(peer)
+        if self._requested or not self._unfinished or member is None:
+            return outcome
+        if isinstance(outcome.offered, Stale):
+            # A peer that announces more than it sends must not cause an endless exchange.
+            return outcome
+        # The announcement named more newer versions than one request may.
+        self._unfinished = False
+        again = SendPeer(peer, member.peer_address, SubtreeRequest(()))
+        return replace(outcome, sends=(*outcome.sends, again))
+
     def _handle_gossip(self, message: Gossip, now_us: int) -> Outcome:
         duplicate = self._members.record_gossip(message, now_us)
         sender = message.identity
@@ -137,6 +165,8 @@
             for entry in message.versions:
                 if entry.team in wanted:
                     self._requested[entry] = now_us
+            remaining = choose_requests(own, message.versions, self._is_unwanted, limit=1)
+            self._unfinished = self._unfinished or bool(remaining)
             request = SubtreeRequest(wanted)
             sends.append(SendPeer(sender.name, sender.peer_address, request))
         if message.reply_wanted:
@@ -151,6 +181,9 @@
         if member is None:
             return ()
         held = {entry.team: entry for entry in self._configs.versions()}
+        if not message.teams:
+            everything = Gossip(self._own, self._leaving, tuple(held.values()), (), False)
+            return (SendPeer(peer, member.peer_address, everything),)
         return tuple(
             SendPeer(peer, member.peer_address, SubtreeReply(team, held[team].version, text))
             for team in dict.fromkeys(message.teams)
--- a/mimosapost/membership/tests/test_exchange.py
+++ b/mimosapost/membership/tests/test_exchange.py
@@ -167,3 +167,20 @@
     fleet.nodes["m0"].exchange.offer("desk", 3, b"good", 0)
     outcome = fleet.nodes["m0"].exchange.handle("m1", SubtreeRequest(("desk",)), 1)
     assert [(s.peer, s.message.text) for s in outcome.sends] == [("m1", b"good")]
+
+
+def test_new_instance_gets_everything_before_its_first_round():
+    # Guards against a new instance that serves without the subtrees its peers hold.
+    fleet = Fleet(4, 1)
+    fleet.faulty = False
+    teams = [f"team-{index:02}" for index in range(30)]
+    for name in ("m0", "m1", "m2"):
+        for team in teams:
+            fleet.nodes[name].configs.offer(team, 5, b"good", 0)
+    node = fleet.nodes["m3"]
+    fleet.send("m3", node.exchange.request_all())
+    while fleet.wire:
+        fleet.now_us, _, source, target, data = heapq.heappop(fleet.wire)
+        receiver = fleet.nodes[target].exchange
+        fleet.send(target, receiver.handle(source, decode_message(data), fleet.now_us).sends)
+    assert [entry.team for entry in node.configs.versions()] == teams
