Test run states, connection bounds and cancellation of sends

A server that closes a kept connection after reading a request counts one request for each send, so aiohttp sends no POST again by itself.

--- /dev/null
+++ b/mimosapost/edge/tests/test_sends.py
@@ -0,0 +1,280 @@
+"""Tests of run states, connection use and cancellation of sends."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from mimosapost.edge.backends import BackendClient
+from mimosapost.edge.tests.conftest import clock_us, create_send
+from mimosapost.model.codes import FailureKind, RunState
+from mimosapost.model.effects import CancelSend, CloseConnections, EmitSend, OpenProbe
+from mimosapost.model.events import ProbeAnswered, ProbeFailed, SendAnswered, SendFailed
+from mimosapost.standins.backends import Backends
+from mimosapost.standins.behaviour import Behaviour
+
+SLOW = 60_000.0
+
+
+class RawServer:
+    """Counts requests; answers the first ones and then only closes the connection."""
+
+    def __init__(self, answers, reply=b""):
+        self.answers = answers
+        self.reply = reply
+        self.requests = []
+        self.address = ""
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+                self.requests.append(head + await reader.readexactly(length))
+                if len(self.requests) > self.answers:
+                    break
+                writer.write(self.reply)
+        except asyncio.IncompleteReadError:
+            pass
+        finally:
+            writer.close()
+
+    @asynccontextmanager
+    async def run(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        try:
+            yield self
+        finally:
+            server.close()
+
+
+ANSWER = (
+    b'{"request_id":"r1","leaf":"a","map_version":1,"index_version":7,'
+    b'"boot_id":"b","load":0,"items":[]}'
+)
+REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(ANSWER), ANSWER)
+
+
+async def test_no_second_request_after_kept_connection_breaks(client, events):
+    """Guards against the client library sending a request again by itself."""
+    async with RawServer(1, REPLY).run() as server:
+        client.execute(create_send(1, server.address))
+        await events.wait_for(1)
+        client.execute(create_send(2, server.address))
+        await events.wait_for(2)
+        await asyncio.sleep(0.05)
+        assert len(server.requests) == 2
+    assert isinstance(events[0], SendAnswered)
+    assert (events[1].kind, events[1].run) == (FailureKind.RESET, RunState.UNKNOWN)
+    assert all(raw.startswith(b"POST /v1/search ") for raw in server.requests)
+
+
+async def test_refused_connection_is_not_run(client, events):
+    """Guards against an unknown outcome where nothing was sent."""
+    async with RawServer(0).run() as server:
+        pass
+    client.execute(create_send(1, server.address))
+    (event,) = await events.wait_for(1)
+    assert (event.kind, event.run) == (FailureKind.REFUSED, RunState.NOT_RUN)
+
+
+@pytest.mark.parametrize(
+    ("reply", "kind", "run"),
+    [
+        (b"HTTP/1.1 503 x\r\nX-Run-State: not-run", FailureKind.SHED, RunState.NOT_RUN),
+        (b"HTTP/1.1 503 x\r\nX-Run-State: ran", FailureKind.SHED, RunState.UNKNOWN),
+        (b"HTTP/1.1 503 x", FailureKind.SHED, RunState.UNKNOWN),
+        (b"HTTP/1.1 409 x", FailureKind.MALFORMED, RunState.NOT_RUN),
+        (b"HTTP/1.1 500 x\r\nX-Run-State: not-run", FailureKind.MALFORMED, RunState.UNKNOWN),
+        (b"HTTP/1.1 302 x\r\nLocation: /other", FailureKind.MALFORMED, RunState.UNKNOWN),
+        (b"HTTP/1.1 200 x", FailureKind.MALFORMED, RunState.UNKNOWN),
+        (b"HTTP/9.9 what", FailureKind.MALFORMED, RunState.UNKNOWN),
+        (b"nothing like HTTP", FailureKind.MALFORMED, RunState.UNKNOWN),
+        (b"HTTP/1.1 200 x\r\nX-A: " + b"a" * 20_000, FailureKind.MALFORMED, RunState.UNKNOWN),
+    ],
+)
+async def test_statuses(client, events, reply, kind, run):
+    """Guards against a false "not run" and against following a redirect."""
+    async with RawServer(9, reply + b"\r\nContent-Length: 0\r\n\r\n").run() as server:
+        client.execute(create_send(1, server.address))
+        (event,) = await events.wait_for(1)
+        assert len(server.requests) == 1
+    assert (event.kind, event.run) == (kind, run)
+
+
+@pytest.mark.parametrize("end", ["deadline", "cancel"])
+async def test_send_that_waits_for_a_connection_is_not_run(client, events, end):
+    """Guards against an unknown outcome of a send that never got a connection."""
+    async with Backends({"s": Behaviour(median_ms=SLOW)}) as backends:
+        address = backends.addresses["s"]
+        client.execute(create_send(1, address, connections=1))
+        while backends.servers["s"].working == 0:
+            await asyncio.sleep(0.01)
+        deadline_us = clock_us() + (50_000 if end == "deadline" else 10_000_000)
+        client.execute(create_send(2, address, connections=1, deadline_us=deadline_us))
+        if end == "cancel":
+            await asyncio.sleep(0.02)
+            client.execute(CancelSend(2))
+        (event,) = await events.wait_for(1)
+        assert backends.servers["s"].requests == 1
+    kind = FailureKind.CLOSED if end == "deadline" else FailureKind.WITHDRAWN
+    assert (event.send_id, event.kind, event.run) == (2, kind, RunState.NOT_RUN)
+
+
+@pytest.mark.parametrize("close", [False, True])
+async def test_cancelled_send(client, events, close):
+    """Guards against a false "not run", a second event and a server left uninformed."""
+    async with Backends({"s": Behaviour(median_ms=SLOW)}) as backends:
+        server = backends.servers["s"]
+        client.execute(create_send(1, server.address))
+        while server.working == 0:
+            await asyncio.sleep(0.01)
+        client.execute(CancelSend(1, close))
+        client.execute(CancelSend(1, close))
+        (event,) = await events.wait_for(1)
+        while server.working:
+            await asyncio.sleep(0.01)
+        assert server.records[0].outcome == "cancelled"
+        await asyncio.sleep(0.05)
+    assert len(events) == 1
+    assert (event.kind, event.run) == (FailureKind.WITHDRAWN, RunState.UNKNOWN)
+
+
+async def test_deadline_closes_the_send(client, events):
+    """Guards against a send that outlives its deadline, and a slow drip that extends it."""
+    async with Backends({"s": Behaviour(next_faults=["slow_drip"])}) as backends:
+        server = backends.servers["s"]
+        client.execute(create_send(1, server.address, deadline_us=clock_us() + 100_000))
+        (event,) = await events.wait_for(1)
+        while server.transports:
+            await asyncio.sleep(0.01)
+    assert (event.kind, event.run) == (FailureKind.CLOSED, RunState.UNKNOWN)
+
+
+async def test_late_and_doubled_answers_reach_no_other_send(client, events):
+    """Guards against an answer delivered to the send that next uses its connection."""
+    faults = ["doubled_answer", "slow_drip"] * 3
+    async with Backends({"s": Behaviour(next_faults=faults, drip_ms=1.0)}) as backends:
+        address = backends.addresses["s"]
+        for number in range(1, 13):
+            deadline_us = clock_us() + (60_000 if number % 2 == 0 else 10_000_000)
+            leaf = f"leaf{number}"
+            client.execute(
+                create_send(number, address, leaf=leaf, connections=1, deadline_us=deadline_us)
+            )
+            await events.wait_for(number)
+    assert [event.send_id for event in events] == list(range(1, 13))
+    answered = [event for event in events if isinstance(event, SendAnswered)]
+    assert len(answered) >= 6
+    assert all(event.answer.leaf == f"leaf{event.send_id}" for event in answered)
+
+
+async def test_connection_bound_follows_the_effect(client, events):
+    """Guards against more connections to a server than the allowance, also when it falls."""
+    async with Backends({"s": Behaviour(median_ms=20.0)}) as backends:
+        server = backends.servers["s"]
+        number = 0
+        for connections in (2, 6, 3):
+            server.peak = 0
+            for _ in range(20):
+                number += 1
+                client.execute(create_send(number, server.address, connections=connections))
+            while server.working < connections:
+                await asyncio.sleep(0.001)
+            assert len(server.transports) <= connections
+            server.connections_peak = len(server.transports)
+            await events.wait_for(number)
+            assert server.connections_peak == connections
+            assert server.peak == connections
+    assert all(isinstance(event, SendAnswered) for event in events)
+
+
+async def test_idle_connections_are_closed(events):
+    """Guards against connections held to servers that are no longer used."""
+    async with (
+        Backends({"s": Behaviour()}) as backends,
+        BackendClient(events.handle, clock_us, idle_us=50_000) as client,
+    ):
+        server = backends.servers["s"]
+        client.execute(create_send(1, server.address))
+        await events.wait_for(1)
+        assert len(server.transports) == 1
+        while server.transports:
+            await asyncio.sleep(0.01)
+        client.execute(create_send(2, server.address))
+        await events.wait_for(2)
+    assert all(isinstance(event, SendAnswered) for event in events)
+
+
+async def test_silent_connection_is_probed_and_closed(client, events):
+    """Guards against using a connection again that went silent while new ones work."""
+    async with Backends({"s": Behaviour()}) as backends:
+        server = backends.servers["s"]
+        client.execute(create_send(1, server.address))
+        await events.wait_for(1)
+        server.silence_connections()
+        client.execute(create_send(2, server.address))
+        client.execute(OpenProbe(server.address))
+        client.execute(OpenProbe(server.address))
+        await events.wait_for(2)
+        assert isinstance(events[1], ProbeAnswered)
+        assert events[1].boot_id == server.boot_id
+        client.execute(CancelSend(2, close=True))
+        client.execute(CloseConnections(server.address))
+        await events.wait_for(3)
+        client.execute(create_send(3, server.address))
+        await events.wait_for(4)
+    assert isinstance(events[3], SendAnswered)
+    assert len(events) == 4
+
+
+async def test_probe_of_a_dead_server_fails(client, events):
+    """Guards against a dead server that passes for a silent connection."""
+    async with RawServer(0).run() as server:
+        pass
+    client.execute(OpenProbe(server.address))
+    (event,) = await events.wait_for(1)
+    assert event == ProbeFailed(event.now_us, server.address)
+
+
+async def test_crash_then_cold_start(client, events):
+    """Guards against a crash seen as "not run", and a lost boot id afterwards."""
+    poison = {"kind": "search", "crash": True}
+    behaviour = Behaviour(crash_bodies=[poison], restart_ms=50.0)
+    async with Backends({"s": behaviour}) as backends:
+        server = backends.servers["s"]
+        client.execute(create_send(1, server.address))
+        await events.wait_for(1)
+        client.execute(create_send(2, server.address, body=poison))
+        await events.wait_for(2)
+        client.execute(create_send(3, server.address))
+        await events.wait_for(3)
+        while server.behaviour.cold is False or server._site._server is None:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        client.execute(create_send(4, server.address))
+        await events.wait_for(4)
+    assert (events[1].kind, events[1].run) == (FailureKind.RESET, RunState.UNKNOWN)
+    assert (events[2].kind, events[2].run) == (FailureKind.REFUSED, RunState.NOT_RUN)
+    assert events[3].answer.boot_id != events[0].answer.boot_id
+
+
+async def test_closing_ends_each_send_once(events):
+    """Guards against a send without an event, or with two, when the process stops."""
+    async with Backends({"s": Behaviour(median_ms=SLOW)}) as backends:
+        async with BackendClient(events.handle, clock_us) as client:
+            for number in range(8):
+                client.execute(create_send(number, backends.addresses["s"]))
+            while backends.servers["s"].working < 4:
+                await asyncio.sleep(0.01)
+        assert sorted(event.send_id for event in events) == list(range(8))
+    assert all(isinstance(event, SendFailed) for event in events)
+    runs = [event.run for event in events]
+    assert runs.count(RunState.UNKNOWN) == 4
+    assert runs.count(RunState.NOT_RUN) == 4
+
+
+async def test_effects_are_declared(client):
+    """Guards against an effect that the lead's executor would not route here."""
+    assert set(client.effects) == {EmitSend, CancelSend, OpenProbe, CloseConnections}
--- a/mimosapost/standins/backends.py
+++ b/mimosapost/standins/backends.py
@@ -146,6 +146,8 @@
         """Close the listener and all connections."""
         if self._restart is not None:
             self._restart.cancel()
+        for outcome in tuple(self._open.values()):
+            _settle(outcome, "crashed")
         for transport in tuple(self.transports):
             transport.abort()
         if self._runner is not None:
