--- a/mimosapost/edge/backends.py
+++ b/mimosapost/edge/backends.py
@@ -24,7 +24,9 @@
 
 from mimosapost.edge.answers import Rejection, parse_answer, parse_rejection
 from mimosapost.edge.connectors import ServerConnector
+from mimosapost.edge.metrics import Metrics
 from mimosapost.edge.requests import SubRequestBody, SubRequestPost
+from mimosapost.edge.traces import Span, Traces
 from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.model.effects import CancelSend, CloseConnections, Effect, EmitSend, OpenProbe
 from mimosapost.model.events import (
@@ -78,11 +80,22 @@
 class _Send:
     """One open send."""
 
-    __slots__ = ("body", "effect", "reported", "server", "task", "timer")
+    __slots__ = (
+        "body",
+        "effect",
+        "reported",
+        "server",
+        "span",
+        "started_us",
+        "task",
+        "timer",
+    )
 
     def __init__(self, effect: EmitSend, server: _Server) -> None:
         self.effect = effect
         self.server = server
+        self.started_us = server.used_us
+        self.span: Span | None = None
         self.body = SubRequestBody(_ENCODE(effect.request))
         self.reported = False
         self.task: asyncio.Task[None] | None = None
@@ -101,6 +114,8 @@
     :param idle_us: servers without a send for this long lose their connections.
     :param probe_timeout_us: time after which a probe failed.
     :param local_host: IP number that connections come from.
+    :param metrics: records the outcome of each send.
+    :param traces: starts a span for each send of a sampled trace.
     """
 
     def __init__(
@@ -111,8 +126,12 @@
         idle_us: int = 30_000_000,
         probe_timeout_us: int = 1_000_000,
         local_host: str | None = None,
+        metrics: Metrics | None = None,
+        traces: Traces | None = None,
     ) -> None:
         self._handle = handle
+        self._metrics = metrics or Metrics()
+        self._traces = traces or Traces()
         self._clock_us = clock_us
         self._idle_us = idle_us
         self._probe_timeout = aiohttp.ClientTimeout(total=probe_timeout_us / 1e6)
@@ -147,6 +166,11 @@
             await server.session.close()
         self._servers.clear()
 
+    @property
+    def open_sends(self) -> int:
+        """Sends without an event."""
+        return len(self._sends)
+
     @property
     def effects(self) -> tuple[type[Effect], ...]:
         """Effect types that :meth:`execute` accepts."""
@@ -168,6 +192,14 @@
         server.used_us = now_us
         send = _Send(effect, server)
         self._sends[effect.send_id] = send
+        if effect.traceparent:
+            send.span = self._traces.start(
+                "send",
+                effect.traceparent,
+                server=effect.server,
+                service=effect.request.service,
+                leaf=effect.request.leaf,
+            )
         send.task = self._start(self._run(send))
         delay_s = max(0, effect.deadline_us - now_us) / 1e6
         send.timer = self._loop.call_later(delay_s, self._expire, send)
@@ -255,6 +287,14 @@
             return
         send.reported = True
         self._sends.pop(send.effect.send_id, None)
+        if isinstance(event, SendFailed):
+            outcome = event.kind.value
+        else:
+            outcome = "answered" if isinstance(event, SendAnswered) else "rejected"
+        service = send.effect.request.service
+        self._metrics.observe_send(service, outcome, event.now_us - send.started_us)
+        if send.span is not None:
+            send.span.end(outcome=outcome)
         self._handle(event)
 
     async def _run(self, send: _Send) -> None:
@@ -295,7 +335,8 @@
         self, send: _Send
     ) -> tuple[SubAnswer | Rejection | FailureKind, RunState | None, str]:
         effect = send.effect
-        trace = {"traceparent": effect.traceparent} if effect.traceparent else None
+        traceparent = send.span.traceparent if send.span else effect.traceparent
+        trace = {"traceparent": traceparent} if traceparent else None
         response = await send.server.session.post(
             send.server.search_url, data=send.body, headers=trace, allow_redirects=False
         )
--- a/mimosapost/edge/callers.py
+++ b/mimosapost/edge/callers.py
@@ -9,10 +9,15 @@
 import re
 from collections.abc import Callable
 from contextlib import AsyncExitStack
+from dataclasses import replace
+from typing import Any
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from mimosapost.edge.logs import Logs
+from mimosapost.edge.metrics import Metrics
+from mimosapost.edge.traces import Traces, parse_traceparent
 from mimosapost.edge.wire import (
     QueryFault,
     WireQuery,
@@ -34,7 +39,6 @@
     ("GET", "/readyz"),
 )
 _QUERY_PATH = re.compile(r"/v1/services/([A-Za-z0-9][A-Za-z0-9._-]{0,63})/query")
-_TRACEPARENT = re.compile(r"00-(?!0{32})[0-9a-f]{32}-(?!0{16})[0-9a-f]{16}-[0-9a-f]{2}")
 _CHUNK_BYTES = 64 * 1024
 _JSON = "application/json"
 
@@ -61,20 +65,27 @@
         self,
         request: web.BaseRequest,
         status: int = 500,
-        exc: BaseException | None = None,  # noqa: ARG002
+        exc: BaseException | None = None,
         message: str | None = None,  # noqa: ARG002
     ) -> web.StreamResponse:
         if request.writer.output_size > 0:
             raise ConnectionError("the answer has begun already")
         code = ResultCode.INTERNAL_ERROR if status >= 500 else ResultCode.MALFORMED_REQUEST
-        # After the request has reached the core, its outcome is not known here.
-        run = RunState.UNKNOWN if status >= 500 else RunState.NOT_RUN
-        response = _create_response(Answer(code, run, detail="not a valid HTTP request"))
+        run, detail = RunState.NOT_RUN, "not a valid HTTP request"
+        if status >= 500:
+            # The request may have reached the core, so its outcome is not known here.
+            run, detail = RunState.UNKNOWN, "internal error"
+            self._manager.logs.write("caller_request_failed", {"error": repr(exc)})
+        response = _create_response(Answer(code, run, detail=detail))
         response.force_close()
         return response
 
 
 class _Listener(web.Server):
+    def __init__(self, logs: Logs, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.logs = logs
+
     def __call__(self) -> RequestHandler:
         return _Connection(self, loop=self._loop, **self._kwargs)
 
@@ -103,6 +114,9 @@
     :param max_body_bytes: largest request body.
     :param max_headers: largest number of headers.
     :param read_timeout_s: time in which a request must arrive whole.
+    :param metrics: records each answer.
+    :param traces: starts a span for each query of a sampled trace.
+    :param logs: receives internal errors.
     """
 
     def __init__(
@@ -120,6 +134,9 @@
         max_body_bytes: int = 256 * 1024,
         max_headers: int = 64,
         read_timeout_s: float = 10.0,
+        metrics: Metrics | None = None,
+        traces: Traces | None = None,
+        logs: Logs | None = None,
     ) -> None:
         self._handle = handle
         self._clock_us = clock_us
@@ -133,12 +150,16 @@
         self._max_body_bytes = max_body_bytes
         self._max_headers = max_headers
         self._read_timeout_s = read_timeout_s
+        self._metrics = metrics or Metrics()
+        self._traces = traces or Traces()
+        self._logs = logs or Logs()
         self._open: dict[int, asyncio.Future[Answer]] = {}
         self._stack = AsyncExitStack()
         self.address = ""
 
     async def __aenter__(self) -> CallerServer:
         listener = _Listener(
+            self._logs,
             self._answer,
             handler_cancellation=True,
             access_log=None,
@@ -179,20 +200,37 @@
                 return web.Response(
                     text="ready\n" if ready else "not ready\n", status=200 if ready else 503
                 )
+        started_us = self._clock_us()
         try:
             query = await self._read_query(request)
         except QueryFault as fault:
+            self._metrics.observe_query("", fault.code, self._clock_us() - started_us)
             return self._refuse(request, fault)
+        span = self._traces.start(
+            "query", query.traceparent, service=query.service, caller=query.caller
+        )
+        if span is not None:
+            query = replace(query, traceparent=span.traceparent)
+        code = ResultCode.CALLER_GONE
+        try:
+            answer = await self._ask(query)
+            code = answer.code
+            return await self._write(request, answer, query.traceparent)
+        finally:
+            self._metrics.observe_query(query.service, code, self._clock_us() - started_us)
+            if span is not None:
+                span.end(code=int(code))
+
+    async def _ask(self, query: Query) -> Answer:
         future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self._open[query.query_id] = future
         self._handle(QueryArrived(self._clock_us(), query))
         try:
-            answer = await future
+            return await future
         except asyncio.CancelledError:
             if self._open.pop(query.query_id, None) is not None:
                 self._handle(CallerGone(self._clock_us(), query.query_id))
             raise
-        return await self._write(request, answer, query.traceparent)
 
     def _refuse(self, request: web.BaseRequest, fault: QueryFault) -> web.Response:
         response = _create_response(
@@ -290,7 +328,7 @@
             limit=wire.limit,
             ticket=wire.ticket,
             idempotency_key=wire.idempotency_key,
-            traceparent=traceparent if _TRACEPARENT.fullmatch(traceparent) else "",
+            traceparent=traceparent if parse_traceparent(traceparent) else "",
         )
 
     async def _write(
--- /dev/null
+++ b/mimosapost/edge/metrics.py
@@ -0,0 +1,152 @@
+"""Registry of all metrics; every name ends in its unit or in ``_total``."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Literal
+
+import aioprometheus
+from aioprometheus.histogram import Histogram
+
+from mimosapost.model.effects import Count
+
+__all__ = ["METRICS", "Metric", "Metrics", "declare"]
+
+_SECONDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+_UNDECLARED = "mimosapost_undeclared_counts_total"
+
+
+@dataclass(frozen=True, slots=True)
+class Metric:
+    """A metric, its meaning and its labels."""
+
+    kind: Literal["counter", "gauge", "histogram"]
+    doc: str
+    labels: tuple[str, ...] = ()
+
+
+METRICS: dict[str, Metric] = {
+    "mimosapost_queries_total": Metric(
+        "counter", "Answers to callers by result code.", ("service", "code")
+    ),
+    "mimosapost_query_seconds": Metric(
+        "histogram", "Time from the arrival of a query to its answer.", ("service",)
+    ),
+    "mimosapost_sends_total": Metric(
+        "counter", "Sends to backend servers by outcome.", ("service", "outcome")
+    ),
+    "mimosapost_send_seconds": Metric(
+        "histogram", "Time from a send to its outcome.", ("service",)
+    ),
+    "mimosapost_open_queries_count": Metric("gauge", "Queries that wait for an answer."),
+    "mimosapost_open_sends_count": Metric("gauge", "Sends without an outcome."),
+    _UNDECLARED: Metric("counter", "Counts under a name that no table declares.", ("name",)),
+}
+
+
+def declare(name: str, doc: str, labels: tuple[str, ...] = ()) -> str:
+    """Declare a counter for the ``Count`` effect.
+
+    :param name: name of the counter; must start with ``mimosapost_`` and end in ``_total``.
+    :param doc: meaning of the counter.
+    :param labels: names of its labels, in the order in which ``Count`` gives them.
+    :returns: the name.
+    :raises ValueError: for a name that is taken or breaks the rule.
+
+    >>> declare("mimosapost_examples_total", "Examples in documentation.")
+    'mimosapost_examples_total'
+    """
+    if not (name.startswith("mimosapost_") and name.endswith("_total")):
+        raise ValueError(f"counter {name!r} must start with mimosapost_ and end in _total")
+    if name in METRICS:
+        raise ValueError(f"metric {name!r} is declared already")
+    METRICS[name] = Metric("counter", doc, labels)
+    return name
+
+
+class Metrics:
+    """Values of all metrics of one instance.
+
+    Counts collect in a plain dictionary and reach aioprometheus when they are read, because
+    its collectors serialize their labels on each addition.
+    """
+
+    def __init__(self) -> None:
+        self._counts: defaultdict[tuple[str, tuple[tuple[str, str], ...]], int] = defaultdict(
+            int
+        )
+        self._histograms: dict[tuple[str, str], Histogram] = {}
+        self._gauges: dict[str, Callable[[], float]] = {}
+
+    def execute(self, effect: Count) -> None:
+        """Execute a ``Count`` effect; undeclared names and labels are counted as such."""
+        metric = METRICS.get(effect.name)
+        if (
+            metric is None
+            or metric.kind != "counter"
+            or tuple(label for label, _ in effect.labels) != metric.labels
+        ):
+            self._counts[_UNDECLARED, (("name", effect.name),)] += effect.value
+        else:
+            self._counts[effect.name, effect.labels] += effect.value
+
+    def observe_query(self, service: str, code: int, elapsed_us: int) -> None:
+        """Record the answer to a query."""
+        labels = (("service", service), ("code", str(code)))
+        self._counts["mimosapost_queries_total", labels] += 1
+        self._observe("mimosapost_query_seconds", service, elapsed_us)
+
+    def observe_send(self, service: str, outcome: str, elapsed_us: int) -> None:
+        """Record the outcome of a send."""
+        labels = (("service", service), ("outcome", outcome))
+        self._counts["mimosapost_sends_total", labels] += 1
+        self._observe("mimosapost_send_seconds", service, elapsed_us)
+
+    def set_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Read a declared gauge through a callable whenever metrics are read."""
+        if METRICS[name].kind != "gauge":
+            raise ValueError(f"metric {name!r} is no gauge")
+        self._gauges[name] = read
+
+    def _observe(self, name: str, service: str, elapsed_us: int) -> None:
+        histogram = self._histograms.get((name, service))
+        if histogram is None:
+            histogram = self._histograms[name, service] = Histogram(*_SECONDS)
+        histogram.observe(elapsed_us / 1e6)
+
+    def get_count(self, name: str, /, **labels: str) -> int:
+        """Return the value of a counter, 0 if nothing was counted."""
+        return self._counts.get((name, tuple(labels.items())), 0)
+
+    def render(self, accept: Sequence[str] = ()) -> tuple[bytes, dict[str, str]]:
+        """Return all metrics in the exposition format and its HTTP headers.
+
+        :param accept: values of the request's ``Accept`` headers.
+        """
+        registry = aioprometheus.Registry()
+        collectors: dict[str, aioprometheus.Collector] = {}
+        for name, metric in METRICS.items():
+            match metric.kind:
+                case "counter":
+                    collector = aioprometheus.Counter(name, metric.doc, registry=registry)
+                case "gauge":
+                    collector = aioprometheus.Gauge(name, metric.doc, registry=registry)
+                case "histogram":
+                    collector = aioprometheus.Histogram(
+                        name, metric.doc, registry=registry, buckets=_SECONDS
+                    )
+            collectors[name] = collector
+        for (name, labels), value in self._counts.items():
+            collectors[name].set_value({k: _escape(v) for k, v in labels}, value)
+        for (name, service), histogram in self._histograms.items():
+            collectors[name].set_value({"service": _escape(service)}, histogram)
+        for name, read in self._gauges.items():
+            collectors[name].set_value({}, read())
+        return aioprometheus.render(registry, list(accept))
+
+
+def _escape(value: str) -> str:
+    """Escape a label value as the exposition format demands; aioprometheus does not."""
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/mimosapost/edge/tests/test_callers.py
+++ b/mimosapost/edge/tests/test_callers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import hashlib
+import io
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import aiohttp
 import msgspec
@@ -9,6 +11,7 @@
 
 from mimosapost.edge.callers import CallerServer
 from mimosapost.edge.tests.conftest import Events, clock_us
+from mimosapost.edge.traces import Traces
 from mimosapost.edge.wire import compute_fingerprint
 from mimosapost.model.codes import Priority, ResultCode, RunState
 from mimosapost.model.effects import AnswerCaller
@@ -150,17 +153,203 @@
     assert core == []
 
 
-async def test_caller_gone(core, server):
+@asynccontextmanager
+async def connect(server):
+    host, port = server.address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+
+
+def create_raw(body, length=None, **headers):
+    lines = [f"POST {QUERY} HTTP/1.1", "Host: x"]
+    lines += [f"{name}: {value}" for name, value in (HEADERS | headers).items()]
+    lines += [f"Content-Length: {len(body) if length is None else length}", "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+async def read_answer(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+    return int(head.split()[1]), msgspec.json.decode(await reader.readexactly(length))
+
+
+async def test_pipelined_queries_get_their_own_answers(core, server):
+    """Guards against crossed answers on one connection."""
+    async with connect(server) as (reader, writer):
+        for number in range(20):
+            writer.write(create_raw(b'{"request": %d}' % number))
+        results = [(await read_answer(reader))[1]["result"] for _ in range(20)]
+    assert results == list(range(20))
+
+
+async def test_late_answer_reaches_no_other_caller(core, server):
+    """Guards against an answer to a caller that is gone reaching the next one."""
+    core.answers = False
+    async with connect(server) as (_, writer):
+        writer.write(create_raw(b'{"request": "first"}'))
+        await core.wait_for(1)
+    await core.wait_for(2)
+    async with connect(server) as (reader, writer):
+        writer.write(create_raw(b'{"request": "second"}'))
+        await core.wait_for(3)
+        for event in (core[0], core[2], core[0], core[2]):
+            answer = Answer(ResultCode.COMPLETE, RunState.RAN, event.query.body)
+            server.execute(AnswerCaller(event.query.query_id, answer))
+        assert (await read_answer(reader))[1]["result"] == "second"
+    assert [type(event) for event in core] == [QueryArrived, CallerGone, QueryArrived]
+
+
+@pytest.mark.parametrize("end", ["close", "half_close", "reset"])
+async def test_caller_gone(core, server, end):
     """Guards against work for a caller that has left."""
     core.answers = False
-    host, port = server.address.split(":")
-    _, writer = await asyncio.open_connection(host, int(port))
-    head = f"POST {QUERY} HTTP/1.1\r\nHost: x\r\nX-Caller: desk-app\r\n"
-    head += f"Authorization: Bearer {TOKEN}\r\nContent-Length: 13\r\n\r\n"
-    writer.write(head.encode() + b'{"request":1}')
-    await core.wait_for(1)
-    writer.close()
-    arrived, gone = await core.wait_for(2)
-    assert gone.query_id == arrived.query.query_id
+    async with connect(server) as (_, writer):
+        writer.write(create_raw(b'{"request": 1}'))
+        await core.wait_for(1)
+        match end:
+            case "close":
+                writer.close()
+            case "half_close":
+                writer.write_eof()
+            case "reset":
+                writer.transport.abort()
+        arrived, gone = await core.wait_for(2)
     assert isinstance(gone, CallerGone)
+    assert gone.query_id == arrived.query.query_id
     assert server.open_queries == 0
+
+
+@pytest.mark.parametrize(
+    ("raw", "status", "code"),
+    [
+        (b"nothing like HTTP\r\n\r\n", 400, 2001),
+        (b"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400, 2001),
+        (b"GET /healthz HTTP/1.1\r\nHost: x\r\nA: " + b"a" * 9_000 + b"\r\n\r\n", 400, 2001),
+        # The body stops early; the time in which it must arrive whole ends the request.
+        (create_raw(b'{"request"', 20), 400, 2001),
+        (create_raw(b"", 10**9), 413, 2002),
+    ],
+)
+async def test_raw_refusals(core, server, raw, status, code):
+    """Guards against a connection held by a broken request, or an answer without a code."""
+    async with connect(server) as (reader, writer):
+        writer.write(raw)
+        got_status, answer = await read_answer(reader)
+        assert (got_status, answer["code"], answer["run"]) == (status, code, "not_run")
+        assert await reader.read() == b""
+    assert core == []
+
+
+async def test_slow_drip_of_a_body(core, server):
+    """Guards against a caller that holds a connection by sending byte after byte."""
+    async with connect(server) as (reader, writer):
+        writer.write(create_raw(b"", 10_000))
+
+        async def drip():
+            while True:
+                writer.write(b" ")
+                await asyncio.sleep(0.01)
+
+        dripping = asyncio.create_task(drip())
+        status, answer = await read_answer(reader)
+        dripping.cancel()
+    assert (status, answer["code"]) == (400, 2001)
+    assert core == []
+
+
+async def test_large_answer_is_whole(core, session):
+    """Guards against a large answer that is cut or mixed up between chunks."""
+    core.answers = False
+    request = asyncio.create_task(post(session, {"request": 1}))
+    (event,) = await core.wait_for(1)
+    result = [f"item-{number}" for number in range(200_000)]
+    answer = Answer(ResultCode.COMPLETE, RunState.RAN, result)
+    core.server.execute(AnswerCaller(event.query.query_id, answer))
+    status, body = await request
+    assert status == 200
+    assert body["result"] == result
+
+
+async def test_closing_completes_answers_in_flight(core):
+    """Guards against a graceful stop that interrupts a query."""
+    core.answers = False
+    server = CallerServer(core.handle, clock_us, CALLERS.get, SERVICES.get)
+    async with AsyncExitStack() as stack:
+        await stack.enter_async_context(server)
+        reader, writer = await asyncio.open_connection(*server.address.split(":"))
+        writer.write(create_raw(b'{"request": 1}'))
+        (event,) = await core.wait_for(1)
+        closing = asyncio.create_task(stack.pop_all().aclose())
+        await asyncio.sleep(0.05)
+        assert not closing.done()
+        answer = Answer(ResultCode.COMPLETE, RunState.RAN, "whole")
+        server.execute(AnswerCaller(event.query.query_id, answer))
+        assert (await read_answer(reader))[1]["result"] == "whole"
+        writer.close()
+        await closing
+
+
+@pytest.mark.parametrize(
+    ("configured", "ready", "path", "status"),
+    [
+        (True, True, "/readyz", 200),
+        (True, False, "/readyz", 503),
+        (True, False, "/healthz", 200),
+        (False, True, QUERY, 503),
+    ],
+)
+async def test_states(core, configured, ready, path, status):
+    """Guards against readiness while stopping, and against 401 before settings are in force."""
+    server = CallerServer(
+        core.handle,
+        clock_us,
+        CALLERS.get,
+        SERVICES.get,
+        is_configured=lambda: configured,
+        is_ready=lambda: ready,
+    )
+    async with server, aiohttp.ClientSession(f"http://{server.address}") as session:
+        method = "POST" if path == QUERY else "GET"
+        async with session.request(method, path, json=GOOD, headers=HEADERS) as response:
+            assert response.status == status
+            if path == QUERY:
+                assert (await response.json())["code"] == ResultCode.NOT_CONFIGURED
+
+
+@pytest.mark.parametrize(
+    ("ratio", "sent", "same"),
+    [(0.0, True, True), (1.0, True, False), (1.0, False, False), (0.0, False, True)],
+)
+async def test_traceparent(core, ratio, sent, same):
+    """Guards against a trace that ends at this hop, in both directions."""
+    header = "00-" + "a" * 32 + "-" + "b" * 16 + "-01" if sent else ""
+    stream = io.StringIO()
+    traces = Traces(stream, ratio, seed=1)
+    server = CallerServer(core.handle, clock_us, CALLERS.get, SERVICES.get, traces=traces)
+    core.server = server
+    headers = HEADERS | ({"traceparent": header} if sent else {})
+    async with (
+        server,
+        aiohttp.ClientSession(f"http://{server.address}") as session,
+        session.post(QUERY, json=GOOD, headers=headers) as response,
+    ):
+        traceparent = response.headers.get("traceparent", "")
+    assert core[0].query.traceparent == traceparent
+    assert (traceparent == header) == same
+    assert bool(stream.getvalue()) != same
+    if sent:
+        assert traceparent[3:35] == "a" * 32
+
+
+async def test_internal_error_is_of_unknown_outcome(core, session):
+    """Guards against "not run" for a query that the core had already taken."""
+    core.answers = False
+    request = asyncio.create_task(post(session, {"request": 1}))
+    (event,) = await core.wait_for(1)
+    answer = Answer(ResultCode.COMPLETE, RunState.RAN, result=object())
+    core.server.execute(AnswerCaller(event.query.query_id, answer))
+    status, body = await request
+    assert (status, body["code"], body["run"]) == (500, 5002, "unknown")
