--- a/mimosapost/edge/operators.py
+++ b/mimosapost/edge/operators.py
@@ -11,7 +11,14 @@
 
 from mimosapost.edge.metrics import Metrics
 
-__all__ = ["OperatorServer"]
+__all__ = ["ROUTES", "OperatorServer"]
+
+ROUTES = (
+    ("GET", "/status"),
+    ("GET", "/metrics"),
+    ("GET", "/healthz"),
+    ("GET", "/readyz"),
+)
 
 
 class OperatorServer:
