--- a/mimosapost/edge/tests/test_sends.py
+++ b/mimosapost/edge/tests/test_sends.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mimosapost.edge.backends import BackendClient
+from mimosapost.edge.requests import SubRequestBody
 from mimosapost.edge.tests.conftest import clock_us, create_send
 from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.model.effects import CancelSend, CloseConnections, EmitSend, OpenProbe
@@ -278,3 +279,56 @@
 async def test_effects_are_declared(client):
     """Guards against an effect that the lead's executor would not route here."""
     assert set(client.effects) == {EmitSend, CancelSend, OpenProbe, CloseConnections}
+
+
+SHED = b"HTTP/1.1 503 x\r\nX-Run-State: not-run\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize("late", [SHED, REPLY.replace(b'"a"', b'"b"')])
+async def test_unasked_answer_on_an_idle_connection(client, events, late):
+    """Guards against a second answer taken for that of the next send, as a false "not run"."""
+    server = RawServer(9, REPLY)
+    writers = []
+    serve = server.serve
+
+    async def keep_writer(reader, writer):
+        writers.append(writer)
+        await serve(reader, writer)
+
+    server.serve = keep_writer
+    async with server.run():
+        client.execute(create_send(1, server.address))
+        await events.wait_for(1)
+        writers[0].write(late)
+        await asyncio.sleep(0.05)
+        client.execute(create_send(2, server.address, request_id="r1"))
+        await events.wait_for(2)
+    assert [type(event) for event in events] == [SendAnswered, SendAnswered]
+    assert len(writers) == 2
+
+
+async def test_withdrawn_sends_free_silent_connections(client, events):
+    """Guards against a silent connection that a withdrawn send holds until its deadline."""
+    async with Backends({"s": Behaviour()}) as backends:
+        server = backends.servers["s"]
+        client.execute(create_send(1, server.address))
+        await events.wait_for(1)
+        server.silence_connections()
+        (silent,) = server.transports
+        client.execute(create_send(2, server.address))
+        await asyncio.sleep(0.05)
+        client.execute(CancelSend(2))
+        await events.wait_for(2)
+        client.execute(CloseConnections(server.address))
+        async with asyncio.timeout(5):
+            while silent in server.transports:
+                await asyncio.sleep(0.01)
+
+
+async def test_blocked_body_is_never_written():
+    """Guards against bytes of a send that has been reported as not run."""
+    body = SubRequestBody(b"{}")
+    body.blocked = True
+    with pytest.raises(ConnectionAbortedError):
+        await body.write_with_length(None, None)
+    assert body.started is False
