--- a/mimosapost/edge/backends.py
+++ b/mimosapost/edge/backends.py
@@ -24,6 +24,7 @@
 
 from mimosapost.edge.answers import Rejection, parse_answer, parse_rejection
 from mimosapost.edge.connectors import ServerConnector
+from mimosapost.edge.logs import Logs
 from mimosapost.edge.metrics import Metrics
 from mimosapost.edge.requests import SubRequestBody, SubRequestPost
 from mimosapost.edge.traces import Span, Traces
@@ -116,6 +117,7 @@
     :param local_host: IP number that connections come from.
     :param metrics: records the outcome of each send.
     :param traces: starts a span for each send of a sampled trace.
+    :param logs: receives unexpected errors.
     """
 
     def __init__(
@@ -128,10 +130,12 @@
         local_host: str | None = None,
         metrics: Metrics | None = None,
         traces: Traces | None = None,
+        logs: Logs | None = None,
     ) -> None:
         self._handle = handle
         self._metrics = metrics or Metrics()
         self._traces = traces or Traces()
+        self._logs = logs or Logs()
         self._clock_us = clock_us
         self._idle_us = idle_us
         self._probe_timeout = aiohttp.ClientTimeout(total=probe_timeout_us / 1e6)
@@ -312,6 +316,10 @@
             outcome = FailureKind.RESET
         except asyncio.CancelledError:
             outcome = FailureKind.CLOSED
+        except Exception as error:
+            # A send without an event would hold its allowance for ever.
+            self._logs.write("send_error", {"error": repr(error)})
+            outcome = FailureKind.CLOSED
         finally:
             if send.timer is not None:
                 send.timer.cancel()
@@ -392,7 +400,7 @@
                 raw = await _read_bounded(response, _PROBE_BYTES)
                 if response.status == 200 and raw is not None:
                     boot_id = parse_rejection(raw, "")
-        except (aiohttp.ClientError, HttpProcessingError, OSError, TimeoutError):
+        except (aiohttp.ClientError, HttpProcessingError, OSError, ValueError):
             boot_id = None
         finally:
             self._probing.discard(address)
--- a/mimosapost/edge/tests/test_sends.py
+++ b/mimosapost/edge/tests/test_sends.py
@@ -276,6 +276,16 @@
     assert runs.count(RunState.NOT_RUN) == 4
 
 
+async def test_unexpected_error_still_ends_the_send(client, events):
+    """Guards against a send without an event after an error that no rule foresees."""
+    async with RawServer(9, REPLY).run() as server:
+        # aiohttp refuses a header with a line break before it writes anything.
+        client.execute(create_send(1, server.address, traceparent="a\nb"))
+        (event,) = await events.wait_for(1)
+        assert server.requests == []
+    assert (event.kind, event.run) == (FailureKind.CLOSED, RunState.NOT_RUN)
+
+
 async def test_effects_are_declared(client):
     """Guards against an effect that the lead's executor would not route here."""
     assert set(client.effects) == {EmitSend, CancelSend, OpenProbe, CloseConnections}
