Keep wake-ups of waiting sends and drop useless cancellations

A send could wait for a connection until its deadline although one was free: aiohttp loses the wake-up when a waiter is cancelled after it was woken. The pool passes it on now. A notice of cancellation that still waits when its send ends is dropped.

--- a/mimosapost/edge/backends.py
+++ b/mimosapost/edge/backends.py
@@ -15,7 +15,7 @@
 import errno
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
-from typing import Any
+from typing import Any, NamedTuple
 
 import aiohttp
 import msgspec
@@ -83,6 +83,7 @@
 
     __slots__ = (
         "body",
+        "cancellation",
         "effect",
         "reported",
         "server",
@@ -99,10 +100,18 @@
         self.span: Span | None = None
         self.body = SubRequestBody(_ENCODE(effect.request))
         self.reported = False
+        self.cancellation: _Cancellation | None = None
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
 
 
+class _Cancellation(NamedTuple):
+    """Notice to a server that the answer to a send is no longer needed."""
+
+    body: SubRequestBody
+    task: asyncio.Task[None]
+
+
 class BackendClient:
     """Executes the effects that concern backend servers.
 
@@ -224,10 +233,12 @@
             send.body.blocked = True
             self._stop(send)
             return
-        self._start(self._tell_cancel(send))
+        body = SubRequestBody(_ENCODE({"request_id": send.effect.request.request_id}))
+        task = self._start(self._tell_cancel(send, body))
         if effect.close:
             self._stop(send)
         else:
+            send.cancellation = _Cancellation(body, task)
             send.server.lingering.add(send)
 
     def probe(self, effect: OpenProbe) -> None:
@@ -324,6 +335,9 @@
             if send.timer is not None:
                 send.timer.cancel()
             send.server.lingering.discard(send)
+            # A notice that still waits for a connection has become useless.
+            if send.cancellation is not None and not send.cancellation.body.started:
+                send.cancellation.task.cancel()
         send_id = send.effect.send_id
         if isinstance(outcome, SubAnswer):
             self._report(send, SendAnswered(self._clock_us(), send_id, outcome))
@@ -373,10 +387,9 @@
             return FailureKind.SHED, run, rejection.boot_id
         return FailureKind.MALFORMED, RunState.UNKNOWN, rejection.boot_id
 
-    async def _tell_cancel(self, send: _Send) -> None:
+    async def _tell_cancel(self, send: _Send, body: SubRequestBody) -> None:
         """Tell a server to cancel; waits for a connection until the send's deadline."""
         remaining_us = max(1_000, send.effect.deadline_us - self._clock_us())
-        body = SubRequestBody(_ENCODE({"request_id": send.effect.request.request_id}))
         with suppress(aiohttp.ClientError, OSError, TimeoutError):
             async with (
                 asyncio.timeout(remaining_us / 1e6),
--- a/mimosapost/edge/callers.py
+++ b/mimosapost/edge/callers.py
@@ -114,6 +114,8 @@
     :param max_body_bytes: largest request body.
     :param max_headers: largest number of headers.
     :param read_timeout_s: time in which a request must arrive whole.
+    :param linger_s: time in which the rest of a refused body is read and dropped; closing at
+        once would reset the connection before the caller reads the refusal.
     :param metrics: records each answer.
     :param traces: starts a span for each query of a sampled trace.
     :param logs: receives internal errors.
@@ -134,6 +136,7 @@
         max_body_bytes: int = 256 * 1024,
         max_headers: int = 64,
         read_timeout_s: float = 10.0,
+        linger_s: float = 2.0,
         metrics: Metrics | None = None,
         traces: Traces | None = None,
         logs: Logs | None = None,
@@ -150,6 +153,7 @@
         self._max_body_bytes = max_body_bytes
         self._max_headers = max_headers
         self._read_timeout_s = read_timeout_s
+        self._linger_s = linger_s
         self._metrics = metrics or Metrics()
         self._traces = traces or Traces()
         self._logs = logs or Logs()
@@ -166,7 +170,7 @@
             auto_decompress=False,
             max_headers=self._max_headers,
             keepalive_timeout=max(self._read_timeout_s, 75.0),
-            lingering_time=0,
+            lingering_time=self._linger_s,
         )
         async with AsyncExitStack() as stack:
             runner = web.ServerRunner(listener, shutdown_timeout=60.0)
--- a/mimosapost/edge/connectors.py
+++ b/mimosapost/edge/connectors.py
@@ -15,8 +15,8 @@
 class ServerConnector(aiohttp.TCPConnector):
     """Connector whose bound can change while connections are in use.
 
-    It relies on ``_limit``, ``_conns``, ``_acquired`` and ``_get`` of aiohttp 3.14, the pinned
-    version; the tests beside it fail if they change their meaning.
+    It relies on internals of aiohttp 3.14, the pinned version (``_limit``, ``_conns``,
+    ``_acquired``, ``_get`` and the waiters); the tests beside it fail if they change.
 
     :param connections: largest number of open connections.
     :param local_host: IP number that connections come from, or ``None`` for any.
@@ -65,3 +65,14 @@
         while idle and idle[0][0].should_close:
             idle.popleft()[0].close()
         return await super()._get(key, traces)
+
+    async def _wait_for_available_connection(
+        self, key: ConnectionKey, traces: list[Any]
+    ) -> None:
+        try:
+            await super()._wait_for_available_connection(key, traces)
+        except BaseException:
+            # A waiter that is cancelled after it was woken takes the wake-up with it, and the
+            # next one would wait although a connection is free.
+            self._release_waiter()
+            raise
--- a/mimosapost/edge/tests/test_callers.py
+++ b/mimosapost/edge/tests/test_callers.py
@@ -62,7 +62,7 @@
 @pytest.fixture
 async def server(core):
     async with CallerServer(
-        core.handle, clock_us, CALLERS.get, SERVICES.get, read_timeout_s=0.3
+        core.handle, clock_us, CALLERS.get, SERVICES.get, read_timeout_s=0.3, linger_s=0.2
     ) as caller_server:
         core.server = caller_server
         yield caller_server
@@ -243,6 +243,14 @@
     assert core == []
 
 
+async def test_refusal_of_a_large_body_arrives(core, server):
+    """Guards against a reset that destroys the refusal while the caller still writes."""
+    async with connect(server) as (reader, writer):
+        writer.write(create_raw(b" " * 8_000_000))
+        status, answer = await read_answer(reader)
+    assert (status, answer["code"]) == (413, 2002)
+
+
 async def test_slow_drip_of_a_body(core, server):
     """Guards against a caller that holds a connection by sending byte after byte."""
     async with connect(server) as (reader, writer):
--- a/mimosapost/edge/tests/test_sends.py
+++ b/mimosapost/edge/tests/test_sends.py
@@ -142,6 +142,21 @@
     assert (event.kind, event.run) == (FailureKind.WITHDRAWN, RunState.UNKNOWN)
 
 
+async def test_cancellation_that_found_no_connection_is_dropped(client, events):
+    """Guards against notices that take connections after their sends have ended."""
+    async with Backends({"s": Behaviour(median_ms=100.0)}) as backends:
+        server = backends.servers["s"]
+        client.execute(create_send(1, server.address, connections=1))
+        while server.working == 0:
+            await asyncio.sleep(0.01)
+        client.execute(CancelSend(1))
+        client.execute(create_send(2, server.address, connections=1))
+        await events.wait_for(2)
+        await asyncio.sleep(0.05)
+    assert [type(event) for event in events] == [SendFailed, SendAnswered]
+    assert (server.cancels, server.connections_accepted) == (0, 1)
+
+
 async def test_deadline_closes_the_send(client, events):
     """Guards against a send that outlives its deadline, and a slow drip that extends it."""
     async with Backends({"s": Behaviour(next_faults=["slow_drip"])}) as backends:
