--- a/mimosapost/edge/backends.py
+++ b/mimosapost/edge/backends.py
@@ -15,7 +15,7 @@
 import errno
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
-from typing import Any
+from typing import Any, NamedTuple
 
 import aiohttp
 import msgspec
@@ -24,7 +24,10 @@
 
 from mimosapost.edge.answers import Rejection, parse_answer, parse_rejection
 from mimosapost.edge.connectors import ServerConnector
+from mimosapost.edge.logs import Logs
+from mimosapost.edge.metrics import Metrics
 from mimosapost.edge.requests import SubRequestBody, SubRequestPost
+from mimosapost.edge.traces import Span, Traces
 from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.model.effects import CancelSend, CloseConnections, Effect, EmitSend, OpenProbe
 from mimosapost.model.events import (
@@ -78,17 +81,37 @@
 class _Send:
     """One open send."""
 
-    __slots__ = ("body", "effect", "reported", "server", "task", "timer")
+    __slots__ = (
+        "body",
+        "cancellation",
+        "effect",
+        "reported",
+        "server",
+        "span",
+        "started_us",
+        "task",
+        "timer",
+    )
 
     def __init__(self, effect: EmitSend, server: _Server) -> None:
         self.effect = effect
         self.server = server
+        self.started_us = server.used_us
+        self.span: Span | None = None
         self.body = SubRequestBody(_ENCODE(effect.request))
         self.reported = False
+        self.cancellation: _Cancellation | None = None
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
 
 
+class _Cancellation(NamedTuple):
+    """Notice to a server that the answer to a send is no longer needed."""
+
+    body: SubRequestBody
+    task: asyncio.Task[None]
+
+
 class BackendClient:
     """Executes the effects that concern backend servers.
 
@@ -101,6 +124,9 @@
     :param idle_us: servers without a send for this long lose their connections.
     :param probe_timeout_us: time after which a probe failed.
     :param local_host: IP number that connections come from.
+    :param metrics: records the outcome of each send.
+    :param traces: starts a span for each send of a sampled trace.
+    :param logs: receives unexpected errors.
     """
 
     def __init__(
@@ -111,8 +137,14 @@
         idle_us: int = 30_000_000,
         probe_timeout_us: int = 1_000_000,
         local_host: str | None = None,
+        metrics: Metrics | None = None,
+        traces: Traces | None = None,
+        logs: Logs | None = None,
     ) -> None:
         self._handle = handle
+        self._metrics = metrics or Metrics()
+        self._traces = traces or Traces()
+        self._logs = logs or Logs()
         self._clock_us = clock_us
         self._idle_us = idle_us
         self._probe_timeout = aiohttp.ClientTimeout(total=probe_timeout_us / 1e6)
@@ -147,6 +179,11 @@
             await server.session.close()
         self._servers.clear()
 
+    @property
+    def open_sends(self) -> int:
+        """Sends without an event."""
+        return len(self._sends)
+
     @property
     def effects(self) -> tuple[type[Effect], ...]:
         """Effect types that :meth:`execute` accepts."""
@@ -168,6 +205,14 @@
         server.used_us = now_us
         send = _Send(effect, server)
         self._sends[effect.send_id] = send
+        if effect.traceparent:
+            send.span = self._traces.start(
+                "send",
+                effect.traceparent,
+                server=effect.server,
+                service=effect.request.service,
+                leaf=effect.request.leaf,
+            )
         send.task = self._start(self._run(send))
         delay_s = max(0, effect.deadline_us - now_us) / 1e6
         send.timer = self._loop.call_later(delay_s, self._expire, send)
@@ -188,10 +233,12 @@
             send.body.blocked = True
             self._stop(send)
             return
-        self._start(self._tell_cancel(send))
+        body = SubRequestBody(_ENCODE({"request_id": send.effect.request.request_id}))
+        task = self._start(self._tell_cancel(send, body))
         if effect.close:
             self._stop(send)
         else:
+            send.cancellation = _Cancellation(body, task)
             send.server.lingering.add(send)
 
     def probe(self, effect: OpenProbe) -> None:
@@ -255,6 +302,14 @@
             return
         send.reported = True
         self._sends.pop(send.effect.send_id, None)
+        if isinstance(event, SendFailed):
+            outcome = event.kind.value
+        else:
+            outcome = "answered" if isinstance(event, SendAnswered) else "rejected"
+        service = send.effect.request.service
+        self._metrics.observe_send(service, outcome, event.now_us - send.started_us)
+        if send.span is not None:
+            send.span.end(outcome=outcome)
         self._handle(event)
 
     async def _run(self, send: _Send) -> None:
@@ -272,10 +327,17 @@
             outcome = FailureKind.RESET
         except asyncio.CancelledError:
             outcome = FailureKind.CLOSED
+        except Exception as error:
+            # A send without an event would hold its allowance for ever.
+            self._logs.write("send_error", {"error": repr(error)})
+            outcome = FailureKind.CLOSED
         finally:
             if send.timer is not None:
                 send.timer.cancel()
             send.server.lingering.discard(send)
+            # A notice that still waits for a connection has become useless.
+            if send.cancellation is not None and not send.cancellation.body.started:
+                send.cancellation.task.cancel()
         send_id = send.effect.send_id
         if isinstance(outcome, SubAnswer):
             self._report(send, SendAnswered(self._clock_us(), send_id, outcome))
@@ -295,7 +357,8 @@
         self, send: _Send
     ) -> tuple[SubAnswer | Rejection | FailureKind, RunState | None, str]:
         effect = send.effect
-        trace = {"traceparent": effect.traceparent} if effect.traceparent else None
+        traceparent = send.span.traceparent if send.span else effect.traceparent
+        trace = {"traceparent": traceparent} if traceparent else None
         response = await send.server.session.post(
             send.server.search_url, data=send.body, headers=trace, allow_redirects=False
         )
@@ -324,10 +387,9 @@
             return FailureKind.SHED, run, rejection.boot_id
         return FailureKind.MALFORMED, RunState.UNKNOWN, rejection.boot_id
 
-    async def _tell_cancel(self, send: _Send) -> None:
+    async def _tell_cancel(self, send: _Send, body: SubRequestBody) -> None:
         """Tell a server to cancel; waits for a connection until the send's deadline."""
         remaining_us = max(1_000, send.effect.deadline_us - self._clock_us())
-        body = SubRequestBody(_ENCODE({"request_id": send.effect.request.request_id}))
         with suppress(aiohttp.ClientError, OSError, TimeoutError):
             async with (
                 asyncio.timeout(remaining_us / 1e6),
@@ -351,7 +413,7 @@
                 raw = await _read_bounded(response, _PROBE_BYTES)
                 if response.status == 200 and raw is not None:
                     boot_id = parse_rejection(raw, "")
-        except (aiohttp.ClientError, HttpProcessingError, OSError, TimeoutError):
+        except (aiohttp.ClientError, HttpProcessingError, OSError, ValueError):
             boot_id = None
         finally:
             self._probing.discard(address)
