Make the test of lingering and the example of declare effective

The test of a refused large body passed without lingering, because the caller read at once; it fails without it now.

--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -55,8 +55,9 @@
     :returns: the name.
     :raises ValueError: for a name that is taken or breaks the rule.
 
-    >>> declare("mimosapost_examples_total", "Examples in documentation.")
-    'mimosapost_examples_total'
+    >>> declare("mimosapost_retries", "Retries of sends.")
+    Traceback (most recent call last):
+    ValueError: counter 'mimosapost_retries' must start with mimosapost_ and end in _total
     """
     if not (name.startswith("mimosapost_") and name.endswith("_total")):
         raise ValueError(f"counter {name!r} must start with mimosapost_ and end in _total")
--- a/mimosapost/edge/tests/test_callers.py
+++ b/mimosapost/edge/tests/test_callers.py
@@ -243,10 +243,16 @@
     assert core == []
 
 
-async def test_refusal_of_a_large_body_arrives(core, server):
+async def test_refusal_of_a_large_body_arrives(core):
     """Guards against a reset that destroys the refusal while the caller still writes."""
-    async with connect(server) as (reader, writer):
-        writer.write(create_raw(b" " * 8_000_000))
+    server = CallerServer(core.handle, clock_us, CALLERS.get, SERVICES.get, linger_s=20.0)
+    async with server, connect(server) as (reader, writer):
+        raw = create_raw(b" " * 4_000_000)
+        writer.write(raw[:1_000_000])
+        await asyncio.sleep(0.05)
+        writer.write(raw[1_000_000:])
+        await writer.drain()
+        await asyncio.sleep(0.05)
         status, answer = await read_answer(reader)
     assert (status, answer["code"]) == (413, 2002)
 
