--- a/mimosapost/edge/instance.py
+++ b/mimosapost/edge/instance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import secrets
 from collections import deque
@@ -88,8 +89,9 @@
         self._events: deque[Event] = deque()
         self._reducing = False
         self._timer = None
+        self._served = asyncio.Event()
         self.metrics = Metrics()
-        self._logs = Logs(instance=settings.name)
+        self._logs = Logs()
         stream = open_trace_stream(settings.trace_export)
         self._traces = Traces(stream, _TRACE_RATIO if stream else 0.0)
         self._executors: dict[type[Effect], Callable] = {}
@@ -107,6 +109,7 @@
             BackendClient(
                 self.handle,
                 read_clock_us,
+                local_host=self._settings.caller_address.rpartition(":")[0],
                 metrics=self.metrics,
                 traces=self._traces,
                 logs=self._logs,
@@ -246,4 +249,8 @@
     def _stop_serving(self, effect: StopServing) -> None:  # noqa: ARG002
         if self._timer is not None:
             self._timer.cancel()
-        self.set_shutdown()
+        self._served.set()
+
+    async def wait_until_served(self) -> None:
+        """Wait until a graceful stop has ended; then the service can be stopped."""
+        await self._served.wait()
--- a/mimosapost/edge/links.py
+++ b/mimosapost/edge/links.py
@@ -182,7 +182,8 @@
             stack.callback(writer.transport.abort)
             writer.write(create_frame(encode_message(Hello(PROTOCOL_VERSION, self._own))))
             hello = await read_hello(reader, self._silence_s)
-            if hello.identity.name != self.peer:
+            # A seed peer is known by its address only, until it has stated its name.
+            if self.peer and hello.identity.name != self.peer:
                 raise LinkError(f"instance {hello.identity.name!a} answers at this address")
             if self._failures:
                 _log.info("peer_link_restored", peer=self.peer, address=self.address)
--- a/mimosapost/edge/logs.py
+++ b/mimosapost/edge/logs.py
@@ -12,7 +12,7 @@
 
 from mimosapost.model.effects import WriteLog
 
-__all__ = ["Logs", "render_line"]
+__all__ = ["Logs", "configure_logs", "render_line"]
 
 _KEY = re.compile(r"[A-Za-z][A-Za-z0-9_]{0,63}")
 _SECRET_KEY = re.compile(r"token|secret|password|authorization|digest|ticket", re.IGNORECASE)
@@ -61,6 +61,31 @@
     return first | dict(fields)
 
 
+_PROCESSORS = [
+    structlog.contextvars.merge_contextvars,
+    structlog.processors.add_log_level,
+    structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
+    _order_fields,
+    render_line,
+]
+_LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+
+
+def configure_logs(level: str, **common: str | int) -> None:
+    """Make every structlog logger of the process write the same kind of line.
+
+    :param level: lowest level that is written: debug, info, warning or error.
+    :param common: fields of every line, for example the instance's name.
+    """
+    structlog.contextvars.bind_contextvars(**common)
+    structlog.configure(
+        processors=_PROCESSORS,
+        wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
+        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        cache_logger_on_first_use=False,
+    )
+
+
 class Logs:
     """Writes log lines.
 
@@ -71,12 +96,7 @@
     def __init__(self, stream: TextIO | None = None, **common: str | int) -> None:
         self._logger = structlog.wrap_logger(
             structlog.PrintLogger(stream or sys.stdout),
-            processors=[
-                structlog.processors.add_log_level,
-                structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
-                _order_fields,
-                render_line,
-            ],
+            processors=_PROCESSORS,
             wrapper_class=structlog.BoundLogger,
         ).bind(**common)
 
--- a/mimosapost/settings/local.py
+++ b/mimosapost/settings/local.py
@@ -44,7 +44,7 @@
     peer_address: Annotated[Address, Field(description="where other instances connect")]
     operator_address: Annotated[Address, Field(description="metrics and status pages")]
     config_url: Annotated[Url, Field(description="base URL of the config service")]
-    instances_url: Annotated[Url, Field(description="URL of the platform's instance list")]
+    instances_url: Annotated[Url, Field(description="base URL of the platform's instance list")]
     seed_peers: Annotated[
         tuple[Address, ...],
         Field(max_length=64, description="instances asked at start, before the list is read"),
--- a/mimosapost/standins/backends.py
+++ b/mimosapost/standins/backends.py
@@ -27,6 +27,8 @@
     :param behaviours: behaviour of each server by name.
     :param seed: seed of all random choices.
     :param client_domains: failure domain and region of each client by its IP number.
+    :param addresses: ``ip:port`` of each server by name, chosen freely where absent.
+    :param control_port: port of the control address, 0 for any.
 
     Use it as an asynchronous context manager; ``addresses`` then maps names to addresses.
     """
@@ -36,19 +38,20 @@
         behaviours: Mapping[str, Behaviour],
         seed: int = 1,
         client_domains: Mapping[str, tuple[str, str]] | None = None,
+        *,
+        addresses: Mapping[str, str] | None = None,
+        control_port: int = 0,
     ) -> None:
         # Each server has its own loopback address, so that no outgoing connection of this
         # machine takes the port of a crashed server before it listens again.
-        self.servers = {
-            name: BackendServer(
-                name,
-                f"127.1.{number // 250}.{number % 250 + 1}",
-                behaviour,
-                seed,
-                client_domains or {},
-            )
-            for number, (name, behaviour) in enumerate(behaviours.items())
-        }
+        self.servers = {}
+        for number, (name, behaviour) in enumerate(behaviours.items()):
+            own = f"127.1.{number // 250}.{number % 250 + 1}:0"
+            host, _, port = (addresses or {}).get(name, own).rpartition(":")
+            server = BackendServer(name, host, behaviour, seed, client_domains or {})
+            server.port = int(port)
+            self.servers[name] = server
+        self._control_port = control_port
         self.control_address = ""
         self._stack = AsyncExitStack()
 
@@ -60,7 +63,7 @@
             runner = web.ServerRunner(web.Server(self._control, access_log=None))
             await runner.setup()
             stack.push_async_callback(runner.cleanup)
-            await web.TCPSite(runner, "127.0.0.1", 0).start()
+            await web.TCPSite(runner, "127.0.0.1", self._control_port).start()
             self.control_address = "{}:{}".format(*runner.addresses[0][:2])
             self._stack = stack.pop_all()
         return self
