Treat a server as cold again when the evidence of its warmth is old

Cause: an instance that had no traffic to a server kept its full share after the server restarted unseen, so the first burst could exceed the cold limit. Change: a limit above the cold limit needs an own answer, or a peer's note that rests on own answers, within the last second. A second notice for one send is not sent.

--- a/mimosapost/core/peering.py
+++ b/mimosapost/core/peering.py
@@ -66,7 +66,7 @@
     """Send gossip to random members, and to the seed peers until this instance joined."""
     leaving = bool(state.stop_requested_us)
     suspects = state.suspects.export(now_us)
-    warmups = state.warmup.export_notes(WARMUP_NOTES)
+    warmups = state.warmup.export_notes(now_us, WARMUP_NOTES)
     sends = state.exchange.start_round(now_us, leaving, suspects, warmups)
     effects.extend(sends)
     if not state.joined:
@@ -90,7 +90,7 @@
         state.peer_addresses[peer] = message.identity.peer_address
     if isinstance(message, Gossip):
         state.suspects.merge(message.suspects, now_us)
-        state.warmup.merge_notes(message.warmups)
+        state.warmup.merge_notes(message.warmups, now_us)
     outcome = state.exchange.handle(peer, message, now_us)
     configuration.apply_outcome(state, outcome, now_us, effects)
 
--- a/mimosapost/edge/backends.py
+++ b/mimosapost/edge/backends.py
@@ -229,7 +229,7 @@
         """
         assert self._loop is not None
         send = self._sends.get(effect.send_id)
-        if send is None:
+        if send is None or (send.cancellation is not None and not effect.close):
             return
         if not send.body.started:
             self._loop.call_soon(self._fail, send, FailureKind.WITHDRAWN)
--- a/mimosapost/limits/warmup.py
+++ b/mimosapost/limits/warmup.py
@@ -62,6 +62,8 @@
     batch: list[int] = field(default_factory=list)
     falls: int = 0
     cause: str = "unknown"
+    heard_us: int = 0
+    answered_us: int = 0
 
 
 class WarmupTable:
@@ -69,6 +71,8 @@
 
     :param cold_jump: a service time above this multiple of the learned median is slow.
     :param cold_streak: slow answers in a row that mean a fall-back into cold start.
+    :param evidence_us: time without an answer or a peer's note after which a server is treated
+        as cold, in microseconds. A server that restarts unseen takes longer than this.
     :raises ValueError: if a parameter is out of range.
 
     >>> table = WarmupTable()
@@ -88,11 +92,18 @@
     the other instances by :meth:`export_notes` and :meth:`merge_notes`.
     """
 
-    def __init__(self, *, cold_jump: float = 4.0, cold_streak: int = 5) -> None:
+    def __init__(
+        self,
+        *,
+        cold_jump: float = 4.0,
+        cold_streak: int = 5,
+        evidence_us: int = 1_000_000,
+    ) -> None:
         if cold_jump <= 1 or cold_streak < 1:
             raise ValueError(f"cold_jump {cold_jump} <= 1 or cold_streak {cold_streak} < 1")
         self._cold_jump = cold_jump
         self._cold_streak = cold_streak
+        self._evidence_us = evidence_us
         self._servers: dict[str, _Server] = {}
         self._order: list[str] = []
         self._position = 0
@@ -142,7 +153,7 @@
             self._order.remove(server)
             self._changed.pop(server, None)
 
-    def get_limit(self, server: str, now_us: int) -> int:  # noqa: ARG002
+    def get_limit(self, server: str, now_us: int) -> int:
         """Return the limit of requests in flight over all instances.
 
         :param server: address of the server.
@@ -150,7 +161,14 @@
         :returns: limit, 0 for a server that was never configured.
         """
         state = self._servers.get(server)
-        return 0 if state is None else state.limit
+        if state is None:
+            return 0
+        if state.limit > state.cold_limit and now_us - state.heard_us > self._evidence_us:
+            # The server may have restarted since. This is no fall: peers that heard from it
+            # keep what they know, and their next note restores the limit here.
+            state.limit = state.cold_limit
+            state.good_answers, state.stage_since_us = 0, None
+        return state.limit
 
     def is_cold(self, server: str) -> bool:
         """Return whether a server is below its full limit, or unknown."""
@@ -171,6 +189,7 @@
         if state is None:
             return
         self.record_boot(server, boot_id)
+        state.heard_us = state.answered_us = now_us
         slow = state.median_us > 0 and service_time_us > self._cold_jump * state.median_us
         self._learn(state, service_time_us)
         if slow:
@@ -225,9 +244,12 @@
         if state is not None:
             self._return_to_cold(server, state, "reset")
 
-    def export_notes(self, count: int = 64) -> tuple[WarmupNote, ...]:
+    def export_notes(self, now_us: int, count: int = 64) -> tuple[WarmupNote, ...]:
         """Return notes for other instances: changes first, then further servers in turn.
 
+        A limit is passed on only while the own evidence for it is fresh.
+
+        :param now_us: monotonic time in microseconds.
         :param count: largest number of notes.
         """
         names = list(self._changed)[:count]
@@ -241,17 +263,23 @@
             state = self._servers[name]
             # A longer boot id does not fit the peer protocol; its server is learned by answers.
             known = state.boot_id or state.falls
-            if known and len(state.boot_id.encode()) <= _NOTE_BOOT_ID_BYTES:
+            fresh = now_us - state.answered_us <= self._evidence_us
+            if (
+                known
+                and (fresh or state.limit == state.cold_limit)
+                and len(state.boot_id.encode()) <= _NOTE_BOOT_ID_BYTES
+            ):
                 notes.append(WarmupNote(name, state.boot_id, state.falls, state.limit))
         return tuple(notes)
 
-    def merge_notes(self, notes: Iterable[WarmupNote]) -> None:
+    def merge_notes(self, notes: Iterable[WarmupNote], now_us: int) -> None:
         """Take over newer knowledge of another instance.
 
         A note with more returns to cold replaces the own state. With equally many, the
         higher limit holds if the boot id is the same. Others are ignored.
 
         :param notes: notes from :meth:`export_notes` of another instance.
+        :param now_us: monotonic time in microseconds.
         """
         for note in notes:
             state = self._servers.get(note.server)
@@ -264,9 +292,11 @@
             if newer:
                 state.falls, state.cause, state.slow_streak = note.falls, "peer", 0
             elif limit <= state.limit:
+                if limit == state.limit:
+                    state.heard_us = now_us
                 continue
             state.boot_id = note.boot_id or state.boot_id
-            state.limit = limit
+            state.limit, state.heard_us = limit, now_us
             state.good_answers, state.stage_since_us = 0, None
             self._changed[note.server] = None
 
