Spare the last live slot from a poison request that is sent again at once

Cause: an instance that had not seen the crash counted both slots of a leaf as live and ran the request there, 3 ms after the caller got its first answer. Seen in test_poison_request_spares_the_last_slot: all 4 servers crashed. Change: a crash is told to up to 8 peers at once; the leafs that were in flight wait 30 ms before they are retried or given up, so that peers know before the caller can send again; a suspect runs only where two slots answered within the last second, otherwise the servers are probed first. Open: under steady load a suspect can wait until its deadline for a server without other work.

--- a/mimosapost/core/answers.py
+++ b/mimosapost/core/answers.py
@@ -26,7 +26,7 @@
     send = retries.close_send(state, event.send_id, now_us)
     server = state.servers[send.slot.server]
     server.load, server.load_us = answer.load, now_us
-    retries.record_alive(server, answer.boot_id)
+    retries.record_alive(server, answer.boot_id, now_us)
     elapsed_us = now_us - send.sent_us
     state.warmup.record_answer(server.address, answer.boot_id, elapsed_us, now_us)
     state.latency.record(send.service, retries.get_slot_id(send), elapsed_us, now_us)
@@ -74,7 +74,7 @@
     send = retries.close_send(state, event.send_id, event.now_us)
     if send is None:
         return
-    retries.record_alive(state.servers[send.slot.server], event.boot_id)
+    retries.record_alive(state.servers[send.slot.server], event.boot_id, event.now_us)
     open_query = state.queries.get(send.query_id)
     if open_query is None or send.wasted:
         return
--- a/mimosapost/core/failures.py
+++ b/mimosapost/core/failures.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
-from mimosapost.core import counters, fanout, finish, parts, retries
+from mimosapost.core import counters, fanout, finish, parts, peering, retries
 from mimosapost.core.registry import Effects, handles
 from mimosapost.core.state import OpenQuery, OpenSend, ServerState, State
+from mimosapost.core.timers import TimerKind
 from mimosapost.model.codes import FailureKind, MissingReason, RunState
 from mimosapost.model.effects import Count, OpenProbe, WriteLog
 from mimosapost.model.events import ProbeAnswered, ProbeFailed, SendFailed
 from mimosapost.suspects.book import Standing
 
-__all__ = ["handle_probe_answered", "handle_probe_failed", "handle_send_failed", "probe_server"]
+__all__ = [
+    "handle_probe_answered",
+    "handle_probe_failed",
+    "handle_send_failed",
+    "probe_server",
+    "release_hold",
+]
 
 _PROBE_BACKOFF_US = 100_000
 _PROBE_BACKOFF_LIMIT_US = 2_000_000
@@ -118,7 +125,7 @@
         state.warmup.record_refused(server.address, event.now_us)
     if server.down:
         effects.append(WriteLog("server_up", (("server", server.address),)))
-    retries.record_alive(server, event.boot_id)
+    retries.record_alive(server, event.boot_id, event.now_us)
     server.crash_fingerprints.clear()
     server.crash_ran_alone = False
     state.dirty_servers.add(server.address)
@@ -132,6 +139,7 @@
     server.probing = False
     state.silence.record_probe(server.address, False, event.now_us)
     mark_down(state, server, event.now_us, effects)
+    state.dirty_servers.add(server.address)
     _confirm_crash(state, server, event.now_us, effects)
     _release_crash_waiting(state, server, event.now_us, effects)
 
@@ -143,6 +151,7 @@
     ran_alone, server.crash_ran_alone = server.crash_ran_alone, False
     server.crash_fingerprints.clear()
     state.suspects.record_crash(server.address, fingerprints, now_us, ran_alone)
+    peering.tell_suspects(state, now_us, effects)
     effects.append(Count(counters.SERVER_CRASHES))
     effects.append(
         WriteLog(
@@ -155,8 +164,30 @@
 def _release_crash_waiting(
     state: State, server: ServerState, now_us: int, effects: Effects
 ) -> None:
+    """Let the leafs that waited for a probe go on.
+
+    After a crash they wait a little longer, so that peers know of the suspect before its
+    caller has an answer and sends it again.
+    """
     waiting, server.crash_waiting = server.crash_waiting, []
-    for query_id, leaf in waiting:
+    if not waiting:
+        return
+    suspect = any(
+        query_id in state.queries
+        and state.suspects.classify(state.queries[query_id].query.fingerprint, now_us)
+        is not Standing.CLEAR
+        for query_id, _ in waiting
+    )
+    hold_id = state.next_hold_id
+    state.next_hold_id += 1
+    state.crash_holds[hold_id] = waiting
+    delay_us = state.policy.suspect_notice_us if suspect else 0
+    state.timers.add(now_us + delay_us, TimerKind.RETRY, hold_id)
+
+
+def release_hold(state: State, hold_id: int, now_us: int, effects: Effects) -> None:
+    """Retry the leafs whose send was in flight at a server that broke its connections."""
+    for query_id, leaf in state.crash_holds.pop(hold_id, ()):
         open_query = state.queries.get(query_id)
         if open_query is None or leaf not in open_query.parts:
             continue
--- a/mimosapost/core/fanout.py
+++ b/mimosapost/core/fanout.py
@@ -15,7 +15,7 @@
 )
 from mimosapost.core.timers import TimerKind
 from mimosapost.model.codes import MissingReason
-from mimosapost.model.effects import Count, EmitSend
+from mimosapost.model.effects import Count, EmitSend, OpenProbe
 from mimosapost.model.identities import SlotId
 from mimosapost.model.published import SlotSettings
 from mimosapost.model.queries import SubRequest
@@ -110,9 +110,9 @@
         if not hedge and not part.open_sends:
             set_missing(state, open_query, part, MissingReason.NO_ELIGIBLE_SLOT)
         return False
-    if open_query.suspect and _count_live(state, slots) < 2:
-        if not part.open_sends:
-            set_missing(state, open_query, part, MissingReason.REQUEST_SUSPECT)
+    if open_query.suspect and not _may_run_suspect(
+        state, open_query, part, slots, now_us, effects
+    ):
         return False
     slot = _choose(state, open_query, part, slots, now_us)
     if slot is None:
@@ -133,8 +133,36 @@
     return slots
 
 
-def _count_live(state: State, slots: list[SlotSettings]) -> int:
-    return sum(not get_server(state, slot.server).down for slot in slots)
+def _may_run_suspect(
+    state: State,
+    open_query: OpenQuery,
+    part: LeafPart,
+    slots: list[SlotSettings],
+    now_us: int,
+    effects: Effects,
+) -> bool:
+    """Return whether a suspect leaves a leaf with a live slot even if it crashes one.
+
+    Two slots must be known to live from recent answers. Where the evidence is old, the servers
+    are probed and the leaf waits: another instance may have seen one of them crash just now.
+    """
+    if part.open_sends:
+        return False
+    servers = [get_server(state, slot.server) for slot in slots]
+    live = [server for server in servers if not server.down]
+    if len(live) < 2:
+        set_missing(state, open_query, part, MissingReason.REQUEST_SUSPECT)
+        return False
+    limit_us = now_us - state.policy.live_evidence_us
+    stale = [server for server in live if server.alive_us < limit_us]
+    if len(live) - len(stale) >= 2:
+        return True
+    for server in stale:
+        if not server.probing:
+            server.probing = True
+            effects.append(OpenProbe(server.address))
+    _wait(state, open_query, part, slots)
+    return False
 
 
 def _choose(
--- a/mimosapost/core/peering.py
+++ b/mimosapost/core/peering.py
@@ -21,11 +21,13 @@
     SubtreeRequest,
 )
 
-__all__ = ["finish_join", "send_gossip", "send_heartbeats"]
+__all__ = ["finish_join", "send_gossip", "send_heartbeats", "tell_suspects"]
 
 # 16 notes of about 80 bytes to 3 peers twice a second are under 8 KB/s; a fleet of more than a
 # few hundred servers hears of changes first and of the rest in turn.
 WARMUP_NOTES = 16
+# All peers of a deployment of today; more hear of a suspect in the following rounds.
+SUSPECT_FANOUT = 8
 
 MessageFunction = Callable[[State, str, PeerMessage, int, Effects], None]
 _RECEIVERS: dict[type, MessageFunction] = {}
@@ -130,6 +132,15 @@
     forwarding.read_forward_answer(state, peer, message, now_us, effects)
 
 
+def tell_suspects(state: State, now_us: int, effects: Effects) -> None:
+    """Tell peers of the suspects of a crash at once instead of in the next round."""
+    suspects = state.suspects.export(now_us)
+    leaving = bool(state.stop_requested_us)
+    gossip = Gossip(state.identity, leaving, (), suspects, False)
+    for member in state.members.choose_targets(state.rng, SUSPECT_FANOUT):
+        effects.append(SendPeer(member.name, member.peer_address, gossip))
+
+
 def finish_join(state: State, now_us: int, effects: Effects) -> None:
     """Start serving after several rounds of gossip with the seed peers.
 
--- a/mimosapost/core/retries.py
+++ b/mimosapost/core/retries.py
@@ -50,9 +50,10 @@
     return SlotId(send.service, send.leaf, send.slot.name)
 
 
-def record_alive(server: ServerState, boot_id: str) -> None:
+def record_alive(server: ServerState, boot_id: str, now_us: int) -> None:
     """Note that a server answered."""
     server.down = False
+    server.alive_us = now_us
     server.probe_backoff_us = 0
     if boot_id:
         server.boot_id = boot_id
--- a/mimosapost/core/schedule.py
+++ b/mimosapost/core/schedule.py
@@ -77,6 +77,12 @@
     fanout.hedge_send(state, key, now_us, effects)
 
 
+@fires(TimerKind.RETRY)
+def retry_held(state: State, key: int, now_us: int, effects: Effects) -> None:
+    """Retry the leafs that waited for the outcome of a crash."""
+    failures.release_hold(state, key, now_us, effects)
+
+
 @fires(TimerKind.HEARTBEAT)
 def beat(state: State, key: int, now_us: int, effects: Effects) -> None:
     """Ask the witnesses to acknowledge this instance's lease."""
--- a/mimosapost/core/state.py
+++ b/mimosapost/core/state.py
@@ -65,6 +65,10 @@
     :param join_us: longest wait for peers before an instance serves.
     :param drain_us: time that the balancer needs to stop sending.
     :param stop_us: longest wait for requests in flight at a graceful stop.
+    :param suspect_notice_us: time that peers get to hear of a suspect before the caller can
+        send it again; one way between regions takes 12 ms.
+    :param live_evidence_us: age up to which an answer proves that a server lives, before a
+        suspect may run beside it.
     :param max_attempts: first send and retries of one leaf; hedges are not counted.
     :param max_hedges: hedges of one leaf.
     :param hedge: whether repeatable work is hedged.
@@ -79,6 +83,8 @@
     join_us: int = 2_000_000
     drain_us: int = 3_000_000
     stop_us: int = 30_000_000
+    suspect_notice_us: int = 30_000
+    live_evidence_us: int = 1_000_000
     max_attempts: int = 3
     max_hedges: int = 2
     hedge: bool = True
@@ -146,6 +152,7 @@
     load_us: int = 0
     boot_id: str = ""
     down: bool = False
+    alive_us: int = -(2**62)
     probe_due_us: int = 0
     probe_backoff_us: int = 0
     probing: bool = False
@@ -217,6 +224,8 @@
     next_forward_id: int = 1
     next_internal_id: int = -1
     waiting_leafs: int = 0
+    crash_holds: dict[int, list[tuple[int, str]]] = field(default_factory=dict)
+    next_hold_id: int = 1
     dirty_services: set[str] = field(default_factory=set)
     dirty_servers: set[str] = field(default_factory=set)
     resumed_us: int = 0
--- a/mimosapost/edge/instance.py
+++ b/mimosapost/edge/instance.py
@@ -166,7 +166,7 @@
             host=host,
             port=int(port),
             is_configured=lambda: bool(self._state.services),
-            is_ready=self._is_ready,
+            is_ready=self.is_ready,
             next_query_id=itertools.count(1).__next__,
             metrics=self.metrics,
             traces=self._traces,
@@ -186,14 +186,15 @@
             self.metrics,
             host=host,
             port=int(port),
-            is_ready=self._is_ready,
+            is_ready=self.is_ready,
         )
 
     def _find_service(self, name: str):
         service = self._state.services.get(name)
         return service.settings if service is not None else None
 
-    def _is_ready(self) -> bool:
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send queries to this instance."""
         return self._state.is_ready(read_clock_us())
 
     def _is_known_peer(self, name_or_address: str) -> bool:
--- /dev/null
+++ b/mimosapost/edge/tests/test_instance.py
@@ -0,0 +1,192 @@
+"""Instances with real sockets against the stand-ins: the paths that no unit test joins."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from hashlib import sha256
+
+import aiohttp
+import msgspec
+import pytest
+
+from mimosapost.core.state import Policy
+from mimosapost.edge.instance import Instance
+from mimosapost.model.published import (
+    CallerSettings,
+    FleetTree,
+    LeafSettings,
+    ServiceSettings,
+    SlotSettings,
+    TeamTree,
+)
+from mimosapost.settings.local import LocalSettings
+from mimosapost.standins.backends import Backends
+from mimosapost.standins.behaviour import Behaviour
+from mimosapost.standins.platform import PlatformStandin
+from mimosapost.standins.results import compute_items
+
+DOMAINS = ("north", "south")
+HEADERS = {"X-Caller": "school", "Authorization": "Bearer t"}
+POLICY = Policy(
+    max_deadline_us=1_500_000, join_us=300_000, drain_us=300_000, heartbeat_us=100_000
+)
+PORT = 9471
+
+
+def create_team(backends, version=1, domains_out=()):
+    """Create a team with one service of two leafs of two slots."""
+    addresses = iter(backends.addresses.values())
+    leafs = tuple(
+        LeafSettings(
+            f"l{leaf}",
+            tuple(SlotSettings(f"s{n}", next(addresses), DOMAINS[n]) for n in range(2)),
+        )
+        for leaf in range(2)
+    )
+    service = ServiceSettings("fitting", 1, 1, leafs, merge="top_k", cold_limit=4)
+    digest = sha256(b"t").hexdigest()
+    caller = CallerSettings("school", digest, ("fitting",))
+    return TeamTree("desk", version, (service,), (caller,), domains_out)
+
+
+@asynccontextmanager
+async def run_fleet(count=2, **behaviour):
+    """Run stand-ins and ready instances; yield backends, platform, instances, session."""
+    behaviours = {f"b{n}": Behaviour(median_ms=1.0, **behaviour) for n in range(4)}
+    async with Backends(behaviours) as backends, aiohttp.ClientSession() as session:
+        platform = PlatformStandin()
+        await platform.start()
+        fleet = FleetTree(1, ("desk",), {d: d for d in DOMAINS}, instance_ceiling=4)
+        platform.publish("fleet", 1, msgspec.json.encode(fleet))
+        platform.publish("desk", 1, msgspec.json.encode(create_team(backends)))
+        hosts = [f"127.70.0.{n + 1}" for n in range(count)]
+        instances = []
+        for seat, host in enumerate(hosts):
+            settings = LocalSettings(
+                name=f"entry-{seat}",
+                seat=seat,
+                domain=DOMAINS[seat % 2],
+                region=DOMAINS[seat % 2],
+                caller_address=f"{host}:{PORT}",
+                peer_address=f"{host}:{PORT + 1}",
+                operator_address=f"{host}:{PORT + 2}",
+                config_url=platform.base,
+                instances_url=platform.base,
+                seed_peers=tuple(f"{other}:{PORT + 1}" for other in hosts if other != host),
+                known_peers=tuple(hosts),
+            )
+            instances.append(Instance(settings, POLICY))
+        try:
+            for instance in instances:
+                await instance.start()
+            while not all(i.is_ready() for i in instances):
+                await asyncio.sleep(0.02)
+            yield backends, platform, instances, session
+        finally:
+            for instance in instances:
+                await instance.stop()
+            await platform.stop()
+
+
+async def ask(session, seat=0, **fields):
+    """Send one query and return status and answer."""
+    body = {"request": {"term": "tutu"}, "deadline_ms": 1_000, "repeatable": True} | fields
+    url = f"http://127.70.0.{seat + 1}:{PORT}/v1/services/fitting/query"
+    async with session.post(url, headers=HEADERS, data=msgspec.json.encode(body)) as response:
+        return response.status, msgspec.json.decode(await response.read())
+
+
+def compute_result(limit=0):
+    """Return what the service must answer."""
+    items = [
+        i for leaf in ("l0", "l1") for i in compute_items("fitting", leaf, {"term": "tutu"}, 1)
+    ]
+    items.sort(key=lambda item: (-item["score"], item["key"]))
+    return items[:limit] if limit else items
+
+
+async def test_answer_is_whole_and_names_its_snapshot():
+    """Guards against a path that loses leafs or answers with other content."""
+    async with run_fleet(1) as (_, _, _, session):
+        status, answer = await ask(session, limit=3)
+    assert (status, answer["code"], answer["run"]) == (200, 1000, "ran")
+    assert answer["result"] == compute_result(3)
+    assert answer["coverage"] == {"covered": ["l0", "l1"], "missing": []}
+    assert answer["snapshot"] == {"map_version": 1, "index_version": 1}
+
+
+async def test_ticket_runs_once_over_all_instances():
+    """Guards against a second run when a caller sends again to another instance."""
+    async with run_fleet(2) as (backends, _, _, session):
+        status, refusal = await ask(session, repeatable=False, idempotency_key="k")
+        assert (status, refusal["run"]) == (428, "not_run")
+        fields = {"repeatable": False, "idempotency_key": "k", "ticket": refusal["ticket"]}
+        answers = await asyncio.gather(*(ask(session, n % 2, **fields) for n in range(6)))
+        runs = [r for server in backends.servers.values() for r in server.records]
+    assert {a["code"] for _, a in answers} == {1000}
+    assert all(a["result"] == compute_result() for _, a in answers)
+    assert sorted(r.leaf for r in runs if r.idempotency_key == "k") == ["l0", "l1"]
+
+
+async def test_ticket_of_a_lost_issuer_is_unknown():
+    """Guards against a second run, or a false "not run", after the issuer was lost."""
+    async with run_fleet(2) as (backends, _, instances, session):
+        _, refusal = await ask(session, 1, repeatable=False)
+        await instances[1].stop()
+        _, answer = await ask(session, 0, repeatable=False, ticket=refusal["ticket"])
+        requests = sum(server.requests for server in backends.servers.values())
+    assert (answer["code"], answer["run"], requests) == (4001, "unknown", 0)
+
+
+async def test_domain_out_gets_no_send_and_coverage_stays():
+    """Guards against work for a domain that operators took out."""
+    async with run_fleet(2) as (backends, platform, instances, session):
+        for number in range(20):
+            await ask(session, number % 2)
+        platform.publish("desk", 2, msgspec.json.encode(create_team(backends, 2, ("south",))))
+        while any(i.state.teams["desk"].version < 2 for i in instances):
+            await asyncio.sleep(0.02)
+        out = [backends.servers["b1"], backends.servers["b3"]]
+        before = [server.requests for server in out]
+        answers = [await ask(session, number % 2) for number in range(20)]
+        assert [server.requests for server in out] == before
+    assert {a["code"] for _, a in answers} == {1000}
+
+
+async def test_graceful_stop_finishes_what_is_in_flight():
+    """Guards against a stop that cuts off a request or refuses before the drain ends."""
+    async with run_fleet(1) as (backends, _, instances, session):
+        backends.change("*", {"median_ms": 500.0}, ())
+        running = asyncio.create_task(ask(session))
+        while not any(server.working for server in backends.servers.values()):
+            await asyncio.sleep(0.01)
+        instances[0].request_stop()
+        assert not instances[0].is_ready()
+        late = asyncio.create_task(ask(session))
+        instances[0].request_stop()
+        answers = await asyncio.gather(running, late)
+        await instances[0].wait_until_served()
+    assert [a["code"] for _, a in answers] == [1000, 1000]
+
+
+@pytest.mark.parametrize("mode", ["down", "hang"])
+async def test_config_service_outage_changes_nothing(mode):
+    """Guards against an instance that depends on the configuration service to answer."""
+    async with run_fleet(1) as (_, platform, _, session):
+        platform.set_mode(mode)
+        answers = [await ask(session) for _ in range(10)]
+        platform.set_mode("up")
+    assert {a["code"] for _, a in answers} == {1000}
+
+
+async def test_poison_request_spares_the_last_slot():
+    """Guards against a request that takes one server of a leaf after the other."""
+    body = {"term": "poison"}
+    async with run_fleet(2, crash_bodies=[body], restart_ms=400.0) as (backends, _, _, session):
+        for number in range(8):
+            await ask(session, number % 2, request=body)
+            up = [s for s in backends.servers.values() if s.boots == 1]
+            assert up, "every server crashed"
+        crashes = sum(server.boots - 1 for server in backends.servers.values())
+        _, answer = await ask(session)
+    assert crashes <= 4
+    assert answer["code"] in (1000, 1001)
