Keep each waiting leaf once in the queue of a server

Cause: a leaf that could not start was added again to the queues of all its slots, and entries of leafs that no longer wait stayed until they were popped. A suspect that waits for an idle server multiplied its entries at each look, and a server without allowance collected one entry for each query. Change: queues are ordered dictionaries; a leaf that stops waiting is removed from each of them.

--- a/mimosapost/core/fanout.py
+++ b/mimosapost/core/fanout.py
@@ -78,7 +78,8 @@
     open_query.service = service.settings
     open_query.coverage = Coverage(plan)
     open_query.hedge_delay_us = state.hedges.get_delay_us(service.settings.name)
-    open_query.parts = {leaf.name: LeafPart(leaf) for leaf in plan.leafs}
+    query_id = open_query.query.query_id
+    open_query.parts = {leaf.name: LeafPart(leaf, (query_id, leaf.name)) for leaf in plan.leafs}
     open_query.open_leafs = len(plan.leafs)
     for part in list(open_query.parts.values()):
         send_leaf(state, open_query, part, now_us, effects)
@@ -332,9 +333,9 @@
         return
     part.waiting = True
     state.waiting_leafs += 1
-    entry = (open_query.query.query_id, part.settings.name)
-    for slot in slots:
-        get_server(state, slot.server).waiting.add(open_query.query.priority, entry)
+    part.waiting_at = [slot.server for slot in slots]
+    for address in part.waiting_at:
+        get_server(state, address).waiting.add(open_query.query.priority, part.entry)
 
 
 def pump_server(state: State, server: ServerState, now_us: int, effects: Effects) -> None:
@@ -343,11 +344,11 @@
     for _ in range(len(server.waiting)):
         if len(server.sends) >= get_server_allowance(state, server, now_us):
             return
+        if not len(server.waiting):
+            return
         query_id, leaf = server.waiting.pop()
-        open_query = state.queries.get(query_id)
-        part = open_query.parts.get(leaf) if open_query is not None else None
-        if part is None or not part.waiting:
-            continue
+        open_query = state.queries[query_id]
+        part = open_query.parts[leaf]
         stop_waiting(state, part)
         send_leaf(state, open_query, part, now_us, effects)
         finish.finish_if_done(state, open_query, now_us, effects)
--- a/mimosapost/core/parts.py
+++ b/mimosapost/core/parts.py
@@ -23,10 +23,16 @@
 
 
 def stop_waiting(state: State, part: LeafPart) -> None:
-    """Mark a leaf as no longer waiting; its queue entries become outdated."""
-    if part.waiting:
-        part.waiting = False
-        state.waiting_leafs -= 1
+    """Take a leaf out of the queues of the servers that it waits for."""
+    if not part.waiting:
+        return
+    part.waiting = False
+    state.waiting_leafs -= 1
+    for address in part.waiting_at:
+        server = state.servers.get(address)
+        if server is not None:
+            server.waiting.remove(part.entry)
+    part.waiting_at.clear()
 
 
 def cancel_sends(state: State, part: LeafPart, effects: Effects) -> None:
--- a/mimosapost/core/state.py
+++ b/mimosapost/core/state.py
@@ -89,8 +89,10 @@
     """Progress of one leaf of an open query."""
 
     settings: LeafSettings
+    entry: tuple[int, str]
     done: bool = False
     waiting: bool = False
+    waiting_at: list[str] = field(default_factory=list)
     attempts: int = 0
     hedges: int = 0
     open_sends: list[int] = field(default_factory=list)
--- /dev/null
+++ b/mimosapost/core/tests/test_faults.py
@@ -0,0 +1,28 @@
+"""Single faults of the decision path, each with the failure that it guards against."""
+
+from mimosapost.core.tests.solo import Solo
+
+
+def test_waiting_entries_do_not_multiply():
+    """Guards against a suspect that waits and doubles its queue entries at each look."""
+    solo = Solo(leafs=1, cold_limit=50, connections=240)
+    solo.state.suspects.record_crash("127.0.0.1:80", (7,), solo.now_us)
+    for _ in range(4):
+        solo.ask(fingerprint=1)
+    assert {send.server for send in solo.list_open()} == set(solo.state.servers)
+    solo.ask(fingerprint=7)
+    for _ in range(6):
+        solo.tick(50_000)
+        queued = [len(server.waiting) for server in solo.state.servers.values()]
+        assert max(queued) <= 1, queued
+
+
+def test_queue_of_a_server_without_allowance_does_not_grow():
+    """Guards against memory that grows with each query that waited at a full server."""
+    solo = Solo(leafs=1, slots=1, cold_limit=1)
+    solo.ask(deadline_us=1_900_000)
+    for number in range(20):
+        solo.ask(fingerprint=number, deadline_us=60_000)
+        solo.tick(100_000)
+    queued = [len(server.waiting) for server in solo.state.servers.values()]
+    assert max(queued) <= 1, queued
--- a/mimosapost/core/waiting.py
+++ b/mimosapost/core/waiting.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 from mimosapost.model.codes import Priority
 
 __all__ = ["WaitingLeafs"]
@@ -15,7 +13,8 @@
 class WaitingLeafs:
     """Leafs that wait for an allowance at one server, by priority class.
 
-    Classes take turns in the ratio 8:3:1 (weighted round robin).
+    Classes take turns in the ratio 8:3:1 (weighted round robin). A leaf is in it at most once,
+    and is removed when it stops waiting, so the size is bounded by the leafs that wait.
 
     >>> waiting = WaitingLeafs()
     >>> waiting.add(Priority.BACKGROUND, (1, "a"))
@@ -27,16 +26,22 @@
     __slots__ = ("_credits", "_queues")
 
     def __init__(self) -> None:
-        self._queues: dict[Priority, deque[tuple[int, str]]] = {p: deque() for p in Priority}
+        # Dictionaries keep the order of arrival and remove any entry in constant time.
+        self._queues: dict[Priority, dict[tuple[int, str], None]] = {p: {} for p in Priority}
         self._credits = dict(_WEIGHTS)
 
     def __len__(self) -> int:
-        """Return the number of entries, outdated ones included."""
+        """Return the number of leafs that wait."""
         return sum(len(queue) for queue in self._queues.values())
 
     def add(self, priority: Priority, entry: tuple[int, str]) -> None:
         """Add a leaf, named by query id and leaf name."""
-        self._queues[priority].append(entry)
+        self._queues[priority][entry] = None
+
+    def remove(self, entry: tuple[int, str]) -> None:
+        """Remove a leaf that no longer waits; does nothing if it is not there."""
+        for queue in self._queues.values():
+            queue.pop(entry, None)
 
     def pop(self) -> tuple[int, str]:
         """Remove and return the next entry.
@@ -47,6 +52,8 @@
             for priority, queue in self._queues.items():
                 if queue and self._credits[priority] > 0:
                     self._credits[priority] -= 1
-                    return queue.popleft()
+                    entry = next(iter(queue))
+                    del queue[entry]
+                    return entry
             self._credits = dict(_WEIGHTS)
         raise IndexError("no leaf is waiting")
