Count a leaf once when a hedge answers after it was given up

Cause: a leaf given up with a hedge open (answer too large) was subtracted from the open leafs again when the hedge answered, so the query ended while another leaf was open. Change: only a leaf that still counts as open is subtracted; its late part is merged. Conclusion: the answer covers both leafs; the new test failed before.

--- a/mimosapost/core/answers.py
+++ b/mimosapost/core/answers.py
@@ -51,8 +51,10 @@
         )
         return
     if open_query.coverage.add_part(send.leaf, snapshot, answer.items):
-        part.done = True
-        open_query.open_leafs -= 1
+        if not part.done:
+            # A leaf that was given up while a hedge was open is no longer counted.
+            part.done = True
+            open_query.open_leafs -= 1
         parts.stop_waiting(state, part)
     parts.cancel_sends(state, part, effects)
     if open_query.open_leafs == 0:
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -1,6 +1,7 @@
 """Single faults of the decision path, each with the failure that it guards against."""
 
 from mimosapost.core.tests.solo import Solo
+from mimosapost.model.codes import FailureKind, RunState
 
 
 def test_waiting_entries_do_not_multiply():
@@ -26,3 +27,17 @@
         solo.tick(100_000)
     queued = [len(server.waiting) for server in solo.state.servers.values()]
     assert max(queued) <= 1, queued
+
+
+def test_leaf_given_up_with_an_open_hedge_is_counted_once():
+    """Guards against a query that ends early because one leaf was subtracted twice."""
+    solo = Solo(leafs=2, cold_limit=20)
+    number = solo.ask(deadline_us=1_000_000)
+    solo.tick(400_000)
+    first, hedge = [send for send in solo.list_open() if send.request.leaf == "leaf0"][:2]
+    solo.fail(first, FailureKind.TOO_LARGE, RunState.RAN)
+    solo.answer(hedge)
+    assert not solo.list_answers(number), "leaf1 is still open"
+    solo.answer(next(send for send in solo.list_open() if send.request.leaf == "leaf1"))
+    (answer,) = solo.list_answers(number)
+    assert answer.covered == ("leaf0", "leaf1")
