Count the sends that a replan cancels as possibly run

Cause: a replan dropped the open sends of the old plan from the run state. When all sends of the new plan were refused, the answer said "not run" although an old send may have run (invariant 6). Change: a replan adds the open sends to the unknown ones. Conclusion: such a refusal is "unknown"; the new test failed before.

--- a/mimosapost/core/fanout.py
+++ b/mimosapost/core/fanout.py
@@ -60,6 +60,8 @@
 ) -> None:
     """Drop all parts of the old plan and send the query again at a newer snapshot."""
     for part in open_query.parts.values():
+        # The new plan no longer lists these sends, but they may have run.
+        open_query.unknown_sends += len(part.open_sends)
         cancel_sends(state, part, effects)
         stop_waiting(state, part)
     effects.append(Count(counters.QUERIES_REPLANNED))
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -1,6 +1,7 @@
 """Single faults of the decision path, each with the failure that it guards against."""
 
 from mimosapost.core.tests.solo import Solo
+from mimosapost.model import events as ev
 from mimosapost.model.codes import FailureKind, RunState
 
 
@@ -41,3 +42,18 @@
     solo.answer(next(send for send in solo.list_open() if send.request.leaf == "leaf1"))
     (answer,) = solo.list_answers(number)
     assert answer.covered == ("leaf0", "leaf1")
+
+
+def test_refusal_after_a_replan_counts_the_old_sends():
+    """Guards against "not run" while a send of the plan before may have run."""
+    solo = Solo(leafs=2, cold_limit=20)
+    number = solo.ask()
+    old, rejected = solo.list_open()
+    solo.give(ev.SendRejected, rejected.send_id, 1, 2, "boot")
+    for _ in range(10):
+        for send in solo.list_open():
+            if send.send_id > rejected.send_id:
+                solo.fail(send, FailureKind.REFUSED, RunState.NOT_RUN)
+        solo.tick(50_000)
+    (answer,) = solo.list_answers(number)
+    assert answer.run is RunState.UNKNOWN, (answer, old)
