Check the deadline at the moment of sending

Cause: retries and queued sends were emitted with a deadline in the past when the process was late by less than the pause threshold, or when housekeeping fired before the deadline timer after a pause. Change: send_leaf gives the leaf up as timed out at or after its deadline. Conclusion: of the two new tests the one for retries failed before; the one for a pause passed before and stays as a guard.

--- a/mimosapost/core/fanout.py
+++ b/mimosapost/core/fanout.py
@@ -104,6 +104,11 @@
     :param hedge: whether this is a hedge; a hedge never waits.
     :returns: whether a send was emitted.
     """
+    if now_us >= open_query.query.deadline_us - state.policy.answer_margin_us:
+        # After a pause or a late tick this runs before the timer of the deadline.
+        if not part.open_sends:
+            set_missing(state, open_query, part, MissingReason.TIMED_OUT)
+        return False
     service = state.services.get(open_query.query.service)
     if service is None:
         set_missing(state, open_query, part, MissingReason.NO_ELIGIBLE_SLOT)
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -1,6 +1,7 @@
 """Single faults of the decision path, each with the failure that it guards against."""
 
 from mimosapost.core.tests.solo import Solo
+from mimosapost.model import effects as fx
 from mimosapost.model import events as ev
 from mimosapost.model.codes import FailureKind, RunState
 
@@ -57,3 +58,28 @@
         solo.tick(50_000)
     (answer,) = solo.list_answers(number)
     assert answer.run is RunState.UNKNOWN, (answer, old)
+
+
+def test_no_send_after_the_deadline_when_a_pause_ends():
+    """Guards against a queued send that starts after its query's deadline."""
+    solo = Solo(leafs=1, slots=1, cold_limit=1)
+    solo.ask(deadline_us=1_900_000)
+    late = solo.ask(deadline_us=300_000)
+    (send,) = solo.list_open()
+    before = len(solo.effects)
+    solo.now_us += 900_000
+    solo.answer(send)
+    emitted = [e for e in solo.effects[before:] if isinstance(e, fx.EmitSend)]
+    assert not emitted
+    assert solo.list_answers(late)[0].run is RunState.NOT_RUN
+
+
+def test_retry_after_the_deadline_is_not_sent():
+    """Guards against a retry whose deadline passed while the process was late."""
+    solo = Solo(leafs=1, cold_limit=20)
+    solo.ask(deadline_us=300_000, repeatable=False, ticket=solo.get_ticket())
+    (send,) = solo.list_open()
+    before = len(solo.effects)
+    solo.now_us += 320_000
+    solo.fail(send, FailureKind.REFUSED, RunState.NOT_RUN)
+    assert not [e for e in solo.effects[before:] if isinstance(e, fx.EmitSend)]
