Answer a joined query at its own deadline

Cause: a query sent again with the ticket of a running one waited for that one without a timer of its own, up to the other's deadline. Change: joined queries have a deadline timer and are answered "outcome unknown" when it fires; a caller that leaves removes its joined query. Conclusion: the new test failed before.

--- a/mimosapost/core/admission.py
+++ b/mimosapost/core/admission.py
@@ -25,6 +25,7 @@
 @handles(CallerGone)
 def handle_caller_gone(state: State, event: CallerGone, effects: Effects) -> None:
     """Stop work for a caller that left; non-idempotent work goes on to its stored answer."""
+    finish.take_joined(state, event.query_id)
     forwarded = state.forwards.pop(event.query_id, None)
     open_query = state.queries.get(event.query_id)
     if forwarded is not None or open_query is None or not open_query.query.repeatable:
@@ -53,11 +54,7 @@
         state.tickets_running[number] = query.query_id
     standing = state.suspects.classify(query.fingerprint, now_us)
     open_query.suspect = standing is Standing.SUSPECT
-    state.timers.add(
-        query.deadline_us - state.policy.answer_margin_us,
-        TimerKind.QUERY_DEADLINE,
-        query.query_id,
-    )
+    _add_deadline(state, query)
     _admit(state, open_query, service, now_us, effects)
 
 
@@ -120,7 +117,14 @@
         answer = Answer(ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN)
         finish.deliver(state, query, answer, now_us, effects)
         return
-    running.joined.append(query)
+    running.joined[query.query_id] = query
+    state.joined_to[query.query_id] = running.query.query_id
+    _add_deadline(state, query)
+
+
+def _add_deadline(state: State, query: Query) -> None:
+    due_us = query.deadline_us - state.policy.answer_margin_us
+    state.timers.add(due_us, TimerKind.QUERY_DEADLINE, query.query_id)
 
 
 def _admit(
--- a/mimosapost/core/finish.py
+++ b/mimosapost/core/finish.py
@@ -15,7 +15,15 @@
 from mimosapost.model.messages import ForwardAnswer
 from mimosapost.model.queries import Answer, MissingLeaf, Query
 
-__all__ = ["deliver", "finish_at_deadline", "finish_if_done", "refuse", "refuse_open"]
+__all__ = [
+    "deliver",
+    "expire_joined",
+    "finish_at_deadline",
+    "finish_if_done",
+    "refuse",
+    "refuse_open",
+    "take_joined",
+]
 
 
 def refuse(state: State, query: Query, code: ResultCode, now_us: int, effects: Effects) -> None:
@@ -62,6 +70,23 @@
     _answer(state, open_query, now_us, effects)
 
 
+def take_joined(state: State, query_id: int) -> Query | None:
+    """Remove a query that waits for the answer of a running attempt with its ticket.
+
+    :returns: the query, or ``None`` if it waits for none.
+    """
+    running_id = state.joined_to.pop(query_id, None)
+    return None if running_id is None else state.queries[running_id].joined.pop(query_id)
+
+
+def expire_joined(state: State, query_id: int, now_us: int, effects: Effects) -> None:
+    """Answer a joined query whose own deadline comes before the end of the running one."""
+    query = take_joined(state, query_id)
+    if query is not None:
+        answer = Answer(ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN)
+        deliver(state, query, answer, now_us, effects)
+
+
 def _explain_open_part(open_query: OpenQuery, part: parts.LeafPart) -> MissingReason:
     if part.waiting and not part.open_sends:
         return MissingReason.LIMIT_REACHED
@@ -149,7 +174,8 @@
     if open_query.ticket_number:
         _close_ticket(state, open_query, answer)
     deliver(state, query, answer, now_us, effects)
-    for joined in open_query.joined:
+    for joined in open_query.joined.values():
+        del state.joined_to[joined.query_id]
         deliver(state, joined, answer, now_us, effects)
 
 
--- a/mimosapost/core/schedule.py
+++ b/mimosapost/core/schedule.py
@@ -60,6 +60,8 @@
     open_query = state.queries.get(key)
     if open_query is not None:
         finish.finish_at_deadline(state, open_query, now_us, effects)
+    else:
+        finish.expire_joined(state, key, now_us, effects)
 
 
 @fires(TimerKind.FORWARD_DEADLINE)
--- a/mimosapost/core/state.py
+++ b/mimosapost/core/state.py
@@ -115,7 +115,7 @@
     ticket_number: int = 0
     ran: bool = False
     unknown_sends: int = 0
-    joined: list[Query] = field(default_factory=list)
+    joined: dict[int, Query] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -211,6 +211,7 @@
     sends: dict[int, OpenSend] = field(default_factory=dict)
     forwards: dict[int, ForwardedQuery] = field(default_factory=dict)
     tickets_running: dict[int, int] = field(default_factory=dict)
+    joined_to: dict[int, int] = field(default_factory=dict)
     reply_to: dict[int, tuple[str, int]] = field(default_factory=dict)
     leaving_addresses: frozenset[str] = frozenset()
     regions: dict[str, str] = field(default_factory=dict)
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -83,3 +83,17 @@
     solo.now_us += 320_000
     solo.fail(send, FailureKind.REFUSED, RunState.NOT_RUN)
     assert not [e for e in solo.effects[before:] if isinstance(e, fx.EmitSend)]
+
+
+def test_joined_query_ends_at_its_own_deadline():
+    """Guards against a re-sent query that stays open after its deadline."""
+    solo = Solo(leafs=1)
+    ticket = solo.get_ticket()
+    solo.ask(repeatable=False, ticket=ticket, deadline_us=1_500_000)
+    again = solo.ask(repeatable=False, ticket=ticket, deadline_us=200_000)
+    solo.tick(250_000)
+    (answer,) = solo.list_answers(again)
+    assert answer.run is RunState.UNKNOWN
+    (send,) = solo.list_open()
+    solo.answer(send)
+    assert len(solo.list_answers(again)) == 1
