Keep the count of open queries when a service is removed and returns

Cause: a service that was published again started with a count of 0 while its earlier queries still ran; their ends made the count negative, so the limit was exceeded from then on. Queued queries of a removed service waited for their deadline although their queue was gone. Change: the count starts with the running queries, and queued ones are refused "not run" at once.

--- a/mimosapost/core/configuration.py
+++ b/mimosapost/core/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from mimosapost.core import counters
+from mimosapost.core import counters, finish
 from mimosapost.core.registry import Effects, handles
 from mimosapost.core.state import (
     BUDGET_BURST,
@@ -16,6 +16,7 @@
 from mimosapost.limits.budgets import Budget
 from mimosapost.membership.configs import Accepted, Refused
 from mimosapost.membership.exchange import Outcome
+from mimosapost.model.codes import ResultCode
 from mimosapost.model.effects import Count, WriteLog
 from mimosapost.model.events import ConfigRead, InstancesListed
 from mimosapost.model.published import CallerSettings, FleetTree, ServiceSettings, TeamTree
@@ -40,7 +41,7 @@
         case Accepted(tree=FleetTree() as fleet):
             _apply_fleet(state, fleet, now_us)
         case Accepted(tree=TeamTree() as tree):
-            _apply_team(state, tree)
+            _apply_team(state, tree, now_us, effects)
         case Refused(faults=faults, repeated=False):
             text = "; ".join(str(fault) for fault in faults[:5])
             effects.append(
@@ -63,7 +64,7 @@
     _refresh_views(state)
 
 
-def _apply_team(state: State, tree: TeamTree) -> None:
+def _apply_team(state: State, tree: TeamTree, now_us: int, effects: Effects) -> None:
     """Put a team's subtree in force.
 
     A service or caller name that several teams publish belongs to the team whose name sorts
@@ -79,6 +80,7 @@
             callers.setdefault(caller.name, caller)
     for name in state.services.keys() - services.keys():
         del state.services[name]
+        _refuse_queued(state, name, now_us, effects)
     for team, settings in services.values():
         current = state.services.get(settings.name)
         if current is None or current.settings is not settings:
@@ -88,6 +90,13 @@
     _refresh_views(state)
 
 
+def _refuse_queued(state: State, name: str, now_us: int, effects: Effects) -> None:
+    """Refuse the queued queries of a removed service; its queue went with it."""
+    for open_query in list(state.queries.values()):
+        if open_query.query.service == name and open_query.plan is None:
+            finish.refuse_open(state, open_query, ResultCode.UNKNOWN_SERVICE, now_us, effects)
+
+
 def _apply_service(state: State, team: str, settings: ServiceSettings) -> None:
     slots = {slot.server: slot for leaf in settings.leafs for slot in leaf.slots}
     # Probes open connections outside the pool; without room for them a server whose
@@ -105,6 +114,11 @@
     if current is not None:
         current.team, current.settings, current.slots = team, settings, slots
         return
+    # Queries of a service that was removed for a while may still run.
+    running = sum(
+        open_query.plan is not None and open_query.query.service == settings.name
+        for open_query in state.queries.values()
+    )
     state.services[settings.name] = ServiceState(
         team,
         settings,
@@ -113,6 +127,7 @@
         AdmissionQueue(settings.queue_limit),
         Budget(HEDGE_BUDGET_RATIO, BUDGET_BURST),
         Budget(RETRY_BUDGET_RATIO, BUDGET_BURST),
+        running,
     )
 
 
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -1,9 +1,12 @@
 """Single faults of the decision path, each with the failure that it guards against."""
 
+from dataclasses import replace
+
+from mimosapost.core.tests.fleet import SERVICE
 from mimosapost.core.tests.solo import Solo
 from mimosapost.model import effects as fx
 from mimosapost.model import events as ev
-from mimosapost.model.codes import FailureKind, RunState
+from mimosapost.model.codes import FailureKind, ResultCode, RunState
 
 
 def test_waiting_entries_do_not_multiply():
@@ -97,3 +100,25 @@
     (send,) = solo.list_open()
     solo.answer(send)
     assert len(solo.list_answers(again)) == 1
+
+
+def test_queries_of_a_service_that_returns_are_counted():
+    """Guards against a negative count of open queries after a service was published again."""
+    solo = Solo(leafs=1, cold_limit=20)
+    solo.ask(deadline_us=1_500_000)
+    tree = solo.team
+    solo.publish(replace(tree, version=2, services=(), callers=()))
+    solo.publish(replace(tree, version=3))
+    assert solo.state.services[SERVICE].open_queries == 1
+    solo.answer(solo.list_open()[0])
+    assert solo.state.services[SERVICE].open_queries == 0
+
+
+def test_queued_query_of_a_removed_service_is_refused_at_once():
+    """Guards against a queued query that nobody looks at before its deadline."""
+    solo = Solo(leafs=1, concurrency=1)
+    solo.ask(deadline_us=1_500_000)
+    queued = solo.ask(deadline_us=1_500_000)
+    solo.publish(replace(solo.team, version=2, services=(), callers=()))
+    (answer,) = solo.list_answers(queued)
+    assert (answer.code, answer.run) == (ResultCode.UNKNOWN_SERVICE, RunState.NOT_RUN)
