Classify a request as suspect at the moment of sending

Cause: the standing of a request was read at its arrival only. A request that was confirmed as poison while it was queued ran anyway, and one that became a suspect after its first send was hedged. Change: send_leaf classifies the fingerprint before each send. Conclusion: both new tests failed before.

--- a/mimosapost/core/fanout.py
+++ b/mimosapost/core/fanout.py
@@ -24,6 +24,7 @@
 from mimosapost.routing.choice import Candidate, choose_slot
 from mimosapost.routing.eligibility import check_slot
 from mimosapost.routing.hedges import HedgeContext
+from mimosapost.suspects.book import Standing
 
 __all__ = [
     "hedge_send",
@@ -113,6 +114,12 @@
     if service is None:
         set_missing(state, open_query, part, MissingReason.NO_ELIGIBLE_SLOT)
         return False
+    standing = state.suspects.classify(open_query.query.fingerprint, now_us)
+    open_query.suspect = standing is Standing.SUSPECT
+    if standing is Standing.REFUSED or (hedge and open_query.suspect):
+        if not part.open_sends:
+            set_missing(state, open_query, part, MissingReason.REQUEST_SUSPECT)
+        return False
     slots = list_eligible(service, part)
     if not slots:
         if not hedge and not part.open_sends:
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -7,6 +7,7 @@
 from mimosapost.model import effects as fx
 from mimosapost.model import events as ev
 from mimosapost.model.codes import FailureKind, ResultCode, RunState
+from mimosapost.model.messages import SuspectNote
 
 
 def test_waiting_entries_do_not_multiply():
@@ -122,3 +123,23 @@
     solo.publish(replace(solo.team, version=2, services=(), callers=()))
     (answer,) = solo.list_answers(queued)
     assert (answer.code, answer.run) == (ResultCode.UNKNOWN_SERVICE, RunState.NOT_RUN)
+
+
+def test_refused_request_does_not_leave_the_queue():
+    """Guards against a confirmed poison request that runs because it was queued before."""
+    solo = Solo(leafs=1, concurrency=1, cold_limit=20)
+    solo.ask(fingerprint=1, deadline_us=900_000)
+    queued = solo.ask(fingerprint=7, deadline_us=900_000)
+    solo.state.suspects.merge((SuspectNote(7, 2, 60_000_000),), solo.now_us)
+    solo.answer(solo.list_open()[0])
+    (answer,) = solo.list_answers(queued)
+    assert (answer.code, answer.run) == (ResultCode.REQUEST_REFUSED, RunState.NOT_RUN)
+
+
+def test_request_that_became_suspect_is_not_hedged():
+    """Guards against hedges of a query that became a suspect after its first send."""
+    solo = Solo(leafs=1, cold_limit=20)
+    solo.ask(deadline_us=900_000)
+    solo.state.suspects.merge((SuspectNote(7, 1, 0),), solo.now_us)
+    solo.tick(300_000)
+    assert len(solo.list_open()) == 1
