Count slots of one server as one live slot for suspects

Cause: two slots of a leaf may name the same address; a suspect then ran on the last live server of the leaf. Change: live slots are counted by address. Conclusion: the new test failed before.

--- a/mimosapost/core/fanout.py
+++ b/mimosapost/core/fanout.py
@@ -149,7 +149,8 @@
 
 
 def _count_live(state: State, slots: list[SlotSettings]) -> int:
-    return sum(not get_server(state, slot.server).down for slot in slots)
+    servers = {slot.server for slot in slots}
+    return sum(not get_server(state, server).down for server in servers)
 
 
 def _choose(
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -6,7 +6,7 @@
 from mimosapost.core.tests.solo import Solo
 from mimosapost.model import effects as fx
 from mimosapost.model import events as ev
-from mimosapost.model.codes import FailureKind, ResultCode, RunState
+from mimosapost.model.codes import FailureKind, MissingReason, ResultCode, RunState
 from mimosapost.model.messages import SuspectNote
 
 
@@ -143,3 +143,16 @@
     solo.state.suspects.merge((SuspectNote(7, 1, 0),), solo.now_us)
     solo.tick(300_000)
     assert len(solo.list_open()) == 1
+
+
+def test_two_slots_of_one_server_are_one_live_slot():
+    """Guards against a suspect on the last live server of a leaf with two slots there."""
+    solo = Solo(leafs=1, cold_limit=20)
+    service = solo.team.services[0]
+    slot = service.leafs[0].slots[0]
+    leaf = replace(service.leafs[0], slots=(slot, replace(slot, name="other")))
+    solo.publish(solo.team, leafs=(leaf,), map_version=2)
+    solo.state.suspects.record_crash("127.0.9.9:80", (7,), solo.now_us)
+    number = solo.ask()
+    assert not solo.list_open()
+    assert solo.list_answers(number)[0].missing[0].reason is MissingReason.REQUEST_SUSPECT
