Apply a leaving mark to all slots of the server in its team

Cause: slots are found by address, and of two slots with one address the last one's mark decided, so a leaving server got new work. Change: the view holds every address that any slot of the team marks. The mark stays within the team, so that one team cannot take out the servers of another. Conclusion: the new test failed before.

--- a/mimosapost/core/configuration.py
+++ b/mimosapost/core/configuration.py
@@ -133,6 +133,17 @@
 
 def _refresh_views(state: State) -> None:
     """Recompute who may get new work; servers of a returning domain start cold."""
+    # Two slots may name one server, which leaves if any of them is marked.
+    leaving = {
+        team: state.leaving_addresses.union(
+            slot.server
+            for service in tree.services
+            for leaf in service.leafs
+            for slot in leaf.slots
+            if slot.leaving
+        )
+        for team, tree in state.teams.items()
+    }
     for service in state.services.values():
         team_out = state.teams[service.team].domains_out
         domains_out = state.fleet_domains_out.union(team_out)
@@ -140,7 +151,7 @@
         for server, slot in service.slots.items():
             if slot.domain in returned:
                 state.warmup.reset(server)
-        service.view = EligibilityView(domains_out, state.leaving_addresses)
+        service.view = EligibilityView(domains_out, leaving[service.team])
 
 
 @handles(InstancesListed)
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -156,3 +156,18 @@
     number = solo.ask()
     assert not solo.list_open()
     assert solo.list_answers(number)[0].missing[0].reason is MissingReason.REQUEST_SUSPECT
+
+
+def test_leaving_mark_of_one_slot_holds_for_its_server():
+    """Guards against work for a leaving server through another slot of the same address."""
+    solo = Solo(leafs=2, slots=1, cold_limit=20)
+    first, second = solo.team.services[0].leafs
+    slot = first.slots[0]
+    leafs = (
+        replace(first, slots=(replace(slot, leaving=True),)),
+        replace(second, slots=(replace(slot, name="t0"),)),
+    )
+    solo.publish(solo.team, leafs=leafs, map_version=2)
+    number = solo.ask()
+    assert not solo.list_open()
+    assert solo.list_answers(number)[0].run is RunState.NOT_RUN
