Refuse forwarded queries once the process was told that it may end

Cause: a draining instance takes forwarded queries, and it did so after StopServing too; the end of the process would have interrupted them. Change: a stopped instance refuses every query "not run". Conclusion: the new test failed before.

--- a/mimosapost/core/admission.py
+++ b/mimosapost/core/admission.py
@@ -61,7 +61,7 @@
 def _check_query(
     state: State, query: Query, service: ServiceState | None, now_us: int
 ) -> ResultCode | None:
-    if state.is_draining(now_us) and not query.forwarded_by:
+    if state.stopped or (state.is_draining(now_us) and not query.forwarded_by):
         return ResultCode.STOPPING
     if state.configs.get_fleet() is None or not state.joined:
         return ResultCode.NOT_CONFIGURED
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -171,3 +171,15 @@
     number = solo.ask()
     assert not solo.list_open()
     assert solo.list_answers(number)[0].run is RunState.NOT_RUN
+
+
+def test_stopped_instance_takes_no_forwarded_query():
+    """Guards against work that starts after the process was told that it may end."""
+    solo = Solo(leafs=1, cold_limit=20)
+    ticket = solo.get_ticket()
+    for _ in range(2):
+        solo.give(ev.StopRequested)
+    solo.tick(3_200_000)
+    assert sum(isinstance(e, fx.StopServing) for e in solo.effects) == 1
+    solo.ask(repeatable=False, ticket=ticket, forwarded_by="i1")
+    assert not solo.list_open()
