Put a changed queue limit in force for existing services

Change: AdmissionQueue.set_limit, called when a subtree is accepted. Conclusion: the new test failed before.

--- a/mimosapost/core/configuration.py
+++ b/mimosapost/core/configuration.py
@@ -113,6 +113,7 @@
     current = state.services.get(settings.name)
     if current is not None:
         current.team, current.settings, current.slots = team, settings, slots
+        current.queue.set_limit(settings.queue_limit)
         return
     # Queries of a service that was removed for a while may still run.
     running = sum(
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -183,3 +183,12 @@
     assert sum(isinstance(e, fx.StopServing) for e in solo.effects) == 1
     solo.ask(repeatable=False, ticket=ticket, forwarded_by="i1")
     assert not solo.list_open()
+
+
+def test_new_queue_limit_is_in_force():
+    """Guards against an accepted queue limit that only new services take over."""
+    solo = Solo(leafs=1, concurrency=1)
+    solo.publish(solo.team, queue_limit=0)
+    solo.ask()
+    second = solo.ask()
+    assert solo.list_answers(second)[0].run is RunState.NOT_RUN
--- a/mimosapost/limits/admission.py
+++ b/mimosapost/limits/admission.py
@@ -143,9 +143,8 @@
     def __init__(self, limit: int, *, caller_share: float = 0.5) -> None:
         if limit < 0 or not 0 < caller_share <= 1:
             raise ValueError(f"limit {limit}, caller_share {caller_share} out of range")
-        self._limit = limit
-        self._reserved = limit // 8
-        self._caller_limit = max(1, int(limit * caller_share))
+        self._caller_share = caller_share
+        self.set_limit(limit)
         self._classes = {priority: _Class(weight) for priority, weight in _WEIGHTS.items()}
         self._entries: dict[int, Waiting] = {}
         self._deadlines: list[tuple[int, int]] = []
@@ -158,6 +157,15 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    def set_limit(self, limit: int) -> None:
+        """Change the largest number of waiting queries; those that wait already stay.
+
+        :param limit: largest number of waiting queries, at least 0.
+        """
+        self._limit = limit
+        self._reserved = limit // 8
+        self._caller_limit = max(1, int(limit * self._caller_share))
+
     def set_run_time(self, run_us: int) -> None:
         """Set the time that a query is expected to need from its start to its answer.
 
