Refuse a query whose parts cannot be merged

Cause: a number and a mapping for the merge "sum", or a sum beyond the largest float, raised an exception in the reducer and left the query open. Change: the query ends with COVERAGE_TOO_LOW and MALFORMED_ANSWER for the leafs. Conclusion: the three new cases raised before.

--- a/mimosapost/core/finish.py
+++ b/mimosapost/core/finish.py
@@ -119,7 +119,11 @@
         refuse_open(state, open_query, ResultCode.COVERAGE_TOO_LOW, now_us, effects)
         return
     merge = find_merge(open_query.service.merge)
-    result = msgspec.json.encode(merge.merge_parts(coverage.list_parts(), query.limit))
+    try:
+        result = msgspec.json.encode(merge.merge_parts(coverage.list_parts(), query.limit))
+    except (ValueError, OverflowError):
+        _refuse_parts(state, open_query, now_us, effects)
+        return
     if len(result) > open_query.service.max_answer_bytes:
         refuse_open(state, open_query, ResultCode.ANSWER_TOO_LARGE, now_us, effects)
         return
@@ -137,6 +141,19 @@
     _close(state, open_query, answer, now_us, effects)
 
 
+def _refuse_parts(state: State, open_query: OpenQuery, now_us: int, effects: Effects) -> None:
+    """Refuse a query whose parts are well formed one by one but cannot be merged."""
+    reason = MissingReason.MALFORMED_ANSWER
+    refused = tuple(MissingLeaf(leaf, reason) for leaf in open_query.coverage.list_covered())
+    answer = Answer(
+        ResultCode.COVERAGE_TOO_LOW,
+        get_run_state(open_query),
+        snapshot=open_query.plan.snapshot,
+        missing=refused + open_query.coverage.list_missing(),
+    )
+    _close(state, open_query, answer, now_us, effects)
+
+
 _NO_PART_CODES = {
     MissingReason.OUTCOME_UNKNOWN: ResultCode.OUTCOME_UNKNOWN,
     MissingReason.TIMED_OUT: ResultCode.DEADLINE_EXCEEDED,
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from mimosapost.core.tests.fleet import SERVICE
 from mimosapost.core.tests.solo import Solo
 from mimosapost.model import effects as fx
@@ -192,3 +194,18 @@
     solo.ask()
     second = solo.ask()
     assert solo.list_answers(second)[0].run is RunState.NOT_RUN
+
+
+@pytest.mark.parametrize(
+    ("merge", "parts"),
+    [("sum", (1, {"a": 1})), ("sum", (1e308, 1e308)), ("sum", ({"a": 1e308}, {"a": 1e308}))],
+)
+def test_parts_that_cannot_be_merged_end_the_query(merge, parts):
+    """Guards against an exception in the reducer from two answers that do not fit."""
+    solo = Solo(leafs=2, cold_limit=20, merge=merge)
+    number = solo.ask()
+    for send, items in zip(solo.list_open(), parts, strict=True):
+        solo.answer(send, items)
+    (answer,) = solo.list_answers(number)
+    assert answer.result is None
+    assert answer.run is RunState.RAN
