Compare the reachable coverage as a quotient

Cause: min_coverage times the number of leafs is rounded (0.07 * 100 is above 7), so a query could be refused early for a share that the final check takes. Change: both checks compare covered or reachable leafs divided by all leafs.

--- a/mimosapost/core/finish.py
+++ b/mimosapost/core/finish.py
@@ -50,9 +50,10 @@
         _answer(state, open_query, now_us, effects)
         return
     reachable = open_query.coverage.covered_count + open_query.open_leafs
-    wanted = open_query.query.min_coverage * len(open_query.plan.leafs)
+    # A quotient, as in the final check; 0.07 * 100 would be above 7.
+    share = reachable / len(open_query.plan.leafs)
     # Non-idempotent work goes on, because stopping it would only make its outcome unknown.
-    if reachable < wanted and open_query.query.repeatable:
+    if share < open_query.query.min_coverage and open_query.query.repeatable:
         refuse_open(state, open_query, ResultCode.COVERAGE_TOO_LOW, now_us, effects)
 
 
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -209,3 +209,15 @@
     (answer,) = solo.list_answers(number)
     assert answer.result is None
     assert answer.run is RunState.RAN
+
+
+def test_coverage_share_is_compared_without_rounding_error():
+    """Guards against an early refusal of a share that 0.07 * 100 rounds above 7."""
+    solo = Solo(leafs=100, slots=1, cold_limit=20)
+    number = solo.ask(min_coverage=0.07)
+    sends = solo.list_open()
+    for send in sends[:7]:
+        solo.answer(send)
+    for send in sends[7:]:
+        solo.fail(send, FailureKind.TOO_LARGE, RunState.RAN)
+    assert solo.list_answers(number)[0].code is ResultCode.PARTIAL
