Replan only where the deadline allows another fan-out

Cause: a 409 shortly before the deadline dropped all parts that were merged already, and the new plan had no time, so the answer covered nothing. Change: a replan needs the median time of a sub-answer before the deadline; otherwise the leaf is reported missing, as the design page says.

--- a/mimosapost/core/answers.py
+++ b/mimosapost/core/answers.py
@@ -84,7 +84,7 @@
     service = state.services.get(send.service)
     held = Snapshot(event.map_version, event.index_version)
     plan = None
-    if service is not None and open_query.query.repeatable:
+    if service is not None and open_query.query.repeatable and _has_time(state, send, event):
         plan = create_replan(open_query.plan, held, service.settings)
     if plan is not None:
         fanout.replan_query(state, open_query, service, plan, event.now_us, effects)
@@ -105,6 +105,12 @@
     finish.finish_if_done(state, open_query, event.now_us, effects)
 
 
+def _has_time(state: State, send: OpenSend, event: SendRejected) -> bool:
+    """Return whether a new plan can be answered; it drops the parts of the old one."""
+    expected_us = state.latency.get_median_us(send.service)
+    return event.now_us + expected_us <= send.deadline_us
+
+
 @handles(LoadReported)
 def handle_load_reported(state: State, event: LoadReported, effects: Effects) -> None:
     """Store a load report with its time; the choice of slots weighs it by age."""
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -221,3 +221,20 @@
     for send in sends[7:]:
         solo.fail(send, FailureKind.TOO_LARGE, RunState.RAN)
     assert solo.list_answers(number)[0].code is ResultCode.PARTIAL
+
+
+def test_replan_only_where_the_deadline_allows():
+    """Guards against a late replan that drops parts and leaves no time for new ones."""
+    solo = Solo(leafs=2, cold_limit=20)
+    for _ in range(30):
+        solo.ask()
+        for send in solo.list_open():
+            solo.now_us += 20_000
+            solo.answer(send)
+    number = solo.ask(deadline_us=400_000)
+    solo.tick(390_000, step_us=390_000)
+    first, second = solo.list_open()[:2]
+    solo.answer(first)
+    solo.give(ev.SendRejected, second.send_id, 1, 2, "boot")
+    solo.tick(20_000)
+    assert len(solo.list_answers(number)[0].covered) == 1
