--- a/mimosapost/core/answers.py
+++ b/mimosapost/core/answers.py
@@ -43,6 +43,12 @@
     answer = event.answer
     part = open_query.parts[send.leaf]
     snapshot = Snapshot(answer.map_version, answer.index_version)
+    if answer.request_id != fanout.create_request_id(state, send.send_id):
+        # A crossed answer tells nothing about the execution of this send.
+        kind, run = FailureKind.MALFORMED, RunState.UNKNOWN
+        open_query.unknown_sends += 1
+        retries.retry_leaf(state, open_query, part, kind, run, event.now_us, effects)
+        return
     open_query.ran = True
     fits = answer.leaf == send.leaf and snapshot == open_query.plan.snapshot
     if not fits or not find_merge(open_query.service.merge).check_part(answer.items):
--- a/mimosapost/core/fanout.py
+++ b/mimosapost/core/fanout.py
@@ -27,6 +27,7 @@
 from mimosapost.suspects.book import Standing
 
 __all__ = [
+    "create_request_id",
     "hedge_send",
     "pump_server",
     "pump_waiting",
@@ -296,13 +297,18 @@
         state.timers.add(now_us + delay_us, TimerKind.HEDGE, send_id)
 
 
+def create_request_id(state: State, send_id: int) -> str:
+    """Return the id of a send, unique over instances and their incarnations."""
+    return f"{state.identity.incarnation:x}-{send_id}"
+
+
 def _create_sub_request(
     state: State, open_query: OpenQuery, part: LeafPart, send_id: int, remaining_us: int
 ) -> SubRequest:
     query = open_query.query
     snapshot = open_query.plan.snapshot
     return SubRequest(
-        request_id=f"{state.identity.incarnation:x}-{send_id}",
+        request_id=create_request_id(state, send_id),
         service=query.service,
         leaf=part.settings.name,
         map_version=snapshot.map_version,
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -238,3 +238,12 @@
     solo.give(ev.SendRejected, second.send_id, 1, 2, "boot")
     solo.tick(20_000)
     assert len(solo.list_answers(number)[0].covered) == 1
+
+
+def test_answer_of_another_send_is_discarded():
+    """Guards against a crossed answer that fits by leaf and snapshot only."""
+    solo = Solo(leafs=1, slots=1, cold_limit=20)
+    number = solo.ask(deadline_us=300_000)
+    solo.answer(solo.list_open()[0], request_id="64-999")
+    solo.tick(400_000)
+    assert all(not answer.covered for answer in solo.list_answers(number))
