Forget servers and peers that are no longer in use

Change: housekeeping forgets a server that no service names once nothing is open at it; a reading of the instance list drops peers that are neither listed nor heard from.

--- a/mimosapost/core/configuration.py
+++ b/mimosapost/core/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from mimosapost.core import counters, finish
+from mimosapost.core import counters, failures, finish
 from mimosapost.core.registry import Effects, handles
 from mimosapost.core.state import (
     BUDGET_BURST,
@@ -85,11 +85,23 @@
         current = state.services.get(settings.name)
         if current is None or current.settings is not settings:
             _apply_service(state, team, settings)
+    _update_servers(state)
     state.callers = callers
     state.caller_digests = {caller.token_digest: caller for caller in callers.values()}
     _refresh_views(state)
 
 
+def _update_servers(state: State) -> None:
+    """Forget servers that no service names any more, unless they are still in use."""
+    published = frozenset(
+        address for service in state.services.values() for address in service.slots
+    )
+    for address in state.published_servers - published:
+        if address not in state.servers:
+            failures.forget_server(state, address)
+    state.published_servers = published
+
+
 def _refuse_queued(state: State, name: str, now_us: int, effects: Effects) -> None:
     """Refuse the queued queries of a removed service; its queue went with it."""
     for open_query in list(state.queries.values()):
@@ -161,6 +173,11 @@
     state.members.record_list(event.entries, event.now_us)
     for entry in event.entries:
         state.peer_addresses.setdefault(entry.name, entry.peer_address)
+    # Replaced instances have new names; addresses of gone ones would add up.
+    listed = {entry.name for entry in event.entries}
+    for name in state.peer_addresses.keys() - listed:
+        if state.members.find_name(name) is None:
+            del state.peer_addresses[name]
     leaving = frozenset(entry.peer_address for entry in event.entries if entry.leaving)
     if leaving != state.leaving_addresses:
         state.leaving_addresses = leaving
--- a/mimosapost/core/failures.py
+++ b/mimosapost/core/failures.py
@@ -10,7 +10,14 @@
 from mimosapost.model.events import ProbeAnswered, ProbeFailed, SendFailed
 from mimosapost.suspects.book import Standing
 
-__all__ = ["handle_probe_answered", "handle_probe_failed", "handle_send_failed", "probe_server"]
+__all__ = [
+    "forget_server",
+    "forget_unused",
+    "handle_probe_answered",
+    "handle_probe_failed",
+    "handle_send_failed",
+    "probe_server",
+]
 
 _PROBE_BACKOFF_US = 100_000
 _PROBE_BACKOFF_LIMIT_US = 2_000_000
@@ -106,6 +113,26 @@
     effects.append(OpenProbe(server.address))
 
 
+def forget_server(state: State, address: str) -> None:
+    """Forget a server that the configuration no longer names; if it returns, it is cold."""
+    state.servers.pop(address, None)
+    state.dirty_servers.discard(address)
+    state.warmup.forget(address)
+    state.silence.forget(address)
+
+
+def forget_unused(state: State, server: ServerState) -> bool:
+    """Forget a server without configuration, open sends, waiting leafs and probe.
+
+    :returns: whether it was forgotten.
+    """
+    in_use = server.sends or server.probing or server.crash_waiting or len(server.waiting)
+    if in_use or server.address in state.published_servers:
+        return False
+    forget_server(state, server.address)
+    return True
+
+
 @handles(ProbeAnswered)
 def handle_probe_answered(state: State, event: ProbeAnswered, effects: Effects) -> None:
     """End the outage of a server, and tell a restart from a broken connection."""
--- a/mimosapost/core/schedule.py
+++ b/mimosapost/core/schedule.py
@@ -99,6 +99,8 @@
     state.timers.add(now_us + state.policy.housekeeping_us, TimerKind.HOUSEKEEPING)
     peering.finish_join(state, now_us, effects)
     for server in list(state.servers.values()):
+        if failures.forget_unused(state, server):
+            continue
         if server.down and fanout.is_server_eligible(state, server):
             failures.probe_server(server, now_us, effects)
         if server.sends:
--- a/mimosapost/core/state.py
+++ b/mimosapost/core/state.py
@@ -204,6 +204,7 @@
     seed_peers: tuple[str, ...] = ()
     services: dict[str, ServiceState] = field(default_factory=dict)
     servers: dict[str, ServerState] = field(default_factory=dict)
+    published_servers: frozenset[str] = frozenset()
     callers: dict[str, CallerSettings] = field(default_factory=dict)
     caller_digests: dict[str, CallerSettings] = field(default_factory=dict)
     caller_open: dict[str, int] = field(default_factory=dict)
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -247,3 +247,19 @@
     solo.answer(solo.list_open()[0], request_id="64-999")
     solo.tick(400_000)
     assert all(not answer.covered for answer in solo.list_answers(number))
+
+
+def test_servers_and_peers_without_use_are_forgotten():
+    """Guards against memory that grows with replaced servers and instances."""
+    solo = Solo(leafs=1, cold_limit=20)
+    for version in range(2, 30):
+        leaf = solo.team.services[0].leafs[0]
+        slot = replace(leaf.slots[0], server=f"127.1.0.{version}:80")
+        solo.publish(solo.team, leafs=(replace(leaf, slots=(slot,)),), map_version=version)
+        solo.answer(solo.list_open()[0]) if solo.ask() else None
+        name, address = f"p{version}", f"127.9.1.{version}:9"
+        entry = ev.InstanceEntry(name, address, False)
+        solo.give(ev.InstancesListed, (entry,))
+        solo.tick(100_000)
+    assert len(solo.state.servers) <= 2
+    assert len(solo.state.peer_addresses) <= 2
