Return a server to cold when a refusal shows a new boot id

Cause: 409 and failed sends carry the boot id, but only answers passed it to the warm-up table, so a restarted server kept its full limit until its next answer (invariant 3). Change: both events record the boot id.

--- a/mimosapost/core/answers.py
+++ b/mimosapost/core/answers.py
@@ -83,6 +83,7 @@
     if send is None:
         return
     retries.record_alive(state.servers[send.slot.server], event.boot_id)
+    state.warmup.record_boot(send.slot.server, event.boot_id)
     open_query = state.queries.get(send.query_id)
     if open_query is None or send.wasted:
         return
--- a/mimosapost/core/failures.py
+++ b/mimosapost/core/failures.py
@@ -30,6 +30,7 @@
     if send is None:
         return
     server = state.servers[send.slot.server]
+    state.warmup.record_boot(server.address, event.boot_id)
     open_query = state.queries.get(send.query_id)
     if open_query is not None and event.run is RunState.UNKNOWN and not send.wasted:
         open_query.unknown_sends += 1
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -263,3 +263,17 @@
         solo.tick(100_000)
     assert len(solo.state.servers) <= 2
     assert len(solo.state.peer_addresses) <= 2
+
+
+def test_restart_seen_by_a_rejection_returns_the_server_to_cold():
+    """Guards against full load for a server whose restart only a refusal showed."""
+    solo = Solo(leafs=1, slots=1, cold_limit=2)
+    for _ in range(12):
+        solo.ask()
+        solo.answer(solo.list_open()[0])
+        solo.tick(100_000)
+    server = next(iter(solo.state.servers))
+    assert solo.state.warmup.get_limit(server, solo.now_us) > 2
+    solo.ask()
+    solo.give(ev.SendRejected, solo.list_open()[0].send_id, 1, 1, "other boot")
+    assert solo.state.warmup.get_limit(server, solo.now_us) == 2
