Compare the boot id of a probe with the one before the crash

Cause: an answer of the restarted server replaced the stored boot id before the answer to the probe came; the crash was then taken for a broken connection, and the requests in flight were not recorded as suspects. Change: the boot id is kept from the first broken connection on.

--- a/mimosapost/core/failures.py
+++ b/mimosapost/core/failures.py
@@ -86,6 +86,8 @@
     The requests in flight are not sent elsewhere before the probe ends: one of them may be
     what crashed the server, and a retry would take the next slot of the leaf.
     """
+    if not server.crash_fingerprints:
+        server.crash_boot_id = server.boot_id
     server.crash_fingerprints.add(send.fingerprint)
     server.crash_ran_alone = server.crash_ran_alone or send.suspect
     if not server.probing:
@@ -140,7 +142,9 @@
     server = fanout.get_server(state, event.server)
     server.probing = False
     state.silence.record_probe(server.address, True, event.now_us)
-    restarted = bool(server.boot_id) and server.boot_id != event.boot_id
+    # An answer of the restarted server may have come before the one to the probe.
+    before = server.crash_boot_id if server.crash_fingerprints else server.boot_id
+    restarted = bool(before) and before != event.boot_id
     if restarted:
         _confirm_crash(state, server, event.now_us, effects)
         state.warmup.record_refused(server.address, event.now_us)
--- a/mimosapost/core/state.py
+++ b/mimosapost/core/state.py
@@ -152,6 +152,7 @@
     probe_backoff_us: int = 0
     probing: bool = False
     crash_fingerprints: set[int] = field(default_factory=set)
+    crash_boot_id: str = ""
     crash_ran_alone: bool = False
     crash_waiting: list[tuple[int, str]] = field(default_factory=list)
     waiting: WaitingLeafs = field(default_factory=WaitingLeafs)
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -10,6 +10,7 @@
 from mimosapost.model import events as ev
 from mimosapost.model.codes import FailureKind, MissingReason, ResultCode, RunState
 from mimosapost.model.messages import SuspectNote
+from mimosapost.suspects.book import Standing
 
 
 def test_waiting_entries_do_not_multiply():
@@ -277,3 +278,16 @@
     solo.ask()
     solo.give(ev.SendRejected, solo.list_open()[0].send_id, 1, 1, "other boot")
     assert solo.state.warmup.get_limit(server, solo.now_us) == 2
+
+
+def test_restart_seen_before_the_probe_confirms_the_crash():
+    """Guards against a crash that is forgotten because an answer showed the new boot first."""
+    solo = Solo(leafs=1, slots=1, cold_limit=20)
+    solo.ask(fingerprint=1)
+    solo.answer(solo.list_open()[0])
+    solo.ask(fingerprint=7)
+    solo.fail(solo.list_open()[0])
+    solo.ask(fingerprint=2)
+    solo.answer(solo.list_open()[0], boot_id="next boot")
+    solo.give(ev.ProbeAnswered, next(iter(solo.state.servers)), "next boot")
+    assert solo.state.suspects.classify(7, solo.now_us) is Standing.SUSPECT
