Ignore peer messages that are nested too deeply

Cause: the decoder raises RecursionError, which was not caught, so a malformed ForwardAnswer ended the reducer. Change: it counts as malformed; the forwarded query ends at its deadline as "unknown".

--- a/mimosapost/core/forwarding.py
+++ b/mimosapost/core/forwarding.py
@@ -25,6 +25,8 @@
 
 # Time for the answer to travel back between regions before the caller's own deadline.
 _RETURN_MARGIN_US = 15_000
+# Deep nesting ends the decoder with a recursion error.
+_UNREADABLE = (msgspec.DecodeError, RecursionError)
 
 
 def forward_query(
@@ -86,7 +88,7 @@
         return None
     try:
         query = msgspec.json.decode(message.query, type=Query)
-    except (msgspec.ValidationError, msgspec.DecodeError):
+    except _UNREADABLE:
         return None
     query_id = state.next_internal_id
     state.next_internal_id -= 1
@@ -108,9 +110,9 @@
         return
     try:
         answer = msgspec.json.decode(message.answer, type=Answer)
-    except (msgspec.ValidationError, msgspec.DecodeError):
+        if answer.result is not None:
+            answer = replace(answer, result=msgspec.Raw(msgspec.json.encode(answer.result)))
+    except _UNREADABLE:
         return
-    if answer.result is not None:
-        answer = replace(answer, result=msgspec.Raw(msgspec.json.encode(answer.result)))
     del state.forwards[message.forward_id]
     finish.deliver(state, forwarded.query, answer, now_us, effects)
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -9,7 +9,7 @@
 from mimosapost.model import effects as fx
 from mimosapost.model import events as ev
 from mimosapost.model.codes import FailureKind, MissingReason, ResultCode, RunState
-from mimosapost.model.messages import SuspectNote
+from mimosapost.model.messages import ForwardAnswer, Hello, SuspectNote
 from mimosapost.suspects.book import Standing
 
 
@@ -280,6 +280,23 @@
     assert solo.state.warmup.get_limit(server, solo.now_us) == 2
 
 
+def test_malformed_forward_answer_is_ignored():
+    """Guards against a nested or broken peer answer that ends the reducer."""
+    solo = Solo(leafs=1)
+    peer = replace(solo.state.identity, name="i1", incarnation=7, seat=0)
+    solo.give(ev.PeerMessageArrived, "i1", Hello(1, peer))
+    number = solo.ask(repeatable=False, ticket=f"i1~{7:016x}~1~9~00")
+    assert number in solo.state.forwards
+    for text in (b"", b"[]", b'"\xff"', b'{"code":1}', b"[" * 9_000 + b"]" * 9_000):
+        for forward_id in (number, 999):
+            solo.give(ev.PeerMessageArrived, "i1", ForwardAnswer(forward_id, text))
+    nested = b'{"code":1000,"run":"ran","result":' + b"[" * 9_000 + b"]" * 9_000 + b"}"
+    solo.give(ev.PeerMessageArrived, "i1", ForwardAnswer(number, nested))
+    solo.tick(500_000)
+    (answer,) = solo.list_answers(number)
+    assert answer.run is RunState.UNKNOWN
+
+
 def test_restart_seen_before_the_probe_confirms_the_crash():
     """Guards against a crash that is forgotten because an answer showed the new boot first."""
     solo = Solo(leafs=1, slots=1, cold_limit=20)
