Drop a second copy of a forwarded query

Change: the issuer remembers peer, incarnation and number of a forward for four longest deadlines and drops copies.

--- a/mimosapost/core/forwarding.py
+++ b/mimosapost/core/forwarding.py
@@ -25,6 +25,8 @@
 
 # Time for the answer to travel back between regions before the caller's own deadline.
 _RETURN_MARGIN_US = 15_000
+# Forwards are remembered for this many longest deadlines; their queries ended long before.
+_SEEN_DEADLINES = 4
 # Deep nesting ends the decoder with a recursion error.
 _UNREADABLE = (msgspec.DecodeError, RecursionError)
 
@@ -90,6 +92,8 @@
         query = msgspec.json.decode(message.query, type=Query)
     except _UNREADABLE:
         return None
+    if _is_repeated(state, peer, message, now_us):
+        return None
     query_id = state.next_internal_id
     state.next_internal_id -= 1
     state.reply_to[query_id] = (peer, message.forward_id)
@@ -101,6 +105,23 @@
     )
 
 
+def _is_repeated(state: State, peer: str, message: Forward, now_us: int) -> bool:
+    """Return whether a forward is a second copy of one that was taken.
+
+    The first copy may have been refused as "not run", which made its ticket usable again.
+    """
+    seen = state.forwards_seen
+    while seen and next(iter(seen.values())) <= now_us:
+        del seen[next(iter(seen))]
+    member = state.members.find_name(peer)
+    identity = member.identity if member is not None else None
+    key = (peer, identity.incarnation if identity else 0, message.forward_id)
+    if key in seen:
+        return True
+    seen[key] = now_us + _SEEN_DEADLINES * state.policy.max_deadline_us
+    return False
+
+
 def read_forward_answer(
     state: State, peer: str, message: ForwardAnswer, now_us: int, effects: Effects
 ) -> None:
--- a/mimosapost/core/state.py
+++ b/mimosapost/core/state.py
@@ -212,6 +212,7 @@
     queries: dict[int, OpenQuery] = field(default_factory=dict)
     sends: dict[int, OpenSend] = field(default_factory=dict)
     forwards: dict[int, ForwardedQuery] = field(default_factory=dict)
+    forwards_seen: dict[tuple[str, int, int], int] = field(default_factory=dict)
     tickets_running: dict[int, int] = field(default_factory=dict)
     joined_to: dict[int, int] = field(default_factory=dict)
     reply_to: dict[int, tuple[str, int]] = field(default_factory=dict)
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -2,14 +2,16 @@
 
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from mimosapost.core.tests.fleet import SERVICE
 from mimosapost.core.tests.solo import Solo
 from mimosapost.model import effects as fx
 from mimosapost.model import events as ev
-from mimosapost.model.codes import FailureKind, MissingReason, ResultCode, RunState
-from mimosapost.model.messages import ForwardAnswer, Hello, SuspectNote
+from mimosapost.model.codes import FailureKind, MissingReason, Priority, ResultCode, RunState
+from mimosapost.model.messages import Forward, ForwardAnswer, Hello, SuspectNote
+from mimosapost.model.queries import Query
 from mimosapost.suspects.book import Standing
 
 
@@ -297,6 +299,24 @@
     assert answer.run is RunState.UNKNOWN
 
 
+def test_doubled_forward_does_not_run_after_a_refusal():
+    """Guards against a second copy of a forward that runs after the first was "not run"."""
+    solo = Solo(leafs=1, slots=1, concurrency=1, queue_limit=0)
+    peer = replace(solo.state.identity, name="i1", incarnation=7, seat=0)
+    solo.give(ev.PeerMessageArrived, "i1", Hello(1, peer))
+    solo.ask(fingerprint=1)
+    query = Query(
+        5, SERVICE, "school", {}, 7, Priority.NORMAL, 0, False, ticket=solo.get_ticket()
+    )
+    message = Forward(5, 100, msgspec.json.encode(query), 400_000)
+    solo.give(ev.PeerMessageArrived, "i1", message)
+    replies = [e.message for e in solo.effects if isinstance(e, fx.SendPeer)]
+    assert b'"not_run"' in replies[-1].answer
+    solo.answer(solo.list_open()[0])
+    solo.give(ev.PeerMessageArrived, "i1", message)
+    assert not solo.list_open()
+
+
 def test_restart_seen_before_the_probe_confirms_the_crash():
     """Guards against a crash that is forgotten because an answer showed the new boot first."""
     solo = Solo(leafs=1, slots=1, cold_limit=20)
