Shorten deadlines to the longest one that leases count on

Cause: a service may publish max_deadline_ms up to 60 s, while a lapsed share is reused after lease and 2 s (Policy.max_deadline_us); a send could outlive that time, and two instances could use one share (invariant 3). Change: the reducer shortens a longer deadline.

--- a/mimosapost/core/admission.py
+++ b/mimosapost/core/admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from mimosapost.core import fanout, finish, forwarding
 from mimosapost.core.registry import Effects, handles
 from mimosapost.core.state import OpenQuery, ServiceState, State
@@ -38,6 +40,10 @@
 
     :param query: query of an authenticated caller, or one that a peer forwarded.
     """
+    latest_us = now_us + state.policy.max_deadline_us
+    if query.deadline_us > latest_us:
+        # Leases count on it that no send is in flight for longer.
+        query = replace(query, deadline_us=latest_us)
     service = state.services.get(query.service)
     refusal = _check_query(state, query, service, now_us)
     if refusal is not None:
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -328,3 +328,11 @@
     solo.answer(solo.list_open()[0], boot_id="next boot")
     solo.give(ev.ProbeAnswered, next(iter(solo.state.servers)), "next boot")
     assert solo.state.suspects.classify(7, solo.now_us) is Standing.SUSPECT
+
+
+def test_deadline_beyond_the_leases_is_shortened():
+    """Guards against a send that outlives the time after which its share is reused."""
+    solo = Solo(leafs=1)
+    solo.ask(deadline_us=60_000_000)
+    (send,) = solo.list_open()
+    assert send.deadline_us <= solo.now_us + solo.state.policy.max_deadline_us
