--- a/mimosapost/core/configuration.py
+++ b/mimosapost/core/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from mimosapost.core import counters
+from mimosapost.core import counters, failures, finish
 from mimosapost.core.registry import Effects, handles
 from mimosapost.core.state import (
     BUDGET_BURST,
@@ -16,6 +16,7 @@
 from mimosapost.limits.budgets import Budget
 from mimosapost.membership.configs import Accepted, Refused
 from mimosapost.membership.exchange import Outcome
+from mimosapost.model.codes import ResultCode
 from mimosapost.model.effects import Count, WriteLog
 from mimosapost.model.events import ConfigRead, InstancesListed
 from mimosapost.model.published import CallerSettings, FleetTree, ServiceSettings, TeamTree
@@ -40,7 +41,7 @@
         case Accepted(tree=FleetTree() as fleet):
             _apply_fleet(state, fleet, now_us)
         case Accepted(tree=TeamTree() as tree):
-            _apply_team(state, tree)
+            _apply_team(state, tree, now_us, effects)
         case Refused(faults=faults, repeated=False):
             text = "; ".join(str(fault) for fault in faults[:5])
             effects.append(
@@ -63,7 +64,7 @@
     _refresh_views(state)
 
 
-def _apply_team(state: State, tree: TeamTree) -> None:
+def _apply_team(state: State, tree: TeamTree, now_us: int, effects: Effects) -> None:
     """Put a team's subtree in force.
 
     A service or caller name that several teams publish belongs to the team whose name sorts
@@ -79,15 +80,35 @@
             callers.setdefault(caller.name, caller)
     for name in state.services.keys() - services.keys():
         del state.services[name]
+        _refuse_queued(state, name, now_us, effects)
     for team, settings in services.values():
         current = state.services.get(settings.name)
         if current is None or current.settings is not settings:
             _apply_service(state, team, settings)
+    _update_servers(state)
     state.callers = callers
     state.caller_digests = {caller.token_digest: caller for caller in callers.values()}
     _refresh_views(state)
 
 
+def _update_servers(state: State) -> None:
+    """Forget servers that no service names any more, unless they are still in use."""
+    published = frozenset(
+        address for service in state.services.values() for address in service.slots
+    )
+    for address in state.published_servers - published:
+        if address not in state.servers:
+            failures.forget_server(state, address)
+    state.published_servers = published
+
+
+def _refuse_queued(state: State, name: str, now_us: int, effects: Effects) -> None:
+    """Refuse the queued queries of a removed service; its queue went with it."""
+    for open_query in list(state.queries.values()):
+        if open_query.query.service == name and open_query.plan is None:
+            finish.refuse_open(state, open_query, ResultCode.UNKNOWN_SERVICE, now_us, effects)
+
+
 def _apply_service(state: State, team: str, settings: ServiceSettings) -> None:
     slots = {slot.server: slot for leaf in settings.leafs for slot in leaf.slots}
     # Probes open connections outside the pool; without room for them a server whose
@@ -104,7 +125,13 @@
     current = state.services.get(settings.name)
     if current is not None:
         current.team, current.settings, current.slots = team, settings, slots
+        current.queue.set_limit(settings.queue_limit)
         return
+    # Queries of a service that was removed for a while may still run.
+    running = sum(
+        open_query.plan is not None and open_query.query.service == settings.name
+        for open_query in state.queries.values()
+    )
     state.services[settings.name] = ServiceState(
         team,
         settings,
@@ -113,11 +140,23 @@
         AdmissionQueue(settings.queue_limit),
         Budget(HEDGE_BUDGET_RATIO, BUDGET_BURST),
         Budget(RETRY_BUDGET_RATIO, BUDGET_BURST),
+        running,
     )
 
 
 def _refresh_views(state: State) -> None:
     """Recompute who may get new work; servers of a returning domain start cold."""
+    # Two slots may name one server, which leaves if any of them is marked.
+    leaving = {
+        team: state.leaving_addresses.union(
+            slot.server
+            for service in tree.services
+            for leaf in service.leafs
+            for slot in leaf.slots
+            if slot.leaving
+        )
+        for team, tree in state.teams.items()
+    }
     for service in state.services.values():
         team_out = state.teams[service.team].domains_out
         domains_out = state.fleet_domains_out.union(team_out)
@@ -125,7 +164,7 @@
         for server, slot in service.slots.items():
             if slot.domain in returned:
                 state.warmup.reset(server)
-        service.view = EligibilityView(domains_out, state.leaving_addresses)
+        service.view = EligibilityView(domains_out, leaving[service.team])
 
 
 @handles(InstancesListed)
@@ -134,6 +173,11 @@
     state.members.record_list(event.entries, event.now_us)
     for entry in event.entries:
         state.peer_addresses.setdefault(entry.name, entry.peer_address)
+    # Replaced instances have new names; addresses of gone ones would add up.
+    listed = {entry.name for entry in event.entries}
+    for name in state.peer_addresses.keys() - listed:
+        if state.members.find_name(name) is None:
+            del state.peer_addresses[name]
     leaving = frozenset(entry.peer_address for entry in event.entries if entry.leaving)
     if leaving != state.leaving_addresses:
         state.leaving_addresses = leaving
--- a/mimosapost/core/failures.py
+++ b/mimosapost/core/failures.py
@@ -12,6 +12,8 @@
 from mimosapost.suspects.book import Standing
 
 __all__ = [
+    "forget_server",
+    "forget_unused",
     "handle_probe_answered",
     "handle_probe_failed",
     "handle_send_failed",
@@ -30,6 +32,7 @@
     if send is None:
         return
     server = state.servers[send.slot.server]
+    state.warmup.record_boot(server.address, event.boot_id)
     open_query = state.queries.get(send.query_id)
     if open_query is not None and event.run is RunState.UNKNOWN and not send.wasted:
         open_query.unknown_sends += 1
@@ -85,6 +88,8 @@
     The requests in flight are not sent elsewhere before the probe ends: one of them may be
     what crashed the server, and a retry would take the next slot of the leaf.
     """
+    if not server.crash_fingerprints:
+        server.crash_boot_id = server.boot_id
     server.crash_fingerprints.add(send.fingerprint)
     server.crash_ran_alone = server.crash_ran_alone or send.suspect
     if not server.probing:
@@ -113,13 +118,35 @@
     effects.append(OpenProbe(server.address))
 
 
+def forget_server(state: State, address: str) -> None:
+    """Forget a server that the configuration no longer names; if it returns, it is cold."""
+    state.servers.pop(address, None)
+    state.dirty_servers.discard(address)
+    state.warmup.forget(address)
+    state.silence.forget(address)
+
+
+def forget_unused(state: State, server: ServerState) -> bool:
+    """Forget a server without configuration, open sends, waiting leafs and probe.
+
+    :returns: whether it was forgotten.
+    """
+    in_use = server.sends or server.probing or server.crash_waiting or len(server.waiting)
+    if in_use or server.address in state.published_servers:
+        return False
+    forget_server(state, server.address)
+    return True
+
+
 @handles(ProbeAnswered)
 def handle_probe_answered(state: State, event: ProbeAnswered, effects: Effects) -> None:
     """End the outage of a server, and tell a restart from a broken connection."""
     server = fanout.get_server(state, event.server)
     server.probing = False
     state.silence.record_probe(server.address, True, event.now_us)
-    restarted = bool(server.boot_id) and server.boot_id != event.boot_id
+    # An answer of the restarted server may have come before the one to the probe.
+    before = server.crash_boot_id if server.crash_fingerprints else server.boot_id
+    restarted = bool(before) and before != event.boot_id
     if restarted:
         _confirm_crash(state, server, event.now_us, effects)
         state.warmup.record_refused(server.address, event.now_us)
--- a/mimosapost/core/finish.py
+++ b/mimosapost/core/finish.py
@@ -15,7 +15,15 @@
 from mimosapost.model.messages import ForwardAnswer
 from mimosapost.model.queries import Answer, MissingLeaf, Query
 
-__all__ = ["deliver", "finish_at_deadline", "finish_if_done", "refuse", "refuse_open"]
+__all__ = [
+    "deliver",
+    "expire_joined",
+    "finish_at_deadline",
+    "finish_if_done",
+    "refuse",
+    "refuse_open",
+    "take_joined",
+]
 
 
 def refuse(state: State, query: Query, code: ResultCode, now_us: int, effects: Effects) -> None:
@@ -42,9 +50,10 @@
         _answer(state, open_query, now_us, effects)
         return
     reachable = open_query.coverage.covered_count + open_query.open_leafs
-    wanted = open_query.query.min_coverage * len(open_query.plan.leafs)
+    # A quotient, as in the final check; 0.07 * 100 would be above 7.
+    share = reachable / len(open_query.plan.leafs)
     # Non-idempotent work goes on, because stopping it would only make its outcome unknown.
-    if reachable < wanted and open_query.query.repeatable:
+    if share < open_query.query.min_coverage and open_query.query.repeatable:
         refuse_open(state, open_query, ResultCode.COVERAGE_TOO_LOW, now_us, effects)
 
 
@@ -62,6 +71,23 @@
     _answer(state, open_query, now_us, effects)
 
 
+def take_joined(state: State, query_id: int) -> Query | None:
+    """Remove a query that waits for the answer of a running attempt with its ticket.
+
+    :returns: the query, or ``None`` if it waits for none.
+    """
+    running_id = state.joined_to.pop(query_id, None)
+    return None if running_id is None else state.queries[running_id].joined.pop(query_id)
+
+
+def expire_joined(state: State, query_id: int, now_us: int, effects: Effects) -> None:
+    """Answer a joined query whose own deadline comes before the end of the running one."""
+    query = take_joined(state, query_id)
+    if query is not None:
+        answer = Answer(ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN)
+        deliver(state, query, answer, now_us, effects)
+
+
 def _explain_open_part(open_query: OpenQuery, part: parts.LeafPart) -> MissingReason:
     if part.waiting and not part.open_sends:
         return MissingReason.LIMIT_REACHED
@@ -94,7 +120,11 @@
         refuse_open(state, open_query, ResultCode.COVERAGE_TOO_LOW, now_us, effects)
         return
     merge = find_merge(open_query.service.merge)
-    result = msgspec.json.encode(merge.merge_parts(coverage.list_parts(), query.limit))
+    try:
+        result = msgspec.json.encode(merge.merge_parts(coverage.list_parts(), query.limit))
+    except (ValueError, OverflowError):
+        _refuse_parts(state, open_query, now_us, effects)
+        return
     if len(result) > open_query.service.max_answer_bytes:
         refuse_open(state, open_query, ResultCode.ANSWER_TOO_LARGE, now_us, effects)
         return
@@ -112,6 +142,19 @@
     _close(state, open_query, answer, now_us, effects)
 
 
+def _refuse_parts(state: State, open_query: OpenQuery, now_us: int, effects: Effects) -> None:
+    """Refuse a query whose parts are well formed one by one but cannot be merged."""
+    reason = MissingReason.MALFORMED_ANSWER
+    refused = tuple(MissingLeaf(leaf, reason) for leaf in open_query.coverage.list_covered())
+    answer = Answer(
+        ResultCode.COVERAGE_TOO_LOW,
+        get_run_state(open_query),
+        snapshot=open_query.plan.snapshot,
+        missing=refused + open_query.coverage.list_missing(),
+    )
+    _close(state, open_query, answer, now_us, effects)
+
+
 _NO_PART_CODES = {
     MissingReason.OUTCOME_UNKNOWN: ResultCode.OUTCOME_UNKNOWN,
     MissingReason.TIMED_OUT: ResultCode.DEADLINE_EXCEEDED,
@@ -149,7 +192,8 @@
     if open_query.ticket_number:
         _close_ticket(state, open_query, answer)
     deliver(state, query, answer, now_us, effects)
-    for joined in open_query.joined:
+    for joined in open_query.joined.values():
+        del state.joined_to[joined.query_id]
         deliver(state, joined, answer, now_us, effects)
 
 
--- a/mimosapost/core/state.py
+++ b/mimosapost/core/state.py
@@ -95,8 +95,10 @@
     """Progress of one leaf of an open query."""
 
     settings: LeafSettings
+    entry: tuple[int, str]
     done: bool = False
     waiting: bool = False
+    waiting_at: list[str] = field(default_factory=list)
     attempts: int = 0
     hedges: int = 0
     open_sends: list[int] = field(default_factory=list)
@@ -119,7 +121,7 @@
     ticket_number: int = 0
     ran: bool = False
     unknown_sends: int = 0
-    joined: list[Query] = field(default_factory=list)
+    joined: dict[int, Query] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -157,6 +159,7 @@
     probe_backoff_us: int = 0
     probing: bool = False
     crash_fingerprints: set[int] = field(default_factory=set)
+    crash_boot_id: str = ""
     crash_ran_alone: bool = False
     crash_waiting: list[tuple[int, str]] = field(default_factory=list)
     waiting: WaitingLeafs = field(default_factory=WaitingLeafs)
@@ -209,13 +212,16 @@
     seed_peers: tuple[str, ...] = ()
     services: dict[str, ServiceState] = field(default_factory=dict)
     servers: dict[str, ServerState] = field(default_factory=dict)
+    published_servers: frozenset[str] = frozenset()
     callers: dict[str, CallerSettings] = field(default_factory=dict)
     caller_digests: dict[str, CallerSettings] = field(default_factory=dict)
     caller_open: dict[str, int] = field(default_factory=dict)
     queries: dict[int, OpenQuery] = field(default_factory=dict)
     sends: dict[int, OpenSend] = field(default_factory=dict)
     forwards: dict[int, ForwardedQuery] = field(default_factory=dict)
+    forwards_seen: dict[tuple[str, int, int], int] = field(default_factory=dict)
     tickets_running: dict[int, int] = field(default_factory=dict)
+    joined_to: dict[int, int] = field(default_factory=dict)
     reply_to: dict[int, tuple[str, int]] = field(default_factory=dict)
     leaving_addresses: frozenset[str] = frozenset()
     regions: dict[str, str] = field(default_factory=dict)
