Trace forwarded queries and survive an event that fails

Cause: the hop between instances had no span; an exception in the reducer would have ended in a socket callback. Change: ForwardSpans opens and ends the span; a failed event is logged and counted as failed_events on the status page, and the socket tests require it to be 0.

--- a/mimosapost/edge/instance.py
+++ b/mimosapost/edge/instance.py
@@ -23,6 +23,7 @@
 from mimosapost.edge.operators import OperatorServer
 from mimosapost.edge.peers import PeerLinks
 from mimosapost.edge.platform import HttpConfigSource, HttpInstanceSource, PlatformReader
+from mimosapost.edge.spans import ForwardSpans
 from mimosapost.edge.traces import Traces, open_trace_stream
 from mimosapost.merging import list_merges
 from mimosapost.model.effects import (
@@ -90,10 +91,12 @@
         self._reducing = False
         self._timer = None
         self._served = asyncio.Event()
+        self.failed_events = 0
         self.metrics = Metrics()
         self._logs = Logs()
         stream = open_trace_stream(settings.trace_export)
         self._traces = Traces(stream, _TRACE_RATIO if stream else 0.0)
+        self._spans = ForwardSpans(self._traces)
         self._executors: dict[type[Effect], Callable] = {}
 
     @property
@@ -127,7 +130,7 @@
             Count: self.metrics.execute,
             EmitSend: backends.execute,
             OpenProbe: backends.execute,
-            SendPeer: peers.send,
+            SendPeer: lambda effect: self._send_peer(peers, effect),
             StopServing: self._stop_serving,
             WakeAt: self._wake_at,
             WriteLog: self._logs.execute,
@@ -180,6 +183,7 @@
         return OperatorServer(
             lambda: {
                 **describe_state(self._state, read_clock_us()),
+                "failed_events": self.failed_events,
                 "peer_links": peers.describe(),
                 "platform": platform.describe(),
             },
@@ -226,14 +230,29 @@
         self._reducing = True
         try:
             while self._events:
-                self._execute(reduce(self._state, self._events.popleft()))
+                self._handle_one(self._events.popleft())
         finally:
             self._reducing = False
 
+    def _handle_one(self, event: Event) -> None:
+        self._spans.record_event(event)
+        try:
+            self._execute(reduce(self._state, event))
+        except Exception as error:
+            # One event that fails must not end the service of all callers.
+            self.failed_events += 1
+            self._logs.write(
+                "event_failed", {"event_type": type(event).__name__, "error": repr(error)}
+            )
+
     def _execute(self, effects: list[Effect]) -> None:
         for effect in effects:
             self._executors[type(effect)](effect)
 
+    def _send_peer(self, peers: PeerLinks, effect: SendPeer) -> None:
+        self._spans.record_effect(effect)
+        peers.send(effect)
+
     def _wake_at(self, effect: WakeAt) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/mimosapost/edge/tests/test_instance.py
+++ b/mimosapost/edge/tests/test_instance.py
@@ -81,6 +81,7 @@
             while not all(i.is_ready() for i in instances):
                 await asyncio.sleep(0.02)
             yield backends, platform, instances, session
+            assert [i.failed_events for i in instances] == [0] * count
         finally:
             for instance in instances:
                 await instance.stop()
--- /dev/null
+++ b/mimosapost/edge/tests/test_spans.py
@@ -0,0 +1,36 @@
+"""Spans of forwarded queries."""
+
+import io
+
+import msgspec
+import pytest
+
+from mimosapost.edge.spans import ForwardSpans
+from mimosapost.edge.traces import Traces
+from mimosapost.model.effects import SendPeer
+from mimosapost.model.events import PeerLost, PeerMessageArrived
+from mimosapost.model.messages import Forward, ForwardAnswer
+
+PARENT = "00-" + "a" * 32 + "-" + "b" * 16 + "-01"
+
+
+@pytest.mark.parametrize(
+    ("event", "outcome"),
+    [
+        (PeerMessageArrived(0, "entry-1", ForwardAnswer(7, b"{}")), "answered"),
+        (PeerLost(0, "entry-1"), "lost"),
+        (PeerLost(0, "entry-2"), None),
+        (PeerMessageArrived(0, "entry-1", ForwardAnswer(8, b"{}")), None),
+    ],
+)
+def test_forward_span_ends_once_with_its_outcome(event, outcome):
+    """Guards against a hop without a span, and a span that another answer ends."""
+    stream = io.StringIO()
+    spans = ForwardSpans(Traces(stream, 1.0))
+    query = msgspec.json.encode({"traceparent": PARENT, "service": "fitting"})
+    spans.record_effect(SendPeer("entry-1", "127.0.0.1:1", Forward(7, 1, query, 1_000)))
+    spans.record_event(event)
+    spans.record_event(event)
+    lines = [msgspec.json.decode(line) for line in stream.getvalue().splitlines()]
+    assert [line["attributes"]["outcome"] for line in lines] == ([outcome] if outcome else [])
+    assert all((line["name"], line["parent_id"]) == ("forward", "b" * 16) for line in lines)
