Check large subtrees in a thread and count nesting exactly

A body with 33 nested lists passed the bound of 32, because an empty innermost list was not counted. Change: SubtreeChecker checks texts above 16 KB in a thread and remembers the result for the reducer; the nesting check counts containers.

--- a/mimosapost/edge/instance.py
+++ b/mimosapost/edge/instance.py
@@ -7,6 +7,7 @@
 import secrets
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 import aiohttp
@@ -17,6 +18,7 @@
 from mimosapost.core.status import describe_state
 from mimosapost.edge.backends import BackendClient
 from mimosapost.edge.callers import CallerServer
+from mimosapost.edge.checking import SubtreeChecker
 from mimosapost.edge.clock import read_clock_us
 from mimosapost.edge.logs import Logs
 from mimosapost.edge.metrics import Metrics
@@ -77,9 +79,12 @@
             settings.region,
             settings.peer_address,
         )
+        self._checker = SubtreeChecker(
+            lambda team, text: check_subtree(team, text, list_merges())
+        )
         self._state = create_state(
             self._identity,
-            lambda team, text: check_subtree(team, text, list_merges()),
+            self._checker.check,
             secrets.token_bytes(32),
             secrets.randbits(63),
             read_clock_us(),
@@ -224,6 +229,18 @@
 
     def handle(self, event: Event) -> None:
         """Reduce an event and execute its effects; events that arrive meanwhile follow."""
+        found = self._checker.find_text(event)
+        if found is not None:
+            self.add_future(self._handle_checked(event, *found))
+            return
+        self._add_event(event)
+
+    async def _handle_checked(self, event: Event, team: str, text: bytes) -> None:
+        await self._checker.prepare(team, text)
+        # The time of the event is that of its reduction; time must not go back.
+        self._add_event(replace(event, now_us=read_clock_us()))
+
+    def _add_event(self, event: Event) -> None:
         self._events.append(event)
         if self._reducing:
             return
--- a/mimosapost/edge/wire.py
+++ b/mimosapost/edge/wire.py
@@ -98,14 +98,12 @@
 
 
 def _check_nesting(value: Any) -> None:
-    level = [value]
-    for _ in range(MAX_NESTING + 1):
+    level = [value] if isinstance(value, dict | list) else []
+    for _ in range(MAX_NESTING):
         deeper: list[Any] = []
-        for item in level:
-            if isinstance(item, dict):
-                deeper.extend(item.values())
-            elif isinstance(item, list):
-                deeper.extend(item)
+        for container in level:
+            inner = container.values() if isinstance(container, dict) else container
+            deeper.extend(item for item in inner if isinstance(item, dict | list))
         if not deeper:
             return
         level = deeper
