Retry a leaf only when it does not wait already

Cause: a leaf of a replanned query waited for a server that was down; the end of the probe retried the leaf of the old plan by its name and then served the queue, so the leaf was sent twice. Change: retry_leaf leaves a waiting leaf to its queue.

--- a/mimosapost/core/retries.py
+++ b/mimosapost/core/retries.py
@@ -84,7 +84,7 @@
         parts.set_missing(
             state, open_query, part, MissingReason.OUTCOME_UNKNOWN if unknown else reason
         )
-    elif not part.open_sends:
+    elif not part.open_sends and not part.waiting:
         _retry_or_give_up(state, open_query, part, reason, now_us, effects)
     finish.finish_if_done(state, open_query, now_us, effects)
 
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -336,3 +336,17 @@
     solo.ask(deadline_us=60_000_000)
     (send,) = solo.list_open()
     assert send.deadline_us <= solo.now_us + solo.state.policy.max_deadline_us
+
+
+def test_leaf_that_waits_after_a_replan_is_sent_once():
+    """Guards against a doubled send when a probe ends while the replanned leaf waits."""
+    solo = Solo(leafs=2, slots=1, cold_limit=20)
+    solo.ask()
+    first, second = solo.list_open()
+    solo.fail(first)
+    solo.ask(fingerprint=8)
+    solo.fail(solo.list_open()[1], FailureKind.REFUSED, RunState.NOT_RUN)
+    solo.give(ev.SendRejected, second.send_id, 1, 2, "boot")
+    solo.give(ev.ProbeAnswered, first.server, "boot")
+    versions = [(s.request.leaf, s.request.index_version) for s in solo.list_open()]
+    assert versions.count(("leaf0", 2)) == 1
