Give an instance above a lowered ceiling no allowance

Cause: a fleet subtree whose instance_ceiling is not above the instance's seat raised ValueError in the reducer after the subtree was accepted. Change: the instance logs seat_above_ceiling, is not ready and has no allowance until a later subtree raises the ceiling.

--- a/mimosapost/core/configuration.py
+++ b/mimosapost/core/configuration.py
@@ -14,6 +14,7 @@
 )
 from mimosapost.limits.admission import AdmissionQueue
 from mimosapost.limits.budgets import Budget
+from mimosapost.limits.leases import LeaseTable
 from mimosapost.membership.configs import Accepted, Refused
 from mimosapost.membership.exchange import Outcome
 from mimosapost.model.codes import ResultCode
@@ -22,6 +23,8 @@
 from mimosapost.model.published import CallerSettings, FleetTree, ServiceSettings, TeamTree
 from mimosapost.routing.eligibility import EligibilityView
 
+_NEVER_US = 1 << 60
+
 __all__ = ["apply_outcome", "handle_config_read", "handle_instances_listed"]
 
 
@@ -39,7 +42,7 @@
         effects.append(WriteLog("seat_held_twice", (("seat", outcome.duplicate.seat),)))
     match outcome.offered:
         case Accepted(tree=FleetTree() as fleet):
-            _apply_fleet(state, fleet, now_us)
+            _apply_fleet(state, fleet, now_us, effects)
         case Accepted(tree=TeamTree() as tree):
             _apply_team(state, tree, now_us, effects)
         case Refused(faults=faults, repeated=False):
@@ -55,15 +58,25 @@
     effects.append(Count(counters.CONFIG_ACCEPTED))
 
 
-def _apply_fleet(state: State, fleet: FleetTree, now_us: int) -> None:
+def _apply_fleet(state: State, fleet: FleetTree, now_us: int, effects: Effects) -> None:
     state.regions = dict(fleet.regions)
     state.fleet_domains_out = frozenset(fleet.domains_out)
     if fleet.instance_ceiling != state.ceiling:
         state.ceiling = fleet.instance_ceiling
-        state.leases = create_leases(state.identity, state.ceiling, now_us, state.policy)
+        state.leases = _replace_leases(state, now_us, effects)
     _refresh_views(state)
 
 
+def _replace_leases(state: State, now_us: int, effects: Effects) -> LeaseTable:
+    seat = state.identity.seat
+    if seat < state.ceiling:
+        return create_leases(state.identity, state.ceiling, now_us, state.policy)
+    # All shares belong to other seats now. A table that never starts gives no allowance, and
+    # the instance is not ready.
+    effects.append(WriteLog("seat_above_ceiling", (("seat", seat),)))
+    return create_leases(state.identity, seat + 1, now_us + _NEVER_US, state.policy)
+
+
 def _apply_team(state: State, tree: TeamTree, now_us: int, effects: Effects) -> None:
     """Put a team's subtree in force.
 
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from mimosapost.core.tests.fleet import SERVICE
+from mimosapost.core.tests.fleet import SERVICE, encode
 from mimosapost.core.tests.solo import Solo
 from mimosapost.model import effects as fx
 from mimosapost.model import events as ev
@@ -350,3 +350,20 @@
     solo.give(ev.ProbeAnswered, first.server, "boot")
     versions = [(s.request.leaf, s.request.index_version) for s in solo.list_open()]
     assert versions.count(("leaf0", 2)) == 1
+
+
+def test_instance_above_the_ceiling_does_no_work():
+    """Guards against an error in the reducer, and work without a share of the limits."""
+    solo = Solo(leafs=1, cold_limit=20)
+    fleet = solo.state.configs.get_fleet()
+    solo.state.identity = replace(solo.state.identity, seat=3)
+    for version, ceiling, sends in ((2, 2, 0), (3, 4, 1)):
+        tree = replace(fleet, version=version, instance_ceiling=ceiling)
+        solo.give(ev.ConfigRead, "fleet", version, encode(tree))
+        solo.tick(10_000_000)
+        number = solo.ask()
+        assert len(solo.list_open()) == sends
+        assert solo.state.is_ready(solo.now_us) is bool(sends)
+        solo.tick(500_000)
+        if not sends:
+            assert solo.list_answers(number)[0].run is RunState.NOT_RUN
