State that the result is missing when a stored result was dropped

Cause: a request sent again after its stored result was dropped got the code COMPLETE or PARTIAL without result and coverage; answers without any result were rewritten too. Change: such an answer has the code ANSWER_TOO_LARGE with run "ran", and answers without result are kept as they are.

--- a/mimosapost/once/tests/test_tickets.py
+++ b/mimosapost/once/tests/test_tickets.py
@@ -108,10 +108,20 @@
     first, second = (book.begin(text, "desk", 5, 0) for text in texts)
     assert (first.state, first.answer.run) == (TicketState.FINISHED, RunState.RAN)
     assert first.answer.result is None
+    assert first.answer.code is ResultCode.ANSWER_TOO_LARGE, "a result code without result"
     assert first.answer.detail
     assert second.answer == RAN
 
 
+def test_answer_without_result_keeps_its_code():
+    """Guards against a stored refusal that is changed although it takes no room."""
+    book = create_book(result_capacity_bytes=1)
+    text = book.issue("desk", 0)
+    refusal = Answer(ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN)
+    book.finish(book.begin(text, "desk", 5, 0).number, refusal)
+    assert book.begin(text, "desk", 5, 0).answer == refusal
+
+
 def test_unknown_numbers_are_ignored():
     """Guards against an error for a ticket that was dropped while its request ran."""
     book = create_book()
--- a/mimosapost/once/tickets.py
+++ b/mimosapost/once/tickets.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from mimosapost.model.codes import ResultCode
 from mimosapost.model.queries import Answer
 
 __all__ = ["Ticket", "TicketBook", "TicketDecision", "TicketState", "parse_ticket"]
@@ -206,7 +207,8 @@
             return
         entry.running = False
         entry.answer = answer
-        entry.result_bytes = len(msgspec.json.encode(answer.result))
+        if answer.result is not None:
+            entry.result_bytes = len(msgspec.json.encode(answer.result))
         self._result_bytes += entry.result_bytes
         self._shrink_results()
 
@@ -253,8 +255,9 @@
 
 
 def _drop_result(answer: Answer) -> Answer:
+    # The codes with a result would claim a coverage that this answer does not carry.
     return Answer(
-        code=answer.code,
+        code=ResultCode.ANSWER_TOO_LARGE,
         run=answer.run,
         snapshot=answer.snapshot,
         covered=(),
