Add the measurement of slopes and the command bench

Cause: docs/CAPACITY.md multiplies counts of the planned size with costs that no run had measured against size.

Change: a registry of measurements at four or more sizes each, with a least-squares fit and its residual; the command 'bench' selects by its first word and writes JSON and a plot on demand.

--- /dev/null
+++ b/mimosapost/bench/control_slopes.py
@@ -0,0 +1,208 @@
+"""Memory, processor time and bytes of control traffic against the number of instances."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from random import Random
+
+from mimosapost.bench.fixtures import (
+    Clock,
+    create_identity,
+    create_team_tree,
+    start_instance,
+)
+from mimosapost.bench.slopes import Scale, Series, measurement, time_us, trace_bytes
+from mimosapost.bench.spread import Fleet, measure_gossip
+from mimosapost.core.reducer import reduce
+from mimosapost.core.state import State
+from mimosapost.limits.leases import LeaseTable, choose_group
+from mimosapost.limits.shares import compute_share
+from mimosapost.membership.codec import encode_message
+from mimosapost.model.effects import Effect, SendPeer
+from mimosapost.model.events import (
+    InstanceEntry,
+    InstancesListed,
+    PeerMessageArrived,
+    Ticked,
+)
+from mimosapost.model.messages import Gossip, HeartbeatAnswer, SubtreeReply
+
+__all__ = [
+    "count_gatherers",
+    "measure_control_bytes",
+    "measure_gatherers",
+    "measure_peers",
+    "measure_reply_bytes",
+]
+
+_TEAMS = 30
+_FRAME_BYTES = 4
+_PERIODS_PER_S = 2
+
+
+def _create_entries(count: int) -> tuple[InstanceEntry, ...]:
+    identities = [create_identity(seat) for seat in range(count)]
+    return tuple(InstanceEntry(i.name, i.peer_address, False) for i in identities)
+
+
+def _create_clock(scale: Scale, count: int) -> Clock:
+    trees = tuple(create_team_tree(f"team-{n:02}", 1, 2, 2, 1, 2 * n) for n in range(_TEAMS))
+    return start_instance(scale.seed, trees, ceiling=count)
+
+
+def _meet(state: State, now_us: int, count: int) -> None:
+    """Let a state hear of all other instances, by the list and by gossip."""
+    reduce(state, InstancesListed(now_us, _create_entries(count)))
+    for seat in range(1, count):
+        gossip = Gossip(create_identity(seat), False, (), (), False)
+        name = gossip.identity.name
+        reduce(state, PeerMessageArrived(now_us, name, gossip))
+
+
+class _Period:
+    """One period of control work: own messages, and those of the others to this instance."""
+
+    def __init__(self, clock: Clock, count: int, seed: int) -> None:
+        self.clock = clock
+        self.rng = Random(seed)
+        self.count = count
+        members, self.witnesses = choose_group(0, count)
+        self.neighbours = [seat for seat in members if seat]
+        self.tables = {
+            seat: LeaseTable(seat, seat + 1, count, 0, 1_000_000, 2_000_000)
+            for seat in self.neighbours
+        }
+
+    def run(self) -> None:
+        state, clock = self.clock.state, self.clock
+        clock.now_us += 500_000
+        effects = reduce(state, Ticked(clock.now_us))
+        self._answer_heartbeats(effects)
+        for seat in self.neighbours:
+            heartbeat = self.tables[seat].create_heartbeat(clock.now_us)
+            name = create_identity(seat).name
+            reduce(state, PeerMessageArrived(clock.now_us, name, heartbeat))
+        versions = state.configs.versions()[:8]
+        for seat in self.rng.sample(range(1, self.count), min(3, self.count - 1)):
+            gossip = Gossip(create_identity(seat), False, versions, (), True)
+            reduce(state, PeerMessageArrived(clock.now_us, gossip.identity.name, gossip))
+
+    def _answer_heartbeats(self, effects: list[Effect]) -> None:
+        clock = self.clock
+        for effect in effects:
+            if not isinstance(effect, SendPeer) or isinstance(effect.message, Gossip):
+                continue
+            beat = effect.message
+            seat = int(effect.peer.rpartition("-")[2])
+            answer = HeartbeatAnswer(
+                seat, seat + 1, beat.seat, beat.incarnation, beat.number, True, ()
+            )
+            reduce(clock.state, PeerMessageArrived(clock.now_us, effect.peer, answer))
+
+
+@measurement("peers")
+def measure_peers(scale: Scale) -> Iterable[Series]:
+    """Measure members, leases, gossip and heartbeats against the number of instances.
+
+    The period includes one round of housekeeping, without backend servers in use.
+    """
+    sizes = scale.choose((86, 172, 345, 690), (8, 12, 16, 20))
+    memory, periods, lists = [], [], []
+    for count in sizes:
+        clock = _create_clock(scale, count)
+        memory.append(
+            (count, trace_bytes(lambda clock=clock, n=count: _meet(clock.state, 5_000_000, n)))
+        )
+        period = _Period(clock, count, scale.seed)
+        periods.append((count, time_us(period.run, 10 * scale.rounds)))
+        entries = _create_entries(count)
+
+        def read_list(
+            clock: Clock = clock, entries: tuple[InstanceEntry, ...] = entries
+        ) -> None:
+            clock.now_us += 1_000
+            reduce(clock.state, InstancesListed(clock.now_us, entries))
+
+        lists.append((count, time_us(read_list, scale.rounds)))
+    yield Series("members and leases", "B", "instances", tuple(memory))
+    yield Series("control period of 0.5 s", "us", "instances", tuple(periods))
+    yield Series("reading the instance list", "us", "instances", tuple(lists))
+
+
+def _count_heartbeat_bytes(count: int) -> float:
+    """Return bytes of heartbeats and their answers that seats send in a second, on average."""
+    own = LeaseTable(0, 1, count, 0, 1_000_000, 2_000_000)
+    heartbeat = own.create_heartbeat(0)
+    answer = own.answer_heartbeat(heartbeat, 0)
+    sizes = [len(encode_message(message)) + _FRAME_BYTES for message in (heartbeat, answer)]
+    sent = 0
+    for seat in range(count):
+        table = LeaseTable(seat, 1, count, 0, 1_000_000, 2_000_000)
+        sent += len(table.choose_witnesses())
+    # Each heartbeat has one answer, which a witness sends.
+    return _PERIODS_PER_S * sum(sizes) * sent / count
+
+
+@measurement("control bytes")
+def measure_control_bytes(scale: Scale) -> Iterable[Series]:
+    """Measure bytes of control messages that one instance sends in a second, by kind.
+
+    Frames are those of the codec with their lengths; headers of TCP and IP are not included.
+    """
+    gossip, greetings, beats = [], [], []
+    for count in scale.choose((86, 172, 345, 690), (8, 12, 16, 20)):
+        spread = measure_gossip(lambda count=count: Fleet(count, _TEAMS, scale.seed))
+        gossip.append((count, spread.steady_bytes))
+        greetings.append((count, spread.greeting_bytes))
+        beats.append((count, _count_heartbeat_bytes(count)))
+    yield Series("gossip sent", "B/s", "instances", tuple(gossip))
+    yield Series("greetings sent", "B/s", "instances", tuple(greetings))
+    yield Series("heartbeats and answers sent", "B/s", "instances", tuple(beats))
+
+
+@measurement("subtree bytes")
+def measure_reply_bytes(scale: Scale) -> Iterable[Series]:
+    """Measure the frame that carries a subtree against its text."""
+    points = tuple(
+        (size, len(encode_message(SubtreeReply("team-00", 2, b"x" * size))) + _FRAME_BYTES)
+        for size in scale.choose((10_000, 100_000, 500_000, 1_000_000), (100, 200, 300, 400))
+    )
+    yield Series("frame of a subtree", "B", "bytes of text", points)
+
+
+def count_gatherers(rng: Random, leafs: int, ceiling: int, slots: int, limit: int) -> int:
+    """Count the instances that together may send to some slot of each leaf, chosen greedily.
+
+    Shares are those of today: one connection each, for seats chosen by a hash of the server.
+
+    :param rng: choice of the servers' addresses.
+    :param leafs: leafs of the query.
+    :param ceiling: number of seats.
+    :param slots: slots of a leaf.
+    :param limit: connections that a server takes.
+    """
+    holders: dict[int, set[int]] = {}
+    for leaf in range(leafs):
+        for _ in range(slots):
+            key = f"10.{rng.randrange(256)}.{rng.randrange(256)}.{rng.randrange(256)}:8080"
+            for seat in range(ceiling):
+                if compute_share(limit, seat, ceiling, key):
+                    holders.setdefault(seat, set()).add(leaf)
+    open_leafs, chosen = set(range(leafs)), 0
+    while open_leafs:
+        # The lowest seat wins a tie, so that the count depends on the seed alone.
+        best = max(sorted(holders), key=lambda seat: len(holders[seat] & open_leafs))
+        open_leafs -= holders[best]
+        chosen += 1
+    return chosen
+
+
+@measurement("gatherers")
+def measure_gatherers(scale: Scale) -> Iterable[Series]:
+    """Count the seats that a query needs when each server has 25 seats of its own."""
+    ceiling = 60 if scale.small else 690
+    points = tuple(
+        (leafs, float(count_gatherers(Random(scale.seed), leafs, ceiling, 3, 25)))
+        for leafs in scale.choose((45, 90, 135, 180), (2, 4, 6, 8))
+    )
+    yield Series("gatherers of a query", "seats", "leafs of a query", points)
--- /dev/null
+++ b/mimosapost/bench/state_slopes.py
@@ -0,0 +1,193 @@
+"""Memory of published trees, open queries, tickets and backend servers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+from mimosapost.bench.fixtures import (
+    Clock,
+    create_query,
+    create_team_tree,
+    encode_tree,
+    start_instance,
+)
+from mimosapost.bench.reducer_slopes import QueryRun
+from mimosapost.bench.slopes import Scale, Series, measurement, time_us, trace_bytes
+from mimosapost.core.reducer import reduce
+from mimosapost.model.codes import ResultCode, RunState
+from mimosapost.model.events import ConfigRead, QueryArrived, Ticked
+from mimosapost.model.identities import Snapshot
+from mimosapost.model.queries import Answer
+from mimosapost.once.tickets import TicketBook
+
+__all__ = [
+    "measure_housekeeping",
+    "measure_open_queries",
+    "measure_text",
+    "measure_tickets",
+    "measure_trees",
+    "measure_used_servers",
+]
+
+_TEAM = "desk"
+
+
+def _trace_tree(seed: int, services: int, leafs: int, slots: int) -> int:
+    """Return the bytes that a state keeps for one published subtree."""
+    text = encode_tree(create_team_tree(_TEAM, services, leafs, slots))
+    clock = start_instance(seed, ())
+
+    def publish() -> None:
+        # The copy makes the text part of the sum, as it is when it comes from a socket.
+        reduce(clock.state, ConfigRead(clock.now_us, _TEAM, 1, bytes(bytearray(text))))
+
+    used = trace_bytes(publish)
+    if len(clock.state.services) != services:
+        raise RuntimeError("the subtree was refused")
+    return used
+
+
+@measurement("trees")
+def measure_trees(scale: Scale) -> Iterable[Series]:
+    """Measure a published subtree against its services, leafs and slots, one at a time."""
+    shapes: tuple[tuple[str, Callable[[int], tuple[int, int, int]]], ...] = (
+        ("services", lambda size: (size, 2, 2)),
+        ("leafs", lambda size: (1, size, 2)),
+        ("slots", lambda size: (1, 200, size // 200)),
+    )
+    sizes = {
+        "services": scale.choose((50, 100, 200, 400), (1, 2, 3, 4)),
+        "leafs": scale.choose((200, 400, 800, 1_600), (2, 4, 6, 8)),
+        "slots": scale.choose((200, 400, 600, 800), (200, 400, 600, 800)),
+    }
+    for name, shape in shapes:
+        points = tuple((size, _trace_tree(scale.seed, *shape(size))) for size in sizes[name])
+        yield Series(f"published tree: {name}", "B", name, points)
+    points = tuple(
+        (leafs, len(encode_tree(create_team_tree(_TEAM, 1, leafs, 3))))
+        for leafs in sizes["leafs"]
+    )
+    yield Series("published text: leafs of 3", "B", "leafs of 3 slots", points)
+
+
+@measurement("servers")
+def measure_used_servers(scale: Scale) -> Iterable[Series]:
+    """Measure what a server adds to the tables once it was sent to and answered."""
+    points = []
+    for leafs in scale.choose((100, 200, 400, 800), (2, 4, 6, 8)):
+        clock = start_instance(scale.seed, (create_team_tree(_TEAM, 1, leafs, 1),))
+        run = QueryRun(clock, leafs)
+        # 20 answers fill the batch of 15 from which the median of a server is learnt.
+        used = trace_bytes(lambda run=run: [run.run_query() for _ in range(20)] and None)
+        points.append((leafs, used))
+    yield Series("server in use", "B", "servers", tuple(points))
+
+
+@measurement("housekeeping")
+def measure_housekeeping(scale: Scale) -> Iterable[Series]:
+    """Measure the periodic look at all servers, with no send open."""
+    points = []
+    for leafs in scale.choose((400, 800, 1_600, 3_200), (2, 4, 6, 8)):
+        clock = start_instance(scale.seed, (create_team_tree(_TEAM, 1, leafs, 3),))
+        clock.state.policy = replace(clock.state.policy, heartbeat_us=10**15)
+        clock.advance(1_000_000)
+        run = QueryRun(clock, leafs)
+        while len(clock.state.servers) < 3 * leafs:
+            run.run_query()
+        clock.advance(1_000_000)
+
+        def tick(clock: Clock = clock) -> None:
+            clock.now_us += clock.state.policy.housekeeping_us
+            reduce(clock.state, Ticked(clock.now_us))
+
+        points.append((3 * leafs, time_us(tick, 5 * scale.rounds)))
+    yield Series("one housekeeping round", "us", "servers", tuple(points))
+
+
+@measurement("subtrees")
+def measure_text(scale: Scale) -> Iterable[Series]:
+    """Measure checking and applying a changed subtree against the bytes of its text.
+
+    The other subtrees of the deployment are in force meanwhile, because views of all services
+    are computed again after each change.
+    """
+    others, leafs = (1, 2) if scale.small else (20, 180)
+    trees = tuple(
+        create_team_tree(f"team-{number:02}", 1, leafs, 3, first_leaf=number * leafs)
+        for number in range(others)
+    )
+    clock = start_instance(scale.seed, trees)
+    version = 1
+    changes = []
+    for changed in scale.choose((50, 200, 600, 1_200, 2_400), (2, 4, 6, 8)):
+        size = len(encode_tree(create_team_tree(_TEAM, 1, changed, 3)))
+        tree = create_team_tree(_TEAM, 1, changed, 3, first_leaf=5_000)
+
+        def change(tree: object = tree) -> None:
+            nonlocal version
+            version += 1
+            text = encode_tree(replace(tree, version=version))
+            clock.now_us += 1_000
+            reduce(clock.state, ConfigRead(clock.now_us, _TEAM, version, text))
+
+        def encode(tree: object = tree) -> None:
+            encode_tree(replace(tree, version=version))
+
+        spent_us = time_us(change, scale.rounds) - time_us(encode, scale.rounds)
+        if clock.state.configs.get_team(_TEAM).version != version:
+            raise RuntimeError("a change was refused")
+        changes.append((size, spent_us))
+    yield Series("change of a subtree", "us", "bytes of text", tuple(changes))
+
+
+@measurement("open queries")
+def measure_open_queries(scale: Scale) -> Iterable[Series]:
+    """Measure the memory of queries whose sends all wait for answers."""
+    leafs = 4 if scale.small else 180
+    points = []
+    for count in scale.choose((10, 20, 40, 80), (1, 2, 3, 4)):
+        clock = start_instance(scale.seed, (create_team_tree(_TEAM, 1, leafs, 3),))
+        run = QueryRun(clock, leafs)
+        for _ in range(5):
+            run.run_query()
+
+        def open_all(clock: Clock = clock, run: QueryRun = run, count: int = count) -> object:
+            kept = []
+            for number in range(count):
+                query = create_query(10_000 + number, run.services[0], _TEAM, clock.now_us)
+                # The edge holds the effects until the answers arrive.
+                kept.append(reduce(clock.state, QueryArrived(clock.now_us, query)))
+            return kept
+
+        points.append((count * leafs, trace_bytes(open_all)))
+        if len(clock.state.queries) != count:
+            raise RuntimeError("a query was refused")
+    yield Series("open sends of queries", "B", "open sends", tuple(points))
+
+
+@measurement("tickets")
+def measure_tickets(scale: Scale) -> Iterable[Series]:
+    """Measure used tickets with a stored answer of 180 leafs, and issuing them."""
+    covered = tuple(f"leaf-{number:04}" for number in range(180))
+    memory, spent = [], []
+    for count in scale.choose((500, 1_000, 2_000, 4_000), (10, 20, 30, 40)):
+
+        def fill(count: int = count) -> TicketBook:
+            book = TicketBook("entry-000", 1, b"k" * 32)
+            for number in range(count):
+                ticket = book.issue("school", number)
+                decision = book.begin(ticket, "school", number, number)
+                result = [{"key": f"item-{number}", "score": k} for k in range(10)]
+                answer = Answer(
+                    ResultCode.COMPLETE, RunState.RAN, result, Snapshot(1, 7), covered
+                )
+                book.finish(decision.number, answer)
+            if len(book) != count:
+                raise RuntimeError("a ticket was refused")
+            return book
+
+        memory.append((count, trace_bytes(fill)))
+        spent.append((count, time_us(fill, scale.rounds)))
+    yield Series("used tickets", "B", "tickets", tuple(memory))
+    yield Series("tickets: issue, begin, finish", "us", "tickets", tuple(spent))
--- /dev/null
+++ b/mimosapost/commands/tests/test_bench.py
@@ -0,0 +1,67 @@
+"""Guards against a benchmark that is chosen wrongly or fails after minutes of work."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from mimosapost.commands import bench
+from mimosapost.commands.entry import main
+
+ROOT = Path(__file__).parents[3]
+
+
+def test_first_word_selects_the_benchmark(monkeypatch, tmp_path):
+    calls = []
+    monkeypatch.setattr(bench, "_BENCHES", {})
+    bench.benchmark("one")(lambda *arguments: calls.append(arguments) or 0)
+    bench.benchmark("two")(lambda *_: pytest.fail("the other benchmark ran"))
+    file = tmp_path / "a.json"
+    assert main(["bench", "one", "--seed", "5", "--small", "--json", str(file)]) == 0
+    assert calls == [(5, True, file, None)]
+
+
+def test_taken_name_is_refused():
+    with pytest.raises(ValueError, match="registered already"):
+        bench.benchmark("slopes")(bench.run_slopes)
+
+
+@pytest.mark.parametrize(
+    ("arguments", "reason"),
+    [
+        (["nope"], "benchmark nope is not known; one of slopes"),
+        (["slopes", "--json", "gone/a.json"], "gone is no directory"),
+        (["slopes", "--plot", "gone/a.png"], "gone is no directory"),
+    ],
+)
+def test_errors_are_one_line_before_the_work(arguments, reason, capsys, monkeypatch, tmp_path):
+    monkeypatch.chdir(tmp_path)
+    monkeypatch.setitem(
+        bench._BENCHES, "slopes", lambda *_: pytest.fail("the benchmark started")
+    )
+    assert main(["bench", *arguments]) == 2
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 1
+    assert reason in lines[0]
+
+
+def test_command_imports_neither_servers_nor_matplotlib():
+    """Guards against a development library that the installed program lacks."""
+    script = (
+        "import sys; from mimosapost.commands.entry import main; main(['bench', 'nope']);"
+        "sys.exit(any(name in sys.modules for name in ('aiohttp', 'capnp', 'matplotlib')))"
+    )
+    done = subprocess.run([sys.executable, "-c", script], cwd=ROOT, capture_output=True)
+    assert done.returncode == 0
+
+
+def test_slopes_run_without_matplotlib():
+    """Guards against an import of matplotlib where no plot is asked for."""
+    script = (
+        "import sys; sys.modules['matplotlib'] = None;"
+        "from mimosapost.bench.slopes import Scale, run_slopes;"
+        "sys.exit(not run_slopes(Scale(1, True), ('subtree bytes',)))"
+    )
+    done = subprocess.run([sys.executable, "-c", script], cwd=ROOT, capture_output=True)
+    assert done.returncode == 0, done.stderr
