--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -10,6 +10,7 @@
 import aioprometheus
 from aioprometheus.histogram import Histogram
 
+from mimosapost.core.counters import COUNTERS
 from mimosapost.model.effects import Count
 
 __all__ = ["METRICS", "Metric", "Metrics", "declare"]
@@ -55,8 +56,9 @@
     :returns: the name.
     :raises ValueError: for a name that is taken or breaks the rule.
 
-    >>> declare("mimosapost_examples_total", "Examples in documentation.")
-    'mimosapost_examples_total'
+    >>> declare("mimosapost_retries", "Retries of sends.")
+    Traceback (most recent call last):
+    ValueError: counter 'mimosapost_retries' must start with mimosapost_ and end in _total
     """
     if not (name.startswith("mimosapost_") and name.endswith("_total")):
         raise ValueError(f"counter {name!r} must start with mimosapost_ and end in _total")
@@ -66,6 +68,10 @@
     return name
 
 
+for _name, _doc in COUNTERS.items():
+    declare(_name, _doc)
+
+
 class Metrics:
     """Values of all metrics of one instance.
 
