Measure warm-up notes in gossip and the peak memory of a change

Cause: gossip carries up to 16 notes since, and a change holds its text, its parsed form and the old tree at a time.

Change: a series of frame bytes against notes, notes in the control period, and a series of the peak that tracemalloc reports while a subtree is replaced.

--- a/mimosapost/bench/control_slopes.py
+++ b/mimosapost/bench/control_slopes.py
@@ -25,7 +25,7 @@
     PeerMessageArrived,
     Ticked,
 )
-from mimosapost.model.messages import Gossip, HeartbeatAnswer, SubtreeReply
+from mimosapost.model.messages import Gossip, HeartbeatAnswer, SubtreeReply, WarmupNote
 
 __all__ = [
     "count_gatherers",
@@ -46,8 +46,17 @@
 
 
 def _create_clock(scale: Scale, count: int) -> Clock:
-    trees = tuple(create_team_tree(f"team-{n:02}", 1, 2, 2, 1, 2 * n) for n in range(_TEAMS))
-    return start_instance(scale.seed, trees, ceiling=count)
+    leafs = 2 if scale.small else 20
+    trees = tuple(
+        create_team_tree(f"team-{number:02}", 1, leafs, 3, first_leaf=number * leafs)
+        for number in range(_TEAMS)
+    )
+    clock = start_instance(scale.seed, trees, ceiling=count)
+    # Gossip tells of the warm-up of servers that answered.
+    for service in clock.state.services.values():
+        for server in service.slots:
+            clock.state.warmup.record_answer(server, "boot-1", 6_000, clock.now_us)
+    return clock
 
 
 def _meet(state: State, now_us: int, count: int) -> None:
@@ -83,8 +92,10 @@
             name = create_identity(seat).name
             reduce(state, PeerMessageArrived(clock.now_us, name, heartbeat))
         versions = state.configs.versions()[:8]
+        servers = next(iter(state.services.values())).slots
+        notes = tuple(WarmupNote(server, "boot-1", 0, 25) for server in list(servers)[:16])
         for seat in self.rng.sample(range(1, self.count), min(3, self.count - 1)):
-            gossip = Gossip(create_identity(seat), False, versions, (), True)
+            gossip = Gossip(create_identity(seat), False, versions, (), True, notes)
             reduce(state, PeerMessageArrived(clock.now_us, gossip.identity.name, gossip))
 
     def _answer_heartbeats(self, effects: list[Effect]) -> None:
@@ -158,6 +169,13 @@
     yield Series("gossip sent", "B/s", "instances", tuple(gossip))
     yield Series("greetings sent", "B/s", "instances", tuple(greetings))
     yield Series("heartbeats and answers sent", "B/s", "instances", tuple(beats))
+    notes = []
+    for count in scale.choose((0, 4, 8, 16), (0, 1, 2, 3)):
+        # A boot id of 16 characters; the address has the longest form of IPv4.
+        note = WarmupNote("100.100.100.100:8080", "0123456789abcdef", 1, 25)
+        gossip = Gossip(create_identity(0), False, (), (), True, (note,) * count)
+        notes.append((count, len(encode_message(gossip)) + _FRAME_BYTES))
+    yield Series("gossip frame: warm-up notes", "B", "notes", tuple(notes))
 
 
 @measurement("subtree bytes")
--- a/mimosapost/bench/slopes.py
+++ b/mimosapost/bench/slopes.py
@@ -32,6 +32,7 @@
     "run_slopes",
     "time_us",
     "trace_bytes",
+    "trace_peak_bytes",
     "write_fits",
 ]
 
@@ -189,6 +190,21 @@
     return after - before
 
 
+def trace_peak_bytes(work: Callable[[], Any]) -> int:
+    """Return the largest number of bytes that a piece of work had allocated at a time.
+
+    :param work: work on objects that exist already; what it frees of them does not count.
+    """
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        work()
+        return tracemalloc.get_traced_memory()[1] - before
+    finally:
+        tracemalloc.stop()
+
+
 def format_table(fits: Iterable[Fit]) -> str:
     """Return the fits as aligned text, one line each."""
     lines = [
--- a/mimosapost/bench/state_slopes.py
+++ b/mimosapost/bench/state_slopes.py
@@ -13,7 +13,14 @@
     start_instance,
 )
 from mimosapost.bench.reducer_slopes import QueryRun
-from mimosapost.bench.slopes import Scale, Series, measurement, time_us, trace_bytes
+from mimosapost.bench.slopes import (
+    Scale,
+    Series,
+    measurement,
+    time_us,
+    trace_bytes,
+    trace_peak_bytes,
+)
 from mimosapost.core.reducer import reduce
 from mimosapost.model.codes import ResultCode, RunState
 from mimosapost.model.events import ConfigRead, QueryArrived, Ticked
@@ -119,7 +126,7 @@
     )
     clock = start_instance(scale.seed, trees)
     version = 1
-    changes = []
+    changes, peaks = [], []
     for changed in scale.choose((50, 200, 600, 1_200, 2_400), (2, 4, 6, 8)):
         size = len(encode_tree(create_team_tree(_TEAM, 1, changed, 3)))
         tree = create_team_tree(_TEAM, 1, changed, 3, first_leaf=5_000)
@@ -138,7 +145,9 @@
         if clock.state.configs.get_team(_TEAM).version != version:
             raise RuntimeError("a change was refused")
         changes.append((size, spent_us))
+        peaks.append((size, trace_peak_bytes(change)))
     yield Series("change of a subtree", "us", "bytes of text", tuple(changes))
+    yield Series("change of a subtree: peak", "B", "bytes of text", tuple(peaks))
 
 
 @measurement("open queries")
--- a/mimosapost/edge/instance.py
+++ b/mimosapost/edge/instance.py
@@ -47,6 +47,7 @@
 # Share of queries that are traced; a span costs tens of microseconds.
 _TRACE_RATIO = 0.01
 
+
 def create_policy(settings: LocalSettings) -> Policy:
     """Create the decision policy from local settings."""
     return Policy(
@@ -129,7 +130,9 @@
             WriteLog: self._logs.execute,
         }
         self._logs.write("instance_started", {"seat": self._identity.seat})
-        self.metrics.set_gauge("mimosapost_open_queries_count", lambda: len(self._state.queries))
+        self.metrics.set_gauge(
+            "mimosapost_open_queries_count", lambda: len(self._state.queries)
+        )
         self.metrics.set_gauge("mimosapost_open_sends_count", lambda: len(self._state.sends))
         self._execute(start(self._state))
 
