Let the sizes of a measurement take turns

Cause: the machine is slow for seconds at a time.

Change: rounds go over all sizes in turn, and the least time of a size counts. The work runs once before the peak of a change is traced.

--- a/mimosapost/bench/control_slopes.py
+++ b/mimosapost/bench/control_slopes.py
@@ -11,7 +11,7 @@
     create_team_tree,
     start_instance,
 )
-from mimosapost.bench.slopes import Scale, Series, measurement, time_us, trace_bytes
+from mimosapost.bench.slopes import Scale, Series, measurement, time_sizes, trace_bytes
 from mimosapost.bench.spread import Fleet, measure_gossip
 from mimosapost.core.reducer import reduce
 from mimosapost.core.state import State
@@ -125,7 +125,7 @@
             (count, trace_bytes(lambda clock=clock, n=count: _meet(clock.state, 5_000_000, n)))
         )
         period = _Period(clock, count, scale.seed)
-        periods.append((count, time_us(period.run, 10 * scale.rounds)))
+        periods.append((count, period.run))
         entries = _create_entries(count)
 
         def read_list(
@@ -134,10 +134,14 @@
             clock.now_us += 1_000
             reduce(clock.state, InstancesListed(clock.now_us, entries))
 
-        lists.append((count, time_us(read_list, scale.rounds)))
+        lists.append((count, read_list))
     yield Series("members and leases", "B", "instances", tuple(memory))
-    yield Series("control period of 0.5 s", "us", "instances", tuple(periods))
-    yield Series("reading the instance list", "us", "instances", tuple(lists))
+    yield Series(
+        "control period of 0.5 s", "us", "instances", time_sizes(periods, 5 * scale.rounds)
+    )
+    yield Series(
+        "reading the instance list", "us", "instances", time_sizes(lists, scale.rounds)
+    )
 
 
 def _count_heartbeat_bytes(count: int) -> float:
--- a/mimosapost/bench/reducer_slopes.py
+++ b/mimosapost/bench/reducer_slopes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import statistics
+import math
 import time
 from collections.abc import Iterable
 from dataclasses import replace
@@ -106,11 +106,9 @@
         return effects
 
 
-def _run(scale: Scale, leafs: int, hedged: bool) -> dict[str, float]:
-    """Return the median processor time of each part of a query, in microseconds."""
+def _create_run(scale: Scale, leafs: int) -> QueryRun:
     services = 2 if scale.small else max(1, 4_600 // leafs // 2)
-    tree = create_team_tree(_TEAM, services, leafs, 3)
-    clock = start_instance(scale.seed, (tree,))
+    clock = start_instance(scale.seed, (create_team_tree(_TEAM, services, leafs, 3),))
     for service in clock.state.services.values():
         service.hedge_budget = Budget(1.0, 10 * leafs)
     # Periodic work is measured on its own and must not fall into the time of a query.
@@ -121,17 +119,28 @@
     run = QueryRun(clock, leafs)
     for _ in range(services):
         run.run_query()
-    rounds: list[dict[str, float]] = []
-    per_round = min(services, 12)
+    return run
+
+
+def _run_sizes(scale: Scale, hedged: bool) -> dict[int, dict[str, float]]:
+    """Return the least processor time of each part of a query by leafs, in microseconds."""
+    sizes = scale.choose((20, 60, 120, 180), (2, 4, 6, 8))
+    runs = [_create_run(scale, leafs) for leafs in sizes]
+    least: dict[int, dict[str, float]] = {leafs: {} for leafs in sizes}
+    # The sizes take turns for the reason given at ``time_sizes``.
     for _ in range(scale.rounds):
-        # A hedged query looks slow; these keep the median, and so the hedge delay, low.
-        for _ in range(3 * per_round if hedged else 0):
-            run.run_query()
-        run.spent_ns = {}
-        for _ in range(per_round):
-            run.run_query(hedged)
-        rounds.append({part: ns / 1e3 / per_round for part, ns in run.spent_ns.items()})
-    return {part: statistics.median(r[part] for r in rounds) for part in rounds[0]}
+        for run in runs:
+            queries = min(len(run.services), 12)
+            # A hedged query looks slow; these keep the median, and so the hedge delay, low.
+            for _ in range(3 * queries if hedged else 0):
+                run.run_query()
+            run.spent_ns = {}
+            for _ in range(queries):
+                run.run_query(hedged)
+            parts = least[run.leafs]
+            for part, spent_ns in run.spent_ns.items():
+                parts[part] = min(parts.get(part, math.inf), spent_ns / 1e3 / queries)
+    return least
 
 
 @measurement("queries")
@@ -141,21 +150,19 @@
     Several services of 3 slots a leaf take turns, so that the tables have the size of a large
     deployment. The timer of each hedge that was not needed is part of the sum.
     """
-    sizes = scale.choose((20, 60, 120, 180), (2, 4, 6, 8))
-    results = {leafs: _run(scale, leafs, hedged=False) for leafs in sizes}
+    results = _run_sizes(scale, hedged=False)
     parts = ("first sends", "answers", "last answer and merge", "timers")
     for part in parts:
-        points = tuple((leafs, results[leafs][part]) for leafs in sizes)
+        points = tuple((leafs, results[leafs][part]) for leafs in results)
         yield Series(f"query: {part}", "us", "leafs of a query", points)
-    points = tuple((leafs, sum(results[leafs][part] for part in parts)) for leafs in sizes)
+    points = tuple((leafs, sum(results[leafs][part] for part in parts)) for leafs in results)
     yield Series("query: all parts", "us", "leafs of a query", points)
 
 
 @measurement("hedges")
 def measure_hedges(scale: Scale) -> Iterable[Series]:
     """Measure a hedge of each leaf, and the end of the sends that it overtook."""
-    sizes = scale.choose((20, 60, 120, 180), (2, 4, 6, 8))
-    results = {leafs: _run(scale, leafs, hedged=True) for leafs in sizes}
+    results = _run_sizes(scale, hedged=True)
     for part in ("hedges", "withdrawn sends"):
-        points = tuple((leafs, results[leafs][part]) for leafs in sizes)
+        points = tuple((leafs, results[leafs][part]) for leafs in results)
         yield Series(f"hedged query: {part}", "us", "hedges", points)
--- a/mimosapost/bench/slopes.py
+++ b/mimosapost/bench/slopes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import gc
+import math
 import platform
 import statistics
 import time
@@ -30,7 +31,7 @@
     "measurement",
     "plot_fits",
     "run_slopes",
-    "time_us",
+    "time_sizes",
     "trace_bytes",
     "trace_peak_bytes",
     "write_fits",
@@ -52,8 +53,8 @@
 
     @property
     def rounds(self) -> int:
-        """Repetitions of a timed piece of work; their median counts."""
-        return 2 if self.small else 7
+        """Repetitions of a timed piece of work; the least time counts."""
+        return 2 if self.small else 12
 
     def choose(self, full: Sequence[int], small: Sequence[int]) -> Sequence[int]:
         """Return the sizes of this run."""
@@ -157,19 +158,28 @@
     return tuple(fits)
 
 
-def time_us(work: Callable[[], Any], rounds: int) -> float:
-    """Return the median processor time of a piece of work, in microseconds.
+def time_sizes(
+    works: Sequence[tuple[float, Callable[[], Any]]], rounds: int
+) -> tuple[tuple[float, float], ...]:
+    """Return the least processor time of each piece of work, in microseconds.
 
-    :param work: called once before the timed rounds, to fill caches.
-    :param rounds: number of timed calls.
+    Other processes on the same cores only add time, so the least of several rounds repeats
+    best. The sizes take turns, because such a slow phase may last for seconds and would
+    otherwise fall on one size alone.
+
+    :param works: pairs of size and work; each work runs once more before its timed rounds.
+    :param rounds: number of timed calls of each work.
+    :returns: points of a series.
     """
-    work()
-    times = []
-    for _ in range(rounds):
-        started_ns = time.process_time_ns()
+    least = [math.inf] * len(works)
+    for _, work in works:
         work()
-        times.append((time.process_time_ns() - started_ns) / 1e3)
-    return statistics.median(times)
+    for _ in range(rounds):
+        for index, (_, work) in enumerate(works):
+            started_ns = time.process_time_ns()
+            work()
+            least[index] = min(least[index], (time.process_time_ns() - started_ns) / 1e3)
+    return tuple((size, spent) for (size, _), spent in zip(works, least, strict=True))
 
 
 def trace_bytes(build: Callable[[], Any]) -> int:
--- a/mimosapost/bench/state_slopes.py
+++ b/mimosapost/bench/state_slopes.py
@@ -17,7 +17,7 @@
     Scale,
     Series,
     measurement,
-    time_us,
+    time_sizes,
     trace_bytes,
     trace_peak_bytes,
 )
@@ -94,7 +94,7 @@
 @measurement("housekeeping")
 def measure_housekeeping(scale: Scale) -> Iterable[Series]:
     """Measure the periodic look at all servers, with no send open."""
-    points = []
+    works = []
     for leafs in scale.choose((400, 800, 1_600, 3_200), (2, 4, 6, 8)):
         clock = start_instance(scale.seed, (create_team_tree(_TEAM, 1, leafs, 3),))
         clock.state.policy = replace(clock.state.policy, heartbeat_us=10**15)
@@ -108,8 +108,9 @@
             clock.now_us += clock.state.policy.housekeeping_us
             reduce(clock.state, Ticked(clock.now_us))
 
-        points.append((3 * leafs, time_us(tick, 5 * scale.rounds)))
-    yield Series("one housekeeping round", "us", "servers", tuple(points))
+        works.append((3 * leafs, tick))
+    points = time_sizes(works, 5 * scale.rounds)
+    yield Series("one housekeeping round", "us", "servers", points)
 
 
 @measurement("subtrees")
@@ -126,7 +127,7 @@
     )
     clock = start_instance(scale.seed, trees)
     version = 1
-    changes, peaks = [], []
+    changes, encodings, peaks = [], [], []
     for changed in scale.choose((50, 200, 600, 1_200, 2_400), (2, 4, 6, 8)):
         size = len(encode_tree(create_team_tree(_TEAM, 1, changed, 3)))
         tree = create_team_tree(_TEAM, 1, changed, 3, first_leaf=5_000)
@@ -141,12 +142,17 @@
         def encode(tree: object = tree) -> None:
             encode_tree(replace(tree, version=version))
 
-        spent_us = time_us(change, scale.rounds) - time_us(encode, scale.rounds)
-        if clock.state.configs.get_team(_TEAM).version != version:
-            raise RuntimeError("a change was refused")
-        changes.append((size, spent_us))
+        changes.append((size, change))
+        encodings.append((size, encode))
+        change()
         peaks.append((size, trace_peak_bytes(change)))
-    yield Series("change of a subtree", "us", "bytes of text", tuple(changes))
+    spent = time_sizes(changes, scale.rounds)
+    if clock.state.configs.get_team(_TEAM).version != version:
+        raise RuntimeError("a change was refused")
+    # The text is encoded by the publisher.
+    encoded = dict(time_sizes(encodings, scale.rounds))
+    points = tuple((size, spent_us - encoded[size]) for size, spent_us in spent)
+    yield Series("change of a subtree", "us", "bytes of text", points)
     yield Series("change of a subtree: peak", "B", "bytes of text", tuple(peaks))
 
 
@@ -179,7 +185,7 @@
 def measure_tickets(scale: Scale) -> Iterable[Series]:
     """Measure used tickets with a stored answer of 180 leafs, and issuing them."""
     covered = tuple(f"leaf-{number:04}" for number in range(180))
-    memory, spent = [], []
+    memory, works = [], []
     for count in scale.choose((500, 1_000, 2_000, 4_000), (10, 20, 30, 40)):
 
         def fill(count: int = count) -> TicketBook:
@@ -197,6 +203,8 @@
             return book
 
         memory.append((count, trace_bytes(fill)))
-        spent.append((count, time_us(fill, scale.rounds)))
+        works.append((count, fill))
     yield Series("used tickets", "B", "tickets", tuple(memory))
-    yield Series("tickets: issue, begin, finish", "us", "tickets", tuple(spent))
+    yield Series(
+        "tickets: issue, begin, finish", "us", "tickets", time_sizes(works, scale.rounds)
+    )
--- a/mimosapost/bench/wire_slopes.py
+++ b/mimosapost/bench/wire_slopes.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-import statistics
 import struct
 import threading
 import time
@@ -19,7 +18,7 @@
 
 from mimosapost.bench.fixtures import create_identity
 from mimosapost.bench.sends import _answer, _run_bare, _run_client
-from mimosapost.bench.slopes import Scale, Series, measurement, time_us
+from mimosapost.bench.slopes import Scale, Series, measurement, time_sizes
 from mimosapost.edge.answers import parse_answer
 from mimosapost.edge.peers import PeerLinks
 from mimosapost.membership.codec import decode_message, encode_message
@@ -106,10 +105,14 @@
                 if parse_answer(raw, request) is None:
                     raise RuntimeError("an answer was not read")
 
-        encoding.append((items, time_us(encode, scale.rounds) / calls))
-        decoding.append((items, time_us(decode, scale.rounds) / calls))
-    yield Series("encoding a sub-request", "us", "numbers in the body", tuple(encoding))
-    yield Series("decoding a sub-answer", "us", "items", tuple(decoding))
+        encoding.append((items, encode))
+        decoding.append((items, decode))
+    for name, size, works in (
+        ("encoding a sub-request", "numbers in the body", encoding),
+        ("decoding a sub-answer", "items", decoding),
+    ):
+        spent = time_sizes(works, scale.rounds)
+        yield Series(name, "us", size, tuple((items, us / calls) for items, us in spent))
 
 
 @measurement("batches")
@@ -120,7 +123,7 @@
     ``Forward`` message of today, which is the form that the design page intends.
     """
     calls = 10 if scale.small else 300
-    points = []
+    works = []
     for leafs in scale.choose((15, 45, 90, 180), (2, 4, 6, 8)):
         request = _GatherRequest("q-1", "desk", 1, 7, 40, _BODY, [*range(leafs)])
         found = [(float(number), f"item-{number}") for number in range(5)]
@@ -133,8 +136,9 @@
                 raw = encode_message(Forward(1, 2, _encode(answer), 40_000))
                 _decode_answer(decode_message(raw).query)
 
-        points.append((leafs, time_us(exchange, scale.rounds) / calls))
-    yield Series("gather messages, both ends", "us", "leafs in a message", tuple(points))
+        works.append((leafs, exchange))
+    points = tuple((leafs, us / calls) for leafs, us in time_sizes(works, scale.rounds))
+    yield Series("gather messages, both ends", "us", "leafs in a message", points)
 
 
 @measurement("frames")
@@ -167,11 +171,12 @@
         server.close()
         await server.wait_closed()
 
-    points = []
-    for frames in scale.choose((500, 1_000, 2_000, 4_000), (2, 4, 6, 8)):
-        spent = time_us(lambda frames=frames: asyncio.run(run(frames)), min(3, scale.rounds))
-        points.append((frames, spent))
-    yield Series("frame of 2 KB and its answer", "us", "frames", tuple(points))
+    works = [
+        (frames, lambda frames=frames: asyncio.run(run(frames)))
+        for frames in scale.choose((500, 1_000, 2_000, 4_000), (2, 4, 6, 8))
+    ]
+    points = time_sizes(works, min(4, scale.rounds))
+    yield Series("frame of 2 KB and its answer", "us", "frames", points)
 
 
 def _find_address() -> str:
@@ -181,7 +186,7 @@
 
 
 async def _run_links(count: int, rounds: int) -> float:
-    """Return the median processor time of one gossip message to each of some new peers."""
+    """Return the least processor time of one gossip message to each of some new peers."""
     versions = tuple(TreeVersion(f"team-{number:02}", 2, number) for number in range(8))
     async with AsyncExitStack() as stack:
         ends = []
@@ -217,7 +222,7 @@
             if greeted != count or sender.describe()["outgoing_links"]:
                 raise RuntimeError(f"{greeted} of {count} links were greeted and closed")
             times.append((time.process_time_ns() - started_ns) / 1e3)
-        return statistics.median(times)
+        return min(times)
 
 
 @measurement("links")
@@ -226,11 +231,13 @@
 
     It includes the greetings, the acknowledgement, and the empty frames until the close.
     """
-    points = tuple(
-        (links, asyncio.run(_run_links(links, scale.rounds)))
-        for links in scale.choose((10, 20, 30, 40), (1, 2, 3, 4))
-    )
-    yield Series("gossip over a new link", "us", "links", points)
+    least: dict[int, float] = {}
+    # The sizes take turns for the reason given at ``time_sizes``.
+    for _ in range(min(3, scale.rounds)):
+        for links in scale.choose((10, 20, 30, 40), (1, 2, 3, 4)):
+            spent_us = asyncio.run(_run_links(links, 2))
+            least[links] = min(spent_us, least.get(links, spent_us))
+    yield Series("gossip over a new link", "us", "links", tuple(least.items()))
 
 
 @contextmanager
@@ -272,13 +279,16 @@
     """
     sides = {"edge send": _run_client, "bare aiohttp POST": _run_bare}
     width = 2 if scale.small else _WIDTH
+    sizes = scale.choose((800, 1_600, 2_400, 3_200), (4, 8, 12, 16))
+    least: dict[str, dict[int, float]] = {name: {} for name in sides}
     with _run_server() as address:
-        for name, side in sides.items():
-            points = []
-            for sends in scale.choose((400, 800, 1_600, 3_200), (4, 8, 12, 16)):
-                costs = sorted(
-                    asyncio.run(side(address, sends, width))
-                    for _ in range(min(3, scale.rounds))
-                )
-                points.append((sends, costs[len(costs) // 2] * (sends // width * width)))
-            yield Series(name, "us", "sends", tuple(points))
+        # The sizes take turns for the reason given at ``time_sizes``.
+        for _ in range(min(6, scale.rounds)):
+            for sends in sizes:
+                for name, side in sides.items():
+                    spent_us = asyncio.run(side(address, sends, width)) * (
+                        sends // width * width
+                    )
+                    least[name][sends] = min(spent_us, least[name].get(sends, spent_us))
+    for name, points in least.items():
+        yield Series(name, "us", "sends", tuple(points.items()))
