Add the command demo, which drives a running deployment and checks promises

Cause: nothing showed the tier at work as a caller and an operator see it. Change: mimosapost demo waits for the instances, sends a request that must not be repeated to two instances with one ticket, sends open-loop queries over all teams, takes a failure domain out and back through the config service, and compares answers and the servers' records with the promises; a broken one gives exit status 1. The domain's servers fall cold before it returns, so that the ramp is exercised too. The load generator keeps its start, latencies by priority, and names doubled leafs.

--- a/mimosapost/bench/load.py
+++ b/mimosapost/bench/load.py
@@ -65,7 +65,13 @@
 
 @dataclass(slots=True)
 class LoadResult:
-    """Outcome of a run, times in microseconds."""
+    """Outcome of a run, times in microseconds.
+
+    :param timeline: for each answer the intended time after ``started_s`` in seconds, the
+        latency in milliseconds, the result code and the share of leafs covered.
+    :param started_s: start on the clock of the run.
+    :param priorities: latencies by priority class.
+    """
 
     histogram: HdrHistogram = field(default_factory=lambda: HdrHistogram(*_HISTOGRAM))
     codes: Counter[int] = field(default_factory=Counter)
@@ -78,6 +84,8 @@
     leafs_covered: int = 0
     wrong: list[str] = field(default_factory=list)
     timeline: list[tuple[float, float, int, float]] = field(default_factory=list)
+    started_s: float = 0.0
+    priorities: dict[str, HdrHistogram] = field(default_factory=dict)
     example: dict[str, Any] | None = None
 
     @property
@@ -95,6 +103,7 @@
             "queries": self.queries,
             "answered": self.answered,
             "connection_errors": self.connection_errors,
+            "leafs_wanted": self.leafs_wanted,
             "coverage": round(self.coverage, 6),
             "p50_ms": self.get_quantile_ms(0.50),
             "p90_ms": self.get_quantile_ms(0.90),
@@ -153,6 +162,8 @@
     covered = answer["coverage"]["covered"]
     missing = [leaf["leaf"] for leaf in answer["coverage"]["missing"]]
     names = [leaf.name for leaf in kind.service.leafs]
+    if len(set(covered)) < len(covered):
+        return "a leaf is covered twice"
     if sorted(covered + missing) != sorted(names):
         return "covered and missing leafs do not add up to the shard map"
     index_version = answer["snapshot"]["index_version"]
@@ -189,7 +200,7 @@
         watcher = asyncio.create_task(balancer.watch(session))
         stack.callback(watcher.cancel)
         weights = [kind.weight for kind in plan.kinds]
-        started_s = clock_s()
+        started_s = result.started_s = clock_s()
         due_s = 0.0
         reported_s = 0.0
         tasks: set[asyncio.Task[None]] = set()
@@ -259,6 +270,9 @@
     if answer["code"] in (ResultCode.COMPLETE, ResultCode.PARTIAL):
         result.answered += 1
         result.histogram.record_value(max(1, elapsed_us))
+        result.priorities.setdefault(kind.priority, HdrHistogram(*_HISTOGRAM)).record_value(
+            max(1, elapsed_us)
+        )
         covered = len(answer["coverage"]["covered"])
         result.example = result.example or answer
     for leaf in (answer.get("coverage") or {}).get("missing", ()):
--- /dev/null
+++ b/mimosapost/commands/demo.py
@@ -0,0 +1,284 @@
+"""``mimosapost demo``: queries, a lost failure domain and a ticket on a running deployment."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+import uuid
+from collections import Counter
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from mimosapost.bench.load import LoadPlan, LoadResult, QueryKind, run_load
+from mimosapost.bench.promises import GRACE_S, OnceResult, Outage, Report, create_report
+from mimosapost.bench.running import (
+    DeploymentError,
+    PublishedTree,
+    RunningDeployment,
+    list_kinds,
+)
+from mimosapost.commands.registry import CommandError, command
+from mimosapost.model.codes import ResultCode
+
+__all__ = ["demo", "format_report"]
+
+_INSTANCES = tuple(f"127.30.0.{number}" for number in range(1, 5))
+# The domain leaves and returns at these shares of the run, so that the shortest run below
+# leaves 1 s to look at after the 3 s of grace.
+_OUT_AT, _BACK_AT = 0.3, 0.65
+_LEAST_SECONDS = 12.0
+
+
+@command("demo")
+def demo(
+    *,
+    instances: list[str] | None = None,
+    operators: list[str] | None = None,
+    platform: str = "127.0.0.1:8100",
+    control: str = "127.0.0.1:8101",
+    rate: float = 60.0,
+    seconds: float = 22.0,
+    seed: int = 1,
+    deadline_ms: int = 1_000,
+    domain: str = "",
+    ready_seconds: float = 20.0,
+    json: bool = False,
+) -> int:
+    """Drive a running deployment and check the promises of the tier.
+
+    The stand-ins of ``mimosapost standin`` must serve its platform and backend servers.
+
+    :param instances: caller addresses, ``127.30.0.1:8000`` to ``127.30.0.4:8000`` by default.
+    :param operators: operator addresses, ``127.30.0.1:8002`` to ``127.30.0.4:8002`` by default.
+    :param platform: address of the platform stand-in.
+    :param control: control address of the stand-in backend servers.
+    :param rate: queries a second.
+    :param seconds: duration of the load, at least 12.
+    :param seed: seed of the load.
+    :param deadline_ms: deadline of each query.
+    :param domain: failure domain to take out, the second one of the fleet by default.
+    :param ready_seconds: longest wait for the instances.
+    :param json: print only the report, as JSON.
+    :returns: 0 if every promise held, else 1.
+    """
+    if seconds < _LEAST_SECONDS or not rate > 0:
+        raise CommandError(f"expected a rate above 0 and at least {_LEAST_SECONDS:g} seconds")
+    run = _Demo(
+        plan=LoadPlan(rate, seconds, seed, ()),
+        deadline_ms=deadline_ms,
+        domain=domain,
+        verbose=not json,
+    )
+    addresses = (
+        instances or [f"{address}:8000" for address in _INSTANCES],
+        operators or [f"{address}:8002" for address in _INSTANCES],
+        platform,
+        control,
+    )
+    try:
+        report = asyncio.run(run.run(addresses, ready_seconds))
+    except DeploymentError as error:
+        raise CommandError(str(error)) from None
+    except (aiohttp.ClientError, TimeoutError) as error:
+        raise CommandError(f"the deployment does not answer: {error!r}") from None
+    if json:
+        sys.stdout.write(msgspec.json.format(msgspec.json.encode(report)).decode() + "\n")
+    else:
+        sys.stdout.write(format_report(report))
+    return 1 if report.broken else 0
+
+
+class _Demo:
+    """One run of the command."""
+
+    def __init__(self, plan: LoadPlan, deadline_ms: int, domain: str, verbose: bool) -> None:
+        self._plan = plan
+        self._deadline_ms = deadline_ms
+        self._domain = domain
+        self._verbose = verbose
+
+    async def run(
+        self, addresses: tuple[list[str], list[str], str, str], ready_seconds: float
+    ) -> Report:
+        """Run all parts and return the report."""
+        async with aiohttp.ClientSession() as session:
+            deployment = RunningDeployment(session, *addresses)
+            await deployment.wait_until_ready(ready_seconds)
+            tree = await deployment.read_tree()
+            kinds = list_kinds(tree.teams, self._deadline_ms)
+            domain = self._choose_domain(tree)
+            self._print(
+                f"{len(addresses[0])} instances ready; {len(tree.map_cold_limits())} backend "
+                f"servers, {len(tree.teams)} teams, domains {', '.join(tree.fleet.regions)}"
+            )
+            once = await self._ask_once(deployment, kinds)
+            before = await deployment.read_counters()
+            plan = LoadPlan(self._plan.rate_per_s, self._plan.seconds, self._plan.seed, kinds)
+            async with asyncio.TaskGroup() as group:
+                outage = group.create_task(self._take_out(deployment, tree, domain))
+                load = group.create_task(
+                    run_load(plan, deployment.instances, time.monotonic, self._show_progress)
+                )
+            result = load.result()
+            self._print(f"example answer:\n{_format_json(result.example)}")
+            counters = await deployment.read_counters()
+            return create_report(
+                result,
+                await deployment.read_records(),
+                tree.map_cold_limits(),
+                outage.result(),
+                counters - before,
+                once,
+            )
+
+    def _choose_domain(self, tree: PublishedTree) -> str:
+        domains = list(tree.fleet.regions)
+        domain = self._domain or domains[min(1, len(domains) - 1)]
+        if domain not in domains:
+            raise CommandError(f"domain {domain!r}: expected one of {', '.join(domains)}")
+        return domain
+
+    async def _ask_once(
+        self, deployment: RunningDeployment, kinds: tuple[QueryKind, ...]
+    ) -> OnceResult:
+        """Send a request that must not be repeated to two instances with one ticket."""
+        kind = max(kinds, key=lambda kind: len(kind.service.leafs))
+        key = f"demo-{uuid.uuid4()}"
+        request: dict[str, Any] = {
+            "request": {"kind": "search", "term": key},
+            "priority": kind.priority,
+            "repeatable": False,
+            "idempotency_key": key,
+        }
+        issuer = deployment.instances[0]
+        targets = (issuer, deployment.instances[-1])
+        first = await deployment.ask(issuer, kind, request)
+        request["ticket"] = first["ticket"]
+        answers = await asyncio.gather(
+            *(deployment.ask(target, kind, request) for target in targets)
+        )
+        runs = Counter(
+            run["leaf"]
+            for record in await deployment.read_records()
+            for run in record["records"]
+            if run["idempotency_key"] == key and run["outcome"] not in ("shed", "rejected")
+        )
+        once = OnceResult(
+            service=kind.service.name,
+            first_code=first["code"],
+            first_run=first["run"],
+            codes={
+                f"{n}: {t}": a["code"]
+                for n, (t, a) in enumerate(zip(targets, answers, strict=True))
+            },
+            runs=dict(runs),
+            leafs=tuple(leaf.name for leaf in kind.service.leafs),
+            same_result=all(answer["result"] == answers[0]["result"] for answer in answers),
+        )
+        codes = ", ".join(_name_code(code) for code in once.codes.values())
+        self._print(
+            f"request that must not be repeated: without ticket {_name_code(once.first_code)}, "
+            f"with it at two instances {codes}; runs by leaf "
+            + ", ".join(f"{leaf} {once.runs.get(leaf, 0)}" for leaf in once.leafs)
+        )
+        return once
+
+    async def _take_out(
+        self, deployment: RunningDeployment, tree: PublishedTree, domain: str
+    ) -> Outage:
+        """Take the domain out and bring it back with all its servers in cold start."""
+        servers = tree.list_servers(domain)
+        await asyncio.sleep(_OUT_AT * self._plan.seconds)
+        out_s = time.monotonic()
+        version = await deployment.publish_domains_out(tree, (domain,))
+        self._print(f"fleet version {version}: domain {domain} out, {len(servers)} servers")
+        await asyncio.sleep((_BACK_AT - _OUT_AT) * self._plan.seconds)
+        await deployment.fall_cold(servers)
+        back_s = time.monotonic()
+        version = await deployment.publish_domains_out(tree, ())
+        self._print(f"fleet version {version}: domain {domain} back, its servers are cold")
+        return Outage(domain, out_s, back_s, servers)
+
+    def _show_progress(self, elapsed_s: float, result: LoadResult) -> None:
+        refused = sum(result.codes.values()) - result.answered
+        self._print(
+            f"{elapsed_s:5.1f} s  {result.queries} queries, {result.answered} answered, "
+            f"{refused} refused, coverage {100 * result.coverage:.2f}%, "
+            f"p99 {result.get_quantile_ms(0.99):.1f} ms"
+        )
+
+    def _print(self, text: str) -> None:
+        if self._verbose:
+            sys.stdout.write(f"{text}\n")
+            sys.stdout.flush()
+
+
+def _name_code(code: int) -> str:
+    return f"{code} {ResultCode(code).name}"
+
+
+def _format_json(value: Any) -> str:
+    return msgspec.json.format(msgspec.json.encode(value)).decode()
+
+
+def format_report(report: Report) -> str:
+    """Format the figures of a run as a table, with the broken promises below it."""
+    load = report.load
+    rows = [
+        ("queries", f"{load['queries']}, answered {load['answered']}"),
+        ("latency p50 / p90 / p99 / max", _format_latency(load)),
+    ]
+    rows += [
+        (f"  {name}", _format_latency(report.priorities[name]))
+        for name in ("urgent", "normal", "background")
+        if name in report.priorities
+    ]
+    rows += [
+        ("coverage", f"{100 * load['coverage']:.3f}%"),
+        (
+            "extra load",
+            f"{100 * report.extra_share:+.2f}% ({report.sends} sends for "
+            f"{load['leafs_wanted']} leafs, {report.hedges} hedges decided, "
+            f"{report.retries} retries)",
+        ),
+        (
+            "refusals",
+            ", ".join(f"{n} x {code}" for code, n in report.refusals.items()) or "none",
+        ),
+        ("wrong or doubled answers", str(load["wrong_count"])),
+        ("connection errors", str(load["connection_errors"])),
+        (f"last send to {report.domain}", _format_last(report.last_send_s)),
+        (
+            f"coverage while {report.domain} out",
+            f"{100 * report.coverage_out:.3f}%, from {GRACE_S:g} s after "
+            f"{100 * report.coverage_after_grace:.3f}%",
+        ),
+        (
+            "peak at a server in cold start",
+            f"{report.cold_peak} of {report.cold_limit}, all instances together",
+        ),
+        (
+            "runs of the single request",
+            ", ".join(f"{leaf} {n}" for leaf, n in sorted(report.once["runs"].items())),
+        ),
+    ]
+    width = max(len(name) for name, _ in rows)
+    lines = [f"{name:<{width}}  {value}" for name, value in rows]
+    lines += [f"promise broken: {text}" for text in report.broken]
+    if not report.broken:
+        lines.append("every promise held")
+    return "\n".join(lines) + "\n"
+
+
+def _format_last(last_send_s: float | None) -> str:
+    if last_send_s is None:
+        return "none after it was taken out"
+    return f"{last_send_s:.3f} s after it was taken out"
+
+
+def _format_latency(figures: dict[str, Any]) -> str:
+    values = (f"{figures[name]:.1f}" for name in ("p50_ms", "p90_ms", "p99_ms", "max_ms"))
+    return " / ".join(values) + " ms"
--- /dev/null
+++ b/mimosapost/commands/tests/test_demo.py
@@ -0,0 +1,67 @@
+"""Guards against a demonstration that publishes wrong subtrees or hides that it cannot run."""
+
+import aiohttp
+import pytest
+
+from mimosapost.bench.running import DeploymentError, RunningDeployment, sum_counters
+from mimosapost.commands.entry import main
+from mimosapost.standins.backends import Backends
+from mimosapost.standins.behaviour import Behaviour
+from mimosapost.standins.platform import PlatformStandin
+from mimosapost.standins.trees import create_sapatilha, format_tree
+
+
+async def test_domain_leaves_and_returns_under_rising_versions():
+    """Guards against a publication that the instances refuse or take for an older one."""
+    published = create_sapatilha(1)
+    servers = {slot.server for slot in published.teams[0].services[0].leafs[0].slots}
+    platform = PlatformStandin()
+    await platform.start()
+    try:
+        platform.publish("fleet", 7, format_tree(published.fleet).encode())
+        for team in published.teams:
+            platform.publish(team.team, 1, format_tree(team).encode())
+        async with (
+            Backends({name: Behaviour() for name in servers}) as backends,
+            aiohttp.ClientSession() as session,
+        ):
+            address = platform.base.removeprefix("http://")
+            deployment = RunningDeployment(session, (), (), address, backends.control_address)
+            await deployment.wait_until_ready(5.0)
+            tree = await deployment.read_tree()
+            assert tree.teams == published.teams
+            assert tree.list_servers("porto-a")
+            assert not tree.list_servers("porto-a") & tree.list_servers("braga-a")
+            assert await deployment.publish_domains_out(tree, ("porto-a",)) == 8
+            assert (await deployment.read_tree()).fleet.domains_out == ("porto-a",)
+            assert await deployment.publish_domains_out(tree, ()) == 9
+            back = await deployment.read_tree()
+            assert (back.fleet.version, back.fleet.domains_out) == (9, ())
+            await deployment.fall_cold(servers)
+            assert all(server.behaviour.cold for server in backends.servers.values())
+            assert {record["name"] for record in await deployment.read_records()} == servers
+    finally:
+        await platform.stop()
+
+
+async def test_deployment_that_is_not_ready_is_named():
+    async with aiohttp.ClientSession() as session:
+        deployment = RunningDeployment(
+            session, ("127.0.0.1:1",), (), "127.0.0.1:1", "127.0.0.1:1"
+        )
+        with pytest.raises(DeploymentError, match=r"not ready .*http://127\.0\.0\.1:1/readyz"):
+            await deployment.wait_until_ready(0.0)
+
+
+def test_counters_sum_over_labels_and_instances():
+    pages = [
+        'mimosapost_a_total{x="1"} 2\nmimosapost_a_total{x="2"} 3',
+        "mimosapost_a_total 1.0",
+    ]
+    assert sum_counters(pages) == {"mimosapost_a_total": 6}
+
+
+@pytest.mark.parametrize("arguments", [["--seconds", "11"], ["--rate", "0"]])
+def test_a_run_too_short_to_show_anything_is_refused(arguments, capsys):
+    assert main(["demo", *arguments]) == 2
+    assert "at least 12 seconds" in capsys.readouterr().err
