Measure the tier against the naive tier in named scenarios

Cause: the load generator and the naive tier existed, but no run compared them under faults. The naive tier now sends from its own IP number; from 127.0.0.1 the stand-ins gave it no delay between domains.

--- a/mimosapost/bench/load.py
+++ b/mimosapost/bench/load.py
@@ -24,7 +24,7 @@
 from mimosapost.model.published import ServiceSettings
 from mimosapost.standins.results import compute_items
 
-__all__ = ["Balancer", "LoadPlan", "LoadResult", "QueryKind", "run_load"]
+__all__ = ["Balancer", "LoadPlan", "LoadResult", "QueryKind", "RepeatedQuery", "run_load"]
 
 # 1 us to 60 s with 3 significant digits.
 _HISTOGRAM = (1, 60_000_000, 3)
@@ -48,6 +48,20 @@
     limit: int = 10
 
 
+@dataclass(frozen=True, slots=True)
+class RepeatedQuery:
+    """A query whose caller sends it again and again, beside the mix.
+
+    :param body: request body; the first kind of the plan gives service and caller.
+    :param every_s: gap between two sends in seconds.
+    :param from_s: time of the first send in seconds after the start.
+    """
+
+    body: Any
+    every_s: float
+    from_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class LoadPlan:
     """A run of the generator.
@@ -55,12 +69,16 @@
     :param rate_per_s: queries a second, with exponential gaps.
     :param seconds: duration.
     :param seed: seed of gaps, kinds and bodies.
+    :param warmup_s: queries due earlier count only in ``leafs_sent`` and ``wrong``.
+    :param repeated: query sent again and again; its answers count only in ``repeated``.
     """
 
     rate_per_s: float
     seconds: float
     seed: int
     kinds: tuple[QueryKind, ...]
+    warmup_s: float = 0.0
+    repeated: RepeatedQuery | None = None
 
 
 @dataclass(slots=True)
@@ -79,6 +97,11 @@
     wrong: list[str] = field(default_factory=list)
     timeline: list[tuple[float, float, int, float]] = field(default_factory=list)
     example: dict[str, Any] | None = None
+    # Leafs of all queries that ran, warm-up included: the base of the extra sends.
+    leafs_sent: int = 0
+    # Queries without an answer by the entry instance that got them.
+    lost: Counter[str] = field(default_factory=Counter)
+    repeated: Counter[int] = field(default_factory=Counter)
 
     @property
     def coverage(self) -> float:
@@ -103,6 +126,8 @@
             "codes": {str(code): n for code, n in sorted(self.codes.items())},
             "runs": dict(sorted(self.runs.items())),
             "missing_reasons": {str(r): n for r, n in sorted(self.missing_reasons.items())},
+            "lost": dict(sorted(self.lost.items())),
+            "repeated": {str(code): n for code, n in sorted(self.repeated.items())},
             "wrong": self.wrong[:20],
             "wrong_count": len(self.wrong),
         }
@@ -193,16 +218,20 @@
         due_s = 0.0
         reported_s = 0.0
         tasks: set[asyncio.Task[None]] = set()
+        if plan.repeated is not None:
+            repeater = _repeat_query(session, balancer, plan, started_s, clock_s, result)
+            tasks.add(asyncio.create_task(repeater))
         while (due_s := due_s + rng.expovariate(plan.rate_per_s)) < plan.seconds:
             delay_s = started_s + due_s - clock_s()
             if delay_s > 0:
                 await asyncio.sleep(delay_s)
             kind = rng.choices(plan.kinds, weights)[0]
             body = {"kind": "search", "term": rng.randrange(1_000_000), "count": 5}
-            result.queries += 1
-            task = asyncio.create_task(
-                _send_query(session, balancer, kind, body, started_s, due_s, clock_s, result)
+            result.queries += due_s >= plan.warmup_s
+            sent = _send_query(
+                session, balancer, kind, body, started_s, due_s, clock_s, result, plan.warmup_s
             )
+            task = asyncio.create_task(sent)
             tasks.add(task)
             task.add_done_callback(tasks.discard)
             if on_progress is not None and due_s - reported_s >= 1.0:
@@ -212,16 +241,28 @@
     return result
 
 
-async def _send_query(
+async def _repeat_query(
     session: aiohttp.ClientSession,
     balancer: Balancer,
-    kind: QueryKind,
-    body: Any,
+    plan: LoadPlan,
     started_s: float,
-    due_s: float,
     clock_s: Callable[[], float],
     result: LoadResult,
 ) -> None:
+    repeated = plan.repeated
+    assert repeated is not None
+    due_s = repeated.from_s
+    while due_s < plan.seconds:
+        await asyncio.sleep(max(0.0, started_s + due_s - clock_s()))
+        answer = await _post_query(session, balancer.choose(), plan.kinds[0], repeated.body)
+        result.repeated[answer["code"] if answer is not None else 0] += 1
+        due_s += repeated.every_s
+
+
+async def _post_query(
+    session: aiohttp.ClientSession, target: str, kind: QueryKind, body: Any
+) -> dict[str, Any] | None:
+    """Send a query and return its answer, ``None`` where the connection gave none."""
     request = {
         "request": body,
         "priority": kind.priority,
@@ -230,24 +271,50 @@
         "limit": kind.limit,
     }
     headers = {"X-Caller": kind.caller, "Authorization": f"Bearer {kind.token}"}
-    url = f"http://{balancer.choose()}/v1/services/{kind.service.name}/query"
+    url = f"http://{target}/v1/services/{kind.service.name}/query"
     timeout = aiohttp.ClientTimeout(total=kind.deadline_ms / 1_000 + 2.0)
     try:
         async with session.post(
             url, data=msgspec.json.encode(request), headers=headers, timeout=timeout
         ) as response:
-            answer = msgspec.json.decode(await response.read())
+            return msgspec.json.decode(await response.read())
     except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError):
-        result.connection_errors += 1
-        return
+        return None
+
+
+async def _send_query(
+    session: aiohttp.ClientSession,
+    balancer: Balancer,
+    kind: QueryKind,
+    body: Any,
+    started_s: float,
+    due_s: float,
+    clock_s: Callable[[], float],
+    result: LoadResult,
+    warmup_s: float,
+) -> None:
+    target = balancer.choose()
+    answer = await _post_query(session, target, kind, body)
     elapsed_us = int((clock_s() - started_s - due_s) * 1e6)
-    _record(result, kind, body, answer, due_s, elapsed_us)
+    if answer is None:
+        result.leafs_sent += len(kind.service.leafs)
+        if due_s >= warmup_s:
+            result.connection_errors += 1
+            result.lost[target] += 1
+            result.timeline.append((due_s, elapsed_us / 1_000, 0, 0.0))
+        return
+    if answer["run"] != "not_run":
+        result.leafs_sent += len(kind.service.leafs)
+    fault = check_answer(kind, body, answer)
+    if fault:
+        result.wrong.append(f"{kind.service.name}: {fault}")
+    if due_s >= warmup_s:
+        _record(result, kind, answer, due_s, elapsed_us)
 
 
 def _record(
     result: LoadResult,
     kind: QueryKind,
-    body: Any,
     answer: dict[str, Any],
     due_s: float,
     elapsed_us: int,
@@ -266,6 +333,3 @@
     result.leafs_wanted += wanted
     result.leafs_covered += covered
     result.timeline.append((due_s, elapsed_us / 1_000, answer["code"], covered / wanted))
-    fault = check_answer(kind, body, answer)
-    if fault:
-        result.wrong.append(f"{kind.service.name}: {fault}")
--- /dev/null
+++ b/mimosapost/bench/report.py
@@ -0,0 +1,135 @@
+"""Table and JSON of a scenario: both sides, targets and verdicts.
+
+``python -m mimosapost.bench.report NAIVE.json TIER.json`` prints them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import defopt
+import msgspec
+
+from mimosapost.bench.scenarios import Target, find_scenario
+
+__all__ = ["Verdict", "format_table", "judge_targets", "report"]
+
+_ROWS = (
+    "queries",
+    "answered",
+    "p50_ms",
+    "p99_ms",
+    "max_ms",
+    "coverage",
+    "coverage_after",
+    "p99_before_ms",
+    "p99_after_ms",
+    "p99_after_ratio",
+    "extra_sends",
+    "cold_ratio",
+    "cold_ratio_after",
+    "crashes",
+    "crashes_after",
+    "quiet_requests",
+    "connection_errors",
+    "lost_elsewhere",
+    "codes",
+    "missing_reasons",
+    "repeated",
+    "wrong_count",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Whether a target was met.
+
+    :param value: figure of the tier, divided by the naive one for a relative target; ``None``
+        where a side has no such figure, which counts as missed.
+    """
+
+    target: Target
+    value: float | None
+    met: bool
+
+
+def judge_targets(
+    targets: tuple[Target, ...], naive: dict[str, Any], tier: dict[str, Any]
+) -> list[Verdict]:
+    """Compare the figures of the tier with targets.
+
+    :param naive: figures of the naive side.
+    :param tier: figures of the tier.
+    """
+    verdicts = []
+    for target in targets:
+        value = tier.get(target.figure)
+        if target.relative and value is not None:
+            base = naive.get(target.figure)
+            value = value / base if base else None
+        met = value is not None and (
+            value >= target.bound if target.least else value <= target.bound
+        )
+        verdicts.append(Verdict(target, value, met))
+    return verdicts
+
+
+def format_table(naive: dict[str, Any], tier: dict[str, Any], verdicts: list[Verdict]) -> str:
+    """Format both sides and the verdicts as a Markdown table.
+
+    :param naive: document of the naive side, as ``mimosapost load`` prints it.
+    :param tier: document of the tier.
+    """
+    heads = [
+        f"{side['deployment']} {side['scenario']} seed {side['seed']}" for side in (naive, tier)
+    ]
+    lines = [f"| {heads[1]} | naive | tier |", "| --- | --- | --- |"]
+    for row in _ROWS:
+        values = [side["figures"].get(row) for side in (naive, tier)]
+        if any(value is not None for value in values):
+            lines.append(f"| {row} | {_format(values[0])} | {_format(values[1])} |")
+    lines += ["", "| target | value | verdict |", "| --- | --- | --- |"]
+    for verdict in verdicts:
+        target = verdict.target
+        sign = ">=" if target.least else "<="
+        unit = " x naive" if target.relative else ""
+        lines.append(
+            f"| {target.figure} {sign} {target.bound:g}{unit} | {_format(verdict.value)} "
+            f"| {'met' if verdict.met else 'MISSED'} |"
+        )
+    return "\n".join(lines)
+
+
+def _format(value: Any) -> str:
+    if isinstance(value, float):
+        return f"{value:.4g}" if value < 100 else f"{value:.1f}"
+    if isinstance(value, dict):
+        return ", ".join(f"{key}: {n}" for key, n in value.items()) or "none"
+    return "none" if value is None else str(value)
+
+
+def report(naive: Path, tier: Path, *, as_json: bool = False) -> int:
+    """Print the table of one scenario.
+
+    :param naive: document of the naive side.
+    :param tier: document of the tier.
+    :param as_json: print JSON instead.
+    :returns: 0 if every target was met, else 1.
+    """
+    sides = [msgspec.json.decode(path.read_bytes()) for path in (naive, tier)]
+    if any(sides[0][key] != sides[1][key] for key in ("scenario", "deployment", "seed")):
+        raise ValueError("the two sides are of different runs")
+    scenario = find_scenario(sides[1]["scenario"], sides[1]["deployment"])
+    verdicts = judge_targets(scenario.targets, sides[0]["figures"], sides[1]["figures"])
+    if as_json:
+        document = {"naive": sides[0], "tier": sides[1], "verdicts": verdicts}
+        print(msgspec.json.encode(document).decode())
+    else:
+        print(format_table(*sides, verdicts))
+    return 0 if all(verdict.met for verdict in verdicts) else 1
+
+
+if __name__ == "__main__":
+    raise SystemExit(defopt.run(report))
--- /dev/null
+++ b/mimosapost/commands/load.py
@@ -0,0 +1,223 @@
+"""``mimosapost load``: run one scenario's load and faults against running instances."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import time
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from mimosapost.bench.figures import compute_figures
+from mimosapost.bench.load import LoadPlan, QueryKind, run_load
+from mimosapost.bench.scenarios import Action, Scenario, find_scenario, list_scenarios
+from mimosapost.commands.registry import CommandError, command
+from mimosapost.model.published import FleetTree, ServiceSettings, SlotSettings, TeamTree
+from mimosapost.settings.tree import check_tree
+from mimosapost.standins.trees import create_token, format_tree
+
+__all__ = ["choose_kinds", "load", "select_servers"]
+
+_READY_S = 30.0
+
+
+@command("load")
+def load(
+    tree: Path,
+    scenario: str,
+    *,
+    targets: list[str],
+    deployment: str = "",
+    control: str = "127.0.0.1:8101",
+    platform: str = "127.0.0.1:8100",
+    victim: int = 0,
+    side: str = "tier",
+    seed: int = 1,
+) -> int:
+    """Run a scenario against entry instances and print its figures as one line of JSON.
+
+    :param tree: directory with ``fleet.json`` and ``teams/``.
+    :param scenario: name of the scenario.
+    :param targets: caller addresses of the entry instances; the last is the one killed.
+    :param deployment: sapatilha, sunbrook or wide; printed, and chooses the load.
+    :param control: control address of the stand-in backend servers.
+    :param platform: address of the platform stand-in.
+    :param victim: process id of the last target, for scenarios that kill an instance.
+    :param side: printed: tier or naive.
+    :param seed: seed of the load.
+    """
+    if scenario not in list_scenarios():
+        raise CommandError(f"scenario {scenario!r}: expected {', '.join(list_scenarios())}")
+    report = check_tree(tree)
+    if report.faults or report.fleet is None:
+        raise CommandError("; ".join(str(fault) for fault in report.faults[:5]) or "no fleet")
+    chosen = find_scenario(scenario, deployment)
+    if any(action.kind == "kill" for action in chosen.actions) and victim <= 1:
+        raise CommandError("this scenario needs --victim, the process id of the last target")
+    driver = _Driver(chosen, report.fleet, report.teams, targets, control, platform, victim)
+    figures = asyncio.run(driver.run(seed))
+    document = {"side": side, "scenario": scenario, "deployment": deployment, "seed": seed}
+    print(msgspec.json.encode(document | {"figures": figures}).decode())
+    return 0
+
+
+def choose_kinds(scenario: Scenario, teams: tuple[TeamTree, ...]) -> tuple[QueryKind, ...]:
+    """Return the mix of a scenario: each caller of the measured services.
+
+    :param teams: subtrees of the deployment.
+    """
+    measured = teams if scenario.mix == "teams" else teams[:1]
+    return tuple(
+        QueryKind(
+            team.services[0],
+            caller.name,
+            create_token(caller.name),
+            caller.top_priority,
+            weight=1 / len(team.callers),
+            deadline_ms=min(scenario.deadline_ms, team.services[0].max_deadline_ms),
+        )
+        for team in measured
+        for caller in team.callers
+    )
+
+
+def select_servers(
+    action: Action, services: list[ServiceSettings], domain: str
+) -> list[SlotSettings]:
+    """Return the slots whose servers an action changes.
+
+    :param services: measured services.
+    :param domain: domain that ``domain`` selects.
+    """
+    leafs = [leaf for service in services for leaf in service.leafs]
+    slots = [slot for leaf in leafs for slot in leaf.slots]
+    match action.select:
+        case "first slots":
+            return [leaf.slots[0] for leaf in leafs]
+        case "one server":
+            return slots[:1]
+        case "domain":
+            return [slot for slot in slots if slot.domain == domain]
+    return slots
+
+
+class _Driver:
+    """Runs the load of a scenario and its actions beside it."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        fleet: FleetTree,
+        teams: tuple[TeamTree, ...],
+        targets: list[str],
+        control: str,
+        platform: str,
+        victim: int,
+    ) -> None:
+        self._scenario = scenario
+        self._fleet = fleet
+        self._targets = targets
+        self._control = f"http://{control}/control"
+        self._platform = f"http://{platform}/control"
+        self._victim = victim
+        self._kinds = choose_kinds(scenario, teams)
+        self._services = list(
+            {kind.service.name: kind.service for kind in self._kinds}.values()
+        )
+        self._domain = min(fleet.regions)
+
+    async def run(self, seed: int) -> dict[str, Any]:
+        scenario = self._scenario
+        plan = LoadPlan(
+            scenario.rate_per_s,
+            scenario.seconds,
+            seed,
+            self._kinds,
+            scenario.warmup_s,
+            scenario.repeated,
+        )
+        async with aiohttp.ClientSession() as session:
+            await self._wait_until_ready(session)
+            for action in scenario.actions:
+                if action.at_s == 0:
+                    await self._act(session, action)
+            started_s = time.monotonic()
+            actions = asyncio.create_task(self._act_in_time(session, started_s))
+            result = await run_load(plan, self._targets, time.monotonic)
+            await actions
+            records = await self._read_records(session)
+        slots = [
+            (service, slot)
+            for service in self._services
+            for leaf in service.leafs
+            for slot in leaf.slots
+        ]
+        return compute_figures(
+            scenario,
+            result,
+            records,
+            started_s * 1_000,
+            {slot.server: service.cold_limit for service, slot in slots},
+            self._targets[-1] if self._victim else "",
+            frozenset(slot.server for _, slot in slots if slot.domain == self._domain),
+        )
+
+    async def _wait_until_ready(self, session: aiohttp.ClientSession) -> None:
+        limit_s = time.monotonic() + _READY_S
+        for target in self._targets:
+            while True:
+                try:
+                    async with session.get(f"http://{target}/readyz") as response:
+                        if response.status == 200:
+                            break
+                except (aiohttp.ClientError, OSError):
+                    pass
+                if time.monotonic() > limit_s:
+                    raise CommandError(f"{target} was not ready within {_READY_S:g} s")
+                await asyncio.sleep(0.1)
+
+    async def _act_in_time(self, session: aiohttp.ClientSession, started_s: float) -> None:
+        for action in sorted(self._scenario.actions, key=lambda action: action.at_s):
+            if action.at_s > 0:
+                await asyncio.sleep(max(0.0, started_s + action.at_s - time.monotonic()))
+                await self._act(session, action)
+
+    async def _act(self, session: aiohttp.ClientSession, action: Action) -> None:
+        match action.kind:
+            case "kill":
+                os.kill(self._victim, signal.SIGKILL)
+            case "platform":
+                await self._post(session, self._platform, self._create_order(action.change))
+            case "servers":
+                for slot in select_servers(action, self._services, self._domain):
+                    change = {"server": slot.server, "set": action.change, "do": action.do}
+                    await self._post(session, self._control, change)
+
+    def _create_order(self, change: dict[str, Any]) -> dict[str, Any]:
+        if "domains_out" not in change:
+            return change
+        out = (self._domain,) if change["domains_out"] else ()
+        version = self._fleet.version + 1
+        self._fleet = replace(self._fleet, version=version, domains_out=out)
+        value = msgspec.json.decode(format_tree(self._fleet))
+        return {"publish": {"team": "fleet", "version": version, "value": value}}
+
+    async def _post(self, session: aiohttp.ClientSession, url: str, change: Any) -> None:
+        async with session.post(url, data=msgspec.json.encode(change)) as response:
+            if response.status != 200:
+                raise CommandError(f"{url}: {await response.text()}")
+
+    async def _read_records(self, session: aiohttp.ClientSession) -> list[dict[str, Any]]:
+        records = []
+        for service in self._services:
+            for leaf in service.leafs:
+                for slot in leaf.slots:
+                    params = {"server": slot.server}
+                    async with session.get(f"{self._control}/record", params=params) as got:
+                        records += msgspec.json.decode(await got.read())
+        return records
--- /dev/null
+++ b/mimosapost/commands/naive.py
@@ -0,0 +1,40 @@
+"""``mimosapost naive``: one instance of the naive tier, the baseline of measurements."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+from mimosapost.bench.naive import NaiveTier
+from mimosapost.commands.registry import CommandError, command
+from mimosapost.settings.tree import check_tree
+
+__all__ = ["naive"]
+
+
+@command("naive")
+def naive(tree: Path, *, address: str, seed: int = 1) -> int:
+    """Run one instance of the naive tier until SIGTERM or SIGINT.
+
+    :param tree: directory with ``fleet.json`` and ``teams/``.
+    :param address: IP number and port to listen on; sends leave from the same IP number.
+    :param seed: seed of the choice of slots.
+    """
+    report = check_tree(tree)
+    if report.faults:
+        raise CommandError("; ".join(str(fault) for fault in report.faults[:5]))
+    services = {service.name: service for team in report.teams for service in team.services}
+    host, _, port = address.rpartition(":")
+    if not port.isdecimal():
+        raise CommandError(f"address {address!r}: expected IP:PORT")
+    asyncio.run(_run(NaiveTier(services, host, int(port), seed)))
+    return 0
+
+
+async def _run(tier: NaiveTier) -> None:
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    async with tier:
+        await stopped.wait()
--- a/mimosapost/commands/registry.py
+++ b/mimosapost/commands/registry.py
@@ -12,7 +12,17 @@
 
 _COMMANDS: dict[str, CommandFunction] = {}
 # Each command stands in the module of this package that has its name.
-_NAMES = ("serve", "check", "explain", "reference", "demo", "standin", "bench")
+_NAMES = (
+    "serve",
+    "check",
+    "explain",
+    "reference",
+    "demo",
+    "standin",
+    "bench",
+    "load",
+    "naive",
+)
 
 
 class CommandError(Exception):
