--- /dev/null
+++ b/mimosapost/bench/tests/test_load.py
@@ -0,0 +1,56 @@
+"""Guards against a load whose warm-up, losses or repeated queries reach the wrong figure."""
+
+import time
+
+from aiohttp import web
+
+from mimosapost.bench.deployments import create_deployment
+from mimosapost.bench.load import LoadPlan, RepeatedQuery, run_load
+from mimosapost.bench.naive import NaiveTier
+from mimosapost.bench.scenarios import POISON, find_scenario
+from mimosapost.commands.load import choose_kinds
+from mimosapost.standins.backends import Backends
+from mimosapost.standins.behaviour import Behaviour
+
+
+async def test_naive_tier_and_load_agree():
+    teams = create_deployment("sunbrook", 9171).teams[2:3]
+    kinds = choose_kinds(find_scenario("steady"), teams)
+    service = kinds[0].service
+    names = [slot.server for leaf in service.leafs for slot in leaf.slots]
+    plan = LoadPlan(100.0, 1.0, 1, kinds, 0.5, RepeatedQuery(POISON, 0.2, 0.0))
+    async with (
+        Backends(
+            {name: Behaviour() for name in names}, addresses={name: name for name in names}
+        ) as backends,
+        NaiveTier({service.name: service}, "127.60.9.1", 8171, 1),
+    ):
+        result = await run_load(plan, ["127.60.9.1:8171"], time.monotonic)
+        sends = sum(server.requests for server in backends.servers.values())
+    assert result.wrong == []
+    assert result.repeated == {1000: 5}
+    assert 0 < result.queries == result.answered == len(result.timeline)
+    assert min(due_s for due_s, *_ in result.timeline) >= 0.5
+    assert result.leafs_sent > result.leafs_wanted == result.leafs_covered
+    assert sends == result.leafs_sent + 5 * len(service.leafs)
+
+
+async def test_lost_queries_are_counted_by_instance():
+    async def answer(request):
+        if request.method == "POST":
+            request.transport.abort()
+        return web.Response()
+
+    kinds = choose_kinds(find_scenario("steady"), create_deployment("wide", 9172).teams)
+    runner = web.ServerRunner(web.Server(answer, access_log=None))
+    await runner.setup()
+    await web.TCPSite(runner, "127.60.9.2", 0).start()
+    target = f"127.60.9.2:{runner.addresses[0][1]}"
+    try:
+        plan = LoadPlan(50.0, 0.5, 1, kinds)
+        result = await run_load(plan, [target], time.monotonic)
+    finally:
+        await runner.cleanup()
+    assert 0 < result.queries == result.connection_errors == result.lost[target]
+    assert result.answered == 0
+    assert {code for _, _, code, _ in result.timeline} == {0}
