--- a/mimosapost/bench/figures.py
+++ b/mimosapost/bench/figures.py
@@ -47,6 +47,7 @@
         ),
     }
     figures |= _split_timeline(scenario, result)
+    figures["p99_by_second_ms"] = _list_seconds(result)
     if scenario.quiet_s is not None:
         first, last = (started_ms + 1_000 * at for at in scenario.quiet_s)
         figures["quiet_requests"] = sum(
@@ -91,6 +92,18 @@
     }
 
 
+def _list_seconds(result: LoadResult) -> dict[str, float]:
+    """Return the 99th percentile of each second, to tell a lasting effect from a short one."""
+    seconds: dict[int, list[float]] = {}
+    for due_s, elapsed_ms, code, _ in result.timeline:
+        if code in ANSWERED:
+            seconds.setdefault(int(due_s), []).append(elapsed_ms)
+    return {
+        str(second): round(_get_quantile(values, 0.99), 1)
+        for second, values in sorted(seconds.items())
+    }
+
+
 def _get_quantile(values: list[float], quantile: float) -> float:
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))] if ordered else 0.0
--- a/mimosapost/bench/report.py
+++ b/mimosapost/bench/report.py
@@ -1,6 +1,7 @@
 """Table and JSON of a scenario: both sides, targets and verdicts.
 
-``python -m mimosapost.bench.report NAIVE.json TIER.json`` prints them.
+``python -m mimosapost.bench.report report NAIVE.json TIER.json`` prints them, and
+``python -m mimosapost.bench.report summarize FOLDER ...`` one row for each run.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 
 from mimosapost.bench.scenarios import Target, find_scenario
 
-__all__ = ["Verdict", "format_table", "judge_targets", "report"]
+__all__ = ["Verdict", "format_table", "judge_targets", "report", "summarize"]
 
 _ROWS = (
     "queries",
@@ -118,11 +119,7 @@
     :param as_json: print JSON instead.
     :returns: 0 if every target was met, else 1.
     """
-    sides = [msgspec.json.decode(path.read_bytes()) for path in (naive, tier)]
-    if any(sides[0][key] != sides[1][key] for key in ("scenario", "deployment", "seed")):
-        raise ValueError("the two sides are of different runs")
-    scenario = find_scenario(sides[1]["scenario"], sides[1]["deployment"])
-    verdicts = judge_targets(scenario.targets, sides[0]["figures"], sides[1]["figures"])
+    sides, verdicts = _read_run(naive, tier)
     if as_json:
         document = {"naive": sides[0], "tier": sides[1], "verdicts": verdicts}
         print(msgspec.json.encode(document).decode())
@@ -131,5 +128,48 @@
     return 0 if all(verdict.met for verdict in verdicts) else 1
 
 
+def summarize(folders: list[Path]) -> int:
+    """Print one row for each scratch folder of ``tools/bench.sh``.
+
+    :param folders: folders with ``naive.json`` and ``tier.json``.
+    :returns: 0 if every target was met, else 1.
+    """
+    print(
+        "| run | p50 ms | p99 ms | coverage | extra sends | cold ratio | codes of the tier "
+        "| wrong | targets of the tier |"
+    )
+    print("|" + " --- |" * 9)
+    met = True
+    for folder in folders:
+        sides, verdicts = _read_run(folder / "naive.json", folder / "tier.json")
+        met = met and all(verdict.met for verdict in verdicts)
+        run = "{deployment} {scenario} {seed}".format(**sides[1])
+        cells = [
+            " / ".join(_format(side["figures"].get(row)) for side in sides)
+            for row in ("p50_ms", "p99_ms", "coverage", "extra_sends", "cold_ratio")
+        ]
+        cells.append(_format(sides[1]["figures"]["codes"]))
+        cells.append(" / ".join(_format(side["figures"]["wrong_count"]) for side in sides))
+        cells.append("; ".join(_format_verdict(verdict) for verdict in verdicts))
+        print(f"| {run} | {' | '.join(cells)} |")
+    return 0 if met else 1
+
+
+def _format_verdict(verdict: Verdict) -> str:
+    target = verdict.target
+    sign = ">=" if target.least else "<="
+    unit = " x naive" if target.relative else ""
+    word = "met" if verdict.met else "**MISSED**"
+    return f"{target.figure} {_format(verdict.value)} ({sign} {target.bound:g}{unit}) {word}"
+
+
+def _read_run(naive: Path, tier: Path) -> tuple[list[dict[str, Any]], list[Verdict]]:
+    sides = [msgspec.json.decode(path.read_bytes()) for path in (naive, tier)]
+    if any(sides[0][key] != sides[1][key] for key in ("scenario", "deployment", "seed")):
+        raise ValueError("the two sides are of different runs")
+    scenario = find_scenario(sides[1]["scenario"], sides[1]["deployment"])
+    return sides, judge_targets(scenario.targets, sides[0]["figures"], sides[1]["figures"])
+
+
 if __name__ == "__main__":
-    raise SystemExit(defopt.run(report))
+    raise SystemExit(defopt.run([report, summarize]))
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -79,4 +79,4 @@
     fi
     stop_all
 done
-"$python" -m mimosapost.bench.report "$folder/naive.json" "$folder/tier.json"
+"$python" -m mimosapost.bench.report report "$folder/naive.json" "$folder/tier.json"
