Hold a waiting leaf once in the queue of each server

Cause: a leaf that waits for an allowance stands in the queue of each of its servers. pump_server took it from one queue and, when it had to go on waiting, _wait added it to all of them again, so the other queues got copies. Copies counted as valid entries and grew with each housekeeping tick; suspects that wait for an idle server triggered it. Change: WaitingLeafs holds each entry once and keeps its place.

--- /dev/null
+++ b/mimosapost/core/tests/test_waiting.py
@@ -0,0 +1,32 @@
+"""Guards against copies of waiting leafs, which multiplied with each turn at a server."""
+
+from mimosapost.core.tests.test_invariants import PAIRS, run_schedule
+from mimosapost.core.waiting import WaitingLeafs
+from mimosapost.model.codes import Priority
+
+
+def test_an_entry_is_held_once_and_keeps_its_place():
+    waiting = WaitingLeafs()
+    for leaf in ("a", "b", "a"):
+        waiting.add(Priority.URGENT, (1, leaf))
+    assert len(waiting) == 2
+    assert [waiting.pop(), waiting.pop()] == [(1, "a"), (1, "b")]
+    waiting.add(Priority.URGENT, (1, "a"))
+    assert len(waiting) == 1
+
+
+def test_waiting_suspects_do_not_multiply(monkeypatch):
+    """Suspects that wait for an idle server are added again at each turn."""
+    lengths = []
+    add = WaitingLeafs.add
+
+    def record(self, priority, entry):
+        add(self, priority, entry)
+        lengths.append(len(self))
+
+    monkeypatch.setattr(WaitingLeafs, "add", record)
+    pair = ("lost_replica", "poison_request")
+    fleet = run_schedule(PAIRS.index(pair), set(pair), queries=60)
+    leafs = len(fleet.team.services[0].leafs)
+    assert lengths
+    assert max(lengths) <= leafs * len(fleet.asked)
--- a/mimosapost/core/waiting.py
+++ b/mimosapost/core/waiting.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict
 
 from mimosapost.model.codes import Priority
 
@@ -15,7 +15,9 @@
 class WaitingLeafs:
     """Leafs that wait for an allowance at one server, by priority class.
 
-    Classes take turns in the ratio 8:3:1 (weighted round robin).
+    Classes take turns in the ratio 8:3:1 (weighted round robin). An entry is held once: a
+    leaf waits at each of its servers, and one that goes on waiting after its turn at one
+    server is added at all of them again. Copies would multiply with each turn.
 
     >>> waiting = WaitingLeafs()
     >>> waiting.add(Priority.BACKGROUND, (1, "a"))
@@ -27,7 +29,9 @@
     __slots__ = ("_credits", "_queues")
 
     def __init__(self) -> None:
-        self._queues: dict[Priority, deque[tuple[int, str]]] = {p: deque() for p in Priority}
+        self._queues: dict[Priority, OrderedDict[tuple[int, str], None]] = {
+            priority: OrderedDict() for priority in Priority
+        }
         self._credits = dict(_WEIGHTS)
 
     def __len__(self) -> int:
@@ -35,8 +39,8 @@
         return sum(len(queue) for queue in self._queues.values())
 
     def add(self, priority: Priority, entry: tuple[int, str]) -> None:
-        """Add a leaf, named by query id and leaf name."""
-        self._queues[priority].append(entry)
+        """Add a leaf, named by query id and leaf name; no change if it is held already."""
+        self._queues[priority].setdefault(entry)
 
     def pop(self) -> tuple[int, str]:
         """Remove and return the next entry.
@@ -47,6 +51,6 @@
             for priority, queue in self._queues.items():
                 if queue and self._credits[priority] > 0:
                     self._credits[priority] -= 1
-                    return queue.popleft()
+                    return queue.popitem(last=False)[0]
             self._credits = dict(_WEIGHTS)
         raise IndexError("no leaf is waiting")
