Close silent connections before their deadline in the test of withdrawn sends

Cause: since cancelled sends stay open until their real end, the test waited for the deadline of the send (10 s) before it closed the connections, so it no longer showed that they are freed earlier. Change: connections are closed while the withdrawn send is open; the assertions stay. Conclusion: the test guards its failure again.

--- a/mimosapost/edge/tests/test_sends.py
+++ b/mimosapost/edge/tests/test_sends.py
@@ -346,8 +346,8 @@
         client.execute(create_send(2, server.address))
         await asyncio.sleep(0.05)
         client.execute(CancelSend(2))
-        await events.wait_for(2)
         client.execute(CloseConnections(server.address))
+        await events.wait_for(2)
         async with asyncio.timeout(5):
             while silent in server.transports:
                 await asyncio.sleep(0.01)
