--- a/mimosapost/core/waiting.py
+++ b/mimosapost/core/waiting.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+
 from mimosapost.model.codes import Priority
 
 __all__ = ["WaitingLeafs"]
@@ -26,8 +28,10 @@
     __slots__ = ("_credits", "_queues")
 
     def __init__(self) -> None:
-        # Dictionaries keep the order of arrival and remove any entry in constant time.
-        self._queues: dict[Priority, dict[tuple[int, str], None]] = {p: {} for p in Priority}
+        # Ordered dictionaries remove the first and any other entry in constant time.
+        self._queues: dict[Priority, OrderedDict[tuple[int, str], None]] = {
+            priority: OrderedDict() for priority in Priority
+        }
         self._credits = dict(_WEIGHTS)
 
     def __len__(self) -> int:
@@ -36,7 +40,7 @@
 
     def add(self, priority: Priority, entry: tuple[int, str]) -> None:
         """Add a leaf, named by query id and leaf name."""
-        self._queues[priority][entry] = None
+        self._queues[priority].setdefault(entry)
 
     def remove(self, entry: tuple[int, str]) -> None:
         """Remove a leaf that no longer waits; does nothing if it is not there."""
@@ -52,8 +56,6 @@
             for priority, queue in self._queues.items():
                 if queue and self._credits[priority] > 0:
                     self._credits[priority] -= 1
-                    entry = next(iter(queue))
-                    del queue[entry]
-                    return entry
+                    return queue.popitem(last=False)[0]
             self._credits = dict(_WEIGHTS)
         raise IndexError("no leaf is waiting")
