Send few warm-up notes in a settled fleet

Cause: 16 notes in each gossip message were 6,912 of 14,874 B/s sent by an instance at 690 (docs/CAPACITY.md), above the 14 KB/s of control. Change: up to 16 notes on changed servers, else 4 on servers in turn.

--- a/mimosapost/core/peering.py
+++ b/mimosapost/core/peering.py
@@ -23,9 +23,10 @@
 
 __all__ = ["finish_join", "send_gossip", "send_heartbeats", "tell_suspects"]
 
-# 16 notes of about 80 bytes to 3 peers twice a second are under 8 KB/s; a fleet of more than a
-# few hundred servers hears of changes first and of the rest in turn.
+# Up to 16 changes travel in a message. A settled fleet sends 4 notes on servers in turn: 16 of 72
+# bytes to 3 peers twice a second were half of the 14 KB/s that control may send.
 WARMUP_NOTES = 16
+UNCHANGED_WARMUP_NOTES = 4
 # All peers of a deployment of today; more hear of a suspect in the following rounds.
 SUSPECT_FANOUT = 8
 
@@ -68,7 +69,7 @@
     """Send gossip to random members, and to the seed peers until this instance joined."""
     leaving = bool(state.stop_requested_us)
     suspects = state.suspects.export(now_us)
-    warmups = state.warmup.export_notes(now_us, WARMUP_NOTES)
+    warmups = state.warmup.export_notes(now_us, WARMUP_NOTES, UNCHANGED_WARMUP_NOTES)
     sends = state.exchange.start_round(now_us, leaving, suspects, warmups)
     effects.extend(sends)
     if not state.joined:
--- a/mimosapost/limits/tests/test_warmup.py
+++ b/mimosapost/limits/tests/test_warmup.py
@@ -182,6 +182,19 @@
     assert active.get_limit(SERVER, now_us) == 2
 
 
+def test_settled_fleet_sends_few_notes():
+    """Guards against gossip that repeats what is known at the price of new knowledge.
+
+    Fails when ``export_notes`` ignores ``unchanged``.
+    """
+    table = WarmupTable()
+    for number in range(40):
+        table.configure(f"10.0.0.{number}:80", 25, 2, 1, 0)
+        table.record_answer(f"10.0.0.{number}:80", "a", FAST_US, 0)
+    counts = [len(table.export_notes(0, 16, 4)) for _ in range(5)]
+    assert counts == [16, 16, 12, 4, 4]
+
+
 def test_notes_reach_every_server_in_turn():
     """Guards against servers that are never told to a replaced instance.
 
--- a/mimosapost/limits/warmup.py
+++ b/mimosapost/limits/warmup.py
@@ -244,18 +244,21 @@
         if state is not None:
             self._return_to_cold(server, state, "reset")
 
-    def export_notes(self, now_us: int, count: int = 64) -> tuple[WarmupNote, ...]:
+    def export_notes(
+        self, now_us: int, count: int = 64, unchanged: int = 64
+    ) -> tuple[WarmupNote, ...]:
         """Return notes for other instances: changes first, then further servers in turn.
 
         A limit is passed on only while the own evidence for it is fresh.
 
         :param now_us: monotonic time in microseconds.
         :param count: largest number of notes.
+        :param unchanged: largest number of notes on servers that did not change.
         """
         names = list(self._changed)[:count]
         for name in names:
             del self._changed[name]
-        for _ in range(min(count, len(self._order)) - len(names)):
+        for _ in range(min(unchanged, min(count, len(self._order)) - len(names))):
             self._position = (self._position + 1) % len(self._order)
             names.append(self._order[self._position])
         notes = []
