Refuse queries at once that expire when another one arrives

Cause: an arrival moves expired entries out of the queue, but they were refused only at a later look, which an empty queue did not get; such a query waited for its deadline. Change: an arrival that finds expired entries has the queue looked at, and housekeeping looks at queues with expired entries only.

--- a/mimosapost/core/admission.py
+++ b/mimosapost/core/admission.py
@@ -154,7 +154,10 @@
         query.deadline_us,
         now_us,
     )
-    if not service.queue.offer(entry, now_us):
+    taken = service.queue.offer(entry, now_us)
+    if service.queue.has_expired:
+        state.dirty_services.add(query.service)
+    if not taken:
         finish.refuse_open(state, open_query, code, now_us, effects)
 
 
--- a/mimosapost/core/schedule.py
+++ b/mimosapost/core/schedule.py
@@ -107,7 +107,7 @@
             _check_silence(state, server, now_us, effects)
     fanout.pump_waiting(state, now_us, effects)
     for service in list(state.services.values()):
-        if len(service.queue):
+        if service.queue.needs_look:
             admission.pump_service(state, service, now_us, effects)
     stopping.finish_stop(state, now_us, effects)
 
@@ -148,5 +148,5 @@
                 fanout.pump_server(state, server, now_us, effects)
         for name in sorted(services):
             service = state.services.get(name)
-            if service is not None and len(service.queue):
+            if service is not None and service.queue.needs_look:
                 admission.pump_service(state, service, now_us, effects)
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -367,3 +367,18 @@
         solo.tick(500_000)
         if not sends:
             assert solo.list_answers(number)[0].run is RunState.NOT_RUN
+
+
+def test_query_that_expires_at_an_arrival_is_refused_at_once():
+    """Guards against an expired entry that left the queue and waits for its deadline."""
+    solo = Solo(leafs=1, cold_limit=20, concurrency=1)
+    for _ in range(30):
+        solo.ask()
+        solo.now_us += 20_000
+        solo.answer(solo.list_open()[0])
+    solo.ask(deadline_us=1_500_000)
+    queued = solo.ask(deadline_us=100_000)
+    solo.now_us += 85_000
+    solo.ask(deadline_us=1_500_000)
+    (answer,) = solo.list_answers(queued)
+    assert (answer.code, answer.run) == (ResultCode.DEADLINE_TOO_SHORT, RunState.NOT_RUN)
--- a/mimosapost/limits/admission.py
+++ b/mimosapost/limits/admission.py
@@ -157,6 +157,16 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    @property
+    def needs_look(self) -> bool:
+        """Whether queries wait for their start or, expired, for their refusal."""
+        return bool(self._entries or self._expired)
+
+    @property
+    def has_expired(self) -> bool:
+        """Whether queries expired that ``drop_expired`` has not returned yet."""
+        return bool(self._expired)
+
     def set_limit(self, limit: int) -> None:
         """Change the largest number of waiting queries; those that wait already stay.
 
