--- a/mimosapost/core/tests/schedules.py
+++ b/mimosapost/core/tests/schedules.py
@@ -208,6 +208,41 @@
     fleet.at(1_000_000, publish, False)
 
 
+@fault
+def resent_suspects(fleet):
+    """Crash a server and send what was in flight again and again, while others are busy."""
+    server = pick_server(fleet)
+
+    def send_again(nonces):
+        for nonce in nonces:
+            fleet.ask(fleet.rng.choice(sorted(fleet.nodes)), nonce=nonce)
+
+    def crash():
+        nonces = [
+            send.request.body["nonce"]
+            for node in fleet.nodes.values()
+            for send in node.sends.values()
+            if send.server == server.address and send.request.repeatable
+        ]
+        fleet.crash(server, down_us=200_000)
+        for round_number in range(8):
+            fleet.at(400_000 + 100_000 * round_number, send_again, nonces[:5])
+
+    fleet.at(300_000, crash)
+
+
+@fault
+def changed_ceiling(fleet):
+    """Raise the ceiling of instances and lower it; each instance hears of it at its time."""
+    first = fleet.fleet_tree
+    for number, ceiling in enumerate((2 * first.instance_ceiling, first.instance_ceiling), 2):
+        tree = replace(first, version=number, instance_ceiling=ceiling)
+        event = (ev.ConfigRead, "fleet", number, fleet_text(tree))
+        for seat, node in fleet.nodes.items():
+            delay_us = (number - 2) * 1_400_000 + fleet.rng.randrange(1_400_000)
+            fleet.at(delay_us, fleet.deliver, seat, node, *event)
+
+
 def run_schedule(seed, faults, queries=150, gap_us=12_000, instances=4, merge="concat"):
     """Run queries of both kinds while faults go on; return the fleet after its end."""
     fleet = Fleet(seed, instances, team=create_team(merge=merge), check=Checker())
--- a/mimosapost/core/tests/test_handlers.py
+++ b/mimosapost/core/tests/test_handlers.py
@@ -286,3 +286,23 @@
     solo.tick(200_000)
     closed = [e for e in solo.effects if isinstance(e, fx.CancelSend) and e.close]
     assert [e.send_id for e in closed if e.send_id == send.send_id] == [send.send_id]
+
+
+def test_suspect_runs_alone():
+    """Guards against a suspect beside other work, and other work beside a suspect."""
+    solo = Solo(leafs=1, slots=2, cold_limit=50, connections=240)
+    solo.state.suspects.record_crash("127.0.9.9:80", (7,), solo.now_us)
+    for fingerprint in range(100, 110):
+        solo.ask(fingerprint=fingerprint)
+    busy = solo.list_open()
+    assert {send.server for send in busy} == set(solo.state.servers)
+    suspect = solo.ask(fingerprint=7, deadline_us=1_500_000)
+    assert solo.list_open() == busy
+    for send in busy:
+        solo.answer(send)
+    (alone,) = solo.list_open()
+    assert solo.state.sends[alone.send_id].query_id == suspect
+    for fingerprint in range(100, 120):
+        solo.ask(fingerprint=fingerprint)
+    beside = [send for send in solo.list_open() if send.server == alone.server]
+    assert beside == [alone]
--- a/mimosapost/core/tests/test_invariants.py
+++ b/mimosapost/core/tests/test_invariants.py
@@ -36,6 +36,12 @@
     assert max(fleet.now_us - since_us for since_us in fleet.out_since.values()) > 6_000_000
 
 
+@pytest.mark.parametrize(("seed", "instances"), [(4, 2), (6, 1), (7, 4)])
+def test_suspects_stay_confined_among_stragglers(seed, instances):
+    """Guards against a suspect that is sent to a server that works on other requests."""
+    run_schedule(seed, ("resent_suspects", "stragglers"), instances=instances)
+
+
 def test_the_schedules_reach_the_cases_they_are_for():
     """Guards against schedules that pass because nothing happens in them."""
     fleet = run_schedule(7, {"stragglers"})
