--- a/mimosapost/commands/entry.py
+++ b/mimosapost/commands/entry.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Callable, Sequence
 from contextlib import redirect_stderr
+from importlib.metadata import version
 
 import defopt
 
@@ -24,6 +25,10 @@
     """
     arguments = list(sys.argv[1:] if argv is None else argv)
     try:
+        if arguments == ["--version"]:
+            sys.stdout.write(f"{_PROGRAM} {version(_PROGRAM)}\n")
+            sys.stdout.flush()
+            return 0
         call = _bind(arguments)
         if call is None:
             return 2
--- a/mimosapost/commands/tests/test_entry.py
+++ b/mimosapost/commands/tests/test_entry.py
@@ -3,6 +3,7 @@
 import json
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -33,6 +34,14 @@
     assert reason in lines[0]
 
 
+def test_version_is_that_of_the_package(capsys):
+    """Guards against a version that differs from the one in pyproject.toml."""
+    assert main(["--version"]) == 0
+    with (ROOT / "pyproject.toml").open("rb") as stream:
+        project = tomllib.load(stream)["project"]
+    assert capsys.readouterr().out == f"{project['name']} {project['version']}\n"
+
+
 def test_unreadable_file_is_one_line(capsys, tmp_path):
     assert main(["check", str(tmp_path), "/dev/null"]) == 2
     lines = capsys.readouterr().err.splitlines()
