--- /dev/null
+++ b/mimosapost/commands/tests/test_known_red.py
@@ -0,0 +1,71 @@
+"""Guards against a list of known failures that hides other tests."""
+
+import importlib.util
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+TOOL = Path(__file__).parents[3] / "tools" / "known_red.py"
+SPEC = importlib.util.spec_from_file_location("known_red", TOOL)
+known_red = importlib.util.module_from_spec(SPEC)
+SPEC.loader.exec_module(known_red)
+
+ENTRY = """# comment
+test: {}
+command: make test, seed 7
+seen: the second query
+  never ended
+issue: 12
+"""
+MALFORMED = [
+    ("nonsense\n", "unexpected line"),
+    ("test: a\n", "no command, issue, seen"),
+    ("test: a\ntest: b\n", "unexpected line"),
+    ("test: a\n\ncommand: b\n", "no command"),
+    (" test: a\n", "unexpected line"),
+    ("test:\ncommand: a\nseen: b\nissue: c\n", "no test"),
+]
+
+
+@pytest.mark.parametrize(("text", "reason"), MALFORMED)
+def test_malformed_entries_are_refused(text, reason):
+    with pytest.raises(known_red.EntryError, match=reason):
+        known_red.read_entries(text)
+
+
+@pytest.mark.parametrize("test", ["a.py::test_x", "a.py", "a.py::test_gone", "a.py::test_p"])
+def test_ids_that_leave_out_other_tests_are_refused(test):
+    known = ["a.py::test_x", "a.py::test_xy", "a.py::test_p[1]", "a.py::test_p[2]"]
+    with pytest.raises(known_red.EntryError):
+        known_red.check_ids([test], known)
+    known_red.check_ids(["a.py::test_xy", "a.py::test_p[1]"], known)
+
+
+@pytest.mark.parametrize(
+    ("names", "status", "outcome"),
+    [
+        (["test_red[a b]"], 0, "1 passed, 1 deselected"),
+        (["test_gone"], 1, "matches 0 tests"),
+        ([], 1, "1 failed, 1 passed"),
+    ],
+)
+def test_exactly_the_listed_tests_are_left_out(names, status, outcome, tmp_path):
+    (tmp_path / "test_a.py").write_text(
+        "import pytest\n"
+        "@pytest.mark.parametrize('x', ['a b'])\n"
+        "def test_red(x): assert 0\n"
+        "def test_ok(): pass\n"
+    )
+    entries = [ENTRY.format(f"test_a.py::{name}") for name in names]
+    (tmp_path / "KNOWN-RED.txt").write_text("\n".join(entries))
+    command = [sys.executable, str(TOOL), "-p", "no:cacheprovider"]
+    # Plugins take most of the time of such a short run.
+    env = os.environ | {"PYTEST_DISABLE_PLUGIN_AUTOLOAD": "1"}
+    done = subprocess.run(command, cwd=tmp_path, env=env, capture_output=True, text=True)
+    assert done.returncode == status
+    assert outcome in done.stdout + done.stderr
+    shown = "seen: the second query never ended; issue: 12" in done.stdout
+    assert shown == (names == ["test_red[a b]"])
