--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: test demo lint format binary check-syscalls
+.PHONY: test demo install lint format binary check-syscalls
 
 $(BIN)/.installed: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
@@ -10,9 +10,15 @@
 	$(BIN)/python -c 'import aiohttp, capnp, mode, pytest'
 	touch $@
 
+install: $(BIN)/.installed
+
 test: $(BIN)/.installed
 	$(BIN)/python -m pytest
 
+# Runs both example deployments on loopback addresses 127.10 to 127.30 and checks promises.
+demo: $(BIN)/.installed
+	PYTHON=$(BIN)/python tools/demo.sh
+
 lint: $(BIN)/.installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check --no-cache .
--- a/mimosapost/bench/running.py
+++ b/mimosapost/bench/running.py
@@ -195,10 +195,15 @@
         """Return the record of each stand-in backend server."""
         return msgspec.json.decode(await self._get(f"{self._control}/control/record"))
 
-    async def read_counters(self) -> Counter[str]:
-        """Return the counters of all instances, summed."""
-        pages = [await self._get(f"{address}/metrics") for address in self._operators]
-        return sum_counters(page.decode() for page in pages)
+    async def read_counters(self) -> tuple[Counter[str], tuple[str, ...]]:
+        """Return the counters of all instances, summed, and the pages that did not answer."""
+        pages, silent = [], []
+        for address in self._operators:
+            try:
+                pages.append((await self._get(f"{address}/metrics")).decode())
+            except (aiohttp.ClientError, TimeoutError):
+                silent.append(address)
+        return sum_counters(pages), tuple(silent)
 
     async def ask(
         self, instance: str, kind: QueryKind, request: Mapping[str, Any]
--- a/mimosapost/commands/demo.py
+++ b/mimosapost/commands/demo.py
@@ -39,8 +39,8 @@
     operators: list[str] | None = None,
     platform: str = "127.0.0.1:8100",
     control: str = "127.0.0.1:8101",
-    rate: float = 60.0,
-    seconds: float = 22.0,
+    rate: float = 70.0,
+    seconds: float = 20.0,
     seed: int = 1,
     deadline_ms: int = 1_000,
     domain: str = "",
@@ -115,7 +115,7 @@
                 f"servers, {len(tree.teams)} teams, domains {', '.join(tree.fleet.regions)}"
             )
             once = await self._ask_once(deployment, kinds)
-            before = await deployment.read_counters()
+            before, _ = await deployment.read_counters()
             plan = LoadPlan(self._plan.rate_per_s, self._plan.seconds, self._plan.seed, kinds)
             async with asyncio.TaskGroup() as group:
                 outage = group.create_task(self._take_out(deployment, tree, domain))
@@ -124,8 +124,8 @@
                 )
             result = load.result()
             self._print(f"example answer:\n{_format_json(result.example)}")
-            counters = await deployment.read_counters()
-            return create_report(
+            counters, silent = await deployment.read_counters()
+            report = create_report(
                 result,
                 await deployment.read_records(),
                 tree.map_cold_limits(),
@@ -133,6 +133,9 @@
                 counters - before,
                 once,
             )
+            # Nothing here stops an instance, so one that is gone has failed.
+            report.broken += [f"operator page {address} did not answer" for address in silent]
+            return report
 
     def _choose_domain(self, tree: PublishedTree) -> str:
         domains = list(tree.fleet.regions)
