--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # Memory file system to which the binary unpacks itself unless SHIV_ROOT names another.
 UNPACK_ROOT ?= /dev/shm/mimosapost
 
-.PHONY: test doctest demo lint format reference-check binary check-syscalls
+.PHONY: test doctest demo install lint format reference-check binary check-syscalls
 
 $(BIN)/.installed: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV) || python3 -m venv $(VENV)
@@ -15,9 +15,15 @@
 	$(BIN)/python -c 'import aiohttp, capnp, mode, pytest'
 	touch $@
 
+install: $(BIN)/.installed
+
 test: $(BIN)/.installed
 	$(BIN)/python tools/known_red.py
 
+# Runs both example deployments on loopback addresses 127.10 to 127.30 and checks promises.
+demo: $(BIN)/.installed
+	PYTHON=$(BIN)/python tools/demo.sh
+
 lint: $(BIN)/.installed
 	$(BIN)/ruff format --no-cache --check .
 	$(BIN)/ruff check --no-cache .
