--- a/mimosapost/bench/figures.py
+++ b/mimosapost/bench/figures.py
@@ -46,6 +46,9 @@
             for r in _list_requests(records)
         ),
     }
+    if not result.answered:
+        # Without answers the histogram reads 0, which would meet every latency target.
+        figures |= dict.fromkeys(("p50_ms", "p90_ms", "p99_ms", "max_ms"))
     figures |= _split_timeline(scenario, result)
     figures["p99_by_second_ms"] = _list_seconds(result)
     if scenario.quiet_s is not None:
@@ -77,7 +80,7 @@
     )
 
 
-def _split_timeline(scenario: Scenario, result: LoadResult) -> dict[str, float]:
+def _split_timeline(scenario: Scenario, result: LoadResult) -> dict[str, float | None]:
     if scenario.fault_s is None or scenario.settled_s is None:
         return {}
     before = [entry for entry in result.timeline if entry[0] < scenario.fault_s]
@@ -87,7 +90,7 @@
     return {
         "p99_before_ms": p99_before,
         "p99_after_ms": p99_after,
-        "p99_after_ratio": p99_after / p99_before if p99_before else 0.0,
+        "p99_after_ratio": p99_after / p99_before if p99_before and p99_after else None,
         "coverage_after": sum(entry[3] for entry in after) / len(after) if after else 0.0,
     }
 
--- a/mimosapost/bench/tests/test_scenarios.py
+++ b/mimosapost/bench/tests/test_scenarios.py
@@ -51,6 +51,14 @@
     assert {target.figure for target in found.targets} <= set(figures)
 
 
+@pytest.mark.parametrize("name", list_scenarios())
+def test_a_run_without_answers_meets_no_latency_target(name):
+    found = find_scenario(name)
+    figures = compute_figures(found, LoadResult(), [], 0.0, {})
+    verdicts = judge_targets(found.targets, {"p99_ms": 1.0}, figures)
+    assert not any(verdict.met for verdict in verdicts if verdict.target.figure.startswith("p"))
+
+
 def test_names_are_taken_once():
     with pytest.raises(ValueError, match="registered already"):
         scenario(lambda: Scenario("steady", "", ()))
