--- a/mimosapost/core/admission.py
+++ b/mimosapost/core/admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from mimosapost.core import fanout, finish, forwarding
 from mimosapost.core.registry import Effects, handles
 from mimosapost.core.state import OpenQuery, ServiceState, State
@@ -25,6 +27,7 @@
 @handles(CallerGone)
 def handle_caller_gone(state: State, event: CallerGone, effects: Effects) -> None:
     """Stop work for a caller that left; non-idempotent work goes on to its stored answer."""
+    finish.take_joined(state, event.query_id)
     forwarded = state.forwards.pop(event.query_id, None)
     open_query = state.queries.get(event.query_id)
     if forwarded is not None or open_query is None or not open_query.query.repeatable:
@@ -37,6 +40,10 @@
 
     :param query: query of an authenticated caller, or one that a peer forwarded.
     """
+    latest_us = now_us + state.policy.max_deadline_us
+    if query.deadline_us > latest_us:
+        # Leases count on it that no send is in flight for longer.
+        query = replace(query, deadline_us=latest_us)
     service = state.services.get(query.service)
     refusal = _check_query(state, query, service, now_us)
     if refusal is not None:
@@ -53,18 +60,14 @@
         state.tickets_running[number] = query.query_id
     standing = state.suspects.classify(query.fingerprint, now_us)
     open_query.suspect = standing is Standing.SUSPECT
-    state.timers.add(
-        query.deadline_us - state.policy.answer_margin_us,
-        TimerKind.QUERY_DEADLINE,
-        query.query_id,
-    )
+    _add_deadline(state, query)
     _admit(state, open_query, service, now_us, effects)
 
 
 def _check_query(
     state: State, query: Query, service: ServiceState | None, now_us: int
 ) -> ResultCode | None:
-    if state.is_draining(now_us) and not query.forwarded_by:
+    if state.stopped or (state.is_draining(now_us) and not query.forwarded_by):
         return ResultCode.STOPPING
     if state.configs.get_fleet() is None or not state.joined:
         return ResultCode.NOT_CONFIGURED
@@ -120,7 +123,14 @@
         answer = Answer(ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN)
         finish.deliver(state, query, answer, now_us, effects)
         return
-    running.joined.append(query)
+    running.joined[query.query_id] = query
+    state.joined_to[query.query_id] = running.query.query_id
+    _add_deadline(state, query)
+
+
+def _add_deadline(state: State, query: Query) -> None:
+    due_us = query.deadline_us - state.policy.answer_margin_us
+    state.timers.add(due_us, TimerKind.QUERY_DEADLINE, query.query_id)
 
 
 def _admit(
--- a/mimosapost/core/answers.py
+++ b/mimosapost/core/answers.py
@@ -26,7 +26,7 @@
     send = retries.close_send(state, event.send_id, now_us)
     server = state.servers[send.slot.server]
     server.load, server.load_us = answer.load, now_us
-    retries.record_alive(server, answer.boot_id)
+    retries.record_alive(server, answer.boot_id, now_us)
     elapsed_us = now_us - send.sent_us
     state.warmup.record_answer(server.address, answer.boot_id, elapsed_us, now_us)
     state.latency.record(send.service, retries.get_slot_id(send), elapsed_us, now_us)
@@ -43,6 +43,12 @@
     answer = event.answer
     part = open_query.parts[send.leaf]
     snapshot = Snapshot(answer.map_version, answer.index_version)
+    if answer.request_id != fanout.create_request_id(state, send.send_id):
+        # A crossed answer tells nothing about the execution of this send.
+        kind, run = FailureKind.MALFORMED, RunState.UNKNOWN
+        open_query.unknown_sends += 1
+        retries.retry_leaf(state, open_query, part, kind, run, event.now_us, effects)
+        return
     open_query.ran = True
     fits = answer.leaf == send.leaf and snapshot == open_query.plan.snapshot
     if not fits or not find_merge(open_query.service.merge).check_part(answer.items):
@@ -51,8 +57,10 @@
         )
         return
     if open_query.coverage.add_part(send.leaf, snapshot, answer.items):
-        part.done = True
-        open_query.open_leafs -= 1
+        if not part.done:
+            # A leaf that was given up while a hedge was open is no longer counted.
+            part.done = True
+            open_query.open_leafs -= 1
         parts.stop_waiting(state, part)
     parts.cancel_sends(state, part, effects)
     if open_query.open_leafs == 0:
@@ -74,7 +82,8 @@
     send = retries.close_send(state, event.send_id, event.now_us)
     if send is None:
         return
-    retries.record_alive(state.servers[send.slot.server], event.boot_id)
+    retries.record_alive(state.servers[send.slot.server], event.boot_id, event.now_us)
+    state.warmup.record_boot(send.slot.server, event.boot_id)
     open_query = state.queries.get(send.query_id)
     if open_query is None or send.wasted:
         return
@@ -82,7 +91,7 @@
     service = state.services.get(send.service)
     held = Snapshot(event.map_version, event.index_version)
     plan = None
-    if service is not None and open_query.query.repeatable:
+    if service is not None and open_query.query.repeatable and _has_time(state, send, event):
         plan = create_replan(open_query.plan, held, service.settings)
     if plan is not None:
         fanout.replan_query(state, open_query, service, plan, event.now_us, effects)
@@ -103,6 +112,12 @@
     finish.finish_if_done(state, open_query, event.now_us, effects)
 
 
+def _has_time(state: State, send: OpenSend, event: SendRejected) -> bool:
+    """Return whether a new plan can be answered; it drops the parts of the old one."""
+    expected_us = state.latency.get_median_us(send.service)
+    return event.now_us + expected_us <= send.deadline_us
+
+
 @handles(LoadReported)
 def handle_load_reported(state: State, event: LoadReported, effects: Effects) -> None:
     """Store a load report with its time; the choice of slots weighs it by age."""
--- a/mimosapost/core/failures.py
+++ b/mimosapost/core/failures.py
@@ -2,15 +2,24 @@
 
 from __future__ import annotations
 
-from mimosapost.core import counters, fanout, finish, parts, retries
+from mimosapost.core import counters, fanout, finish, parts, peering, retries
 from mimosapost.core.registry import Effects, handles
 from mimosapost.core.state import OpenQuery, OpenSend, ServerState, State
+from mimosapost.core.timers import TimerKind
 from mimosapost.model.codes import FailureKind, MissingReason, RunState
 from mimosapost.model.effects import Count, OpenProbe, WriteLog
 from mimosapost.model.events import ProbeAnswered, ProbeFailed, SendFailed
 from mimosapost.suspects.book import Standing
 
-__all__ = ["handle_probe_answered", "handle_probe_failed", "handle_send_failed", "probe_server"]
+__all__ = [
+    "forget_server",
+    "forget_unused",
+    "handle_probe_answered",
+    "handle_probe_failed",
+    "handle_send_failed",
+    "probe_server",
+    "release_hold",
+]
 
 _PROBE_BACKOFF_US = 100_000
 _PROBE_BACKOFF_LIMIT_US = 2_000_000
@@ -23,6 +32,7 @@
     if send is None:
         return
     server = state.servers[send.slot.server]
+    state.warmup.record_boot(server.address, event.boot_id)
     open_query = state.queries.get(send.query_id)
     if open_query is not None and event.run is RunState.UNKNOWN and not send.wasted:
         open_query.unknown_sends += 1
@@ -78,6 +88,8 @@
     The requests in flight are not sent elsewhere before the probe ends: one of them may be
     what crashed the server, and a retry would take the next slot of the leaf.
     """
+    if not server.crash_fingerprints:
+        server.crash_boot_id = server.boot_id
     server.crash_fingerprints.add(send.fingerprint)
     server.crash_ran_alone = server.crash_ran_alone or send.suspect
     if not server.probing:
@@ -106,19 +118,41 @@
     effects.append(OpenProbe(server.address))
 
 
+def forget_server(state: State, address: str) -> None:
+    """Forget a server that the configuration no longer names; if it returns, it is cold."""
+    state.servers.pop(address, None)
+    state.dirty_servers.discard(address)
+    state.warmup.forget(address)
+    state.silence.forget(address)
+
+
+def forget_unused(state: State, server: ServerState) -> bool:
+    """Forget a server without configuration, open sends, waiting leafs and probe.
+
+    :returns: whether it was forgotten.
+    """
+    in_use = server.sends or server.probing or server.crash_waiting or len(server.waiting)
+    if in_use or server.address in state.published_servers:
+        return False
+    forget_server(state, server.address)
+    return True
+
+
 @handles(ProbeAnswered)
 def handle_probe_answered(state: State, event: ProbeAnswered, effects: Effects) -> None:
     """End the outage of a server, and tell a restart from a broken connection."""
     server = fanout.get_server(state, event.server)
     server.probing = False
     state.silence.record_probe(server.address, True, event.now_us)
-    restarted = bool(server.boot_id) and server.boot_id != event.boot_id
+    # An answer of the restarted server may have come before the one to the probe.
+    before = server.crash_boot_id if server.crash_fingerprints else server.boot_id
+    restarted = bool(before) and before != event.boot_id
     if restarted:
         _confirm_crash(state, server, event.now_us, effects)
         state.warmup.record_refused(server.address, event.now_us)
     if server.down:
         effects.append(WriteLog("server_up", (("server", server.address),)))
-    retries.record_alive(server, event.boot_id)
+    retries.record_alive(server, event.boot_id, event.now_us)
     server.crash_fingerprints.clear()
     server.crash_ran_alone = False
     state.dirty_servers.add(server.address)
@@ -132,6 +166,7 @@
     server.probing = False
     state.silence.record_probe(server.address, False, event.now_us)
     mark_down(state, server, event.now_us, effects)
+    state.dirty_servers.add(server.address)
     _confirm_crash(state, server, event.now_us, effects)
     _release_crash_waiting(state, server, event.now_us, effects)
 
@@ -143,6 +178,7 @@
     ran_alone, server.crash_ran_alone = server.crash_ran_alone, False
     server.crash_fingerprints.clear()
     state.suspects.record_crash(server.address, fingerprints, now_us, ran_alone)
+    peering.tell_suspects(state, now_us, effects)
     effects.append(Count(counters.SERVER_CRASHES))
     effects.append(
         WriteLog(
@@ -155,8 +191,30 @@
 def _release_crash_waiting(
     state: State, server: ServerState, now_us: int, effects: Effects
 ) -> None:
+    """Let the leafs that waited for a probe go on.
+
+    After a crash they wait a little longer, so that peers know of the suspect before its
+    caller has an answer and sends it again.
+    """
     waiting, server.crash_waiting = server.crash_waiting, []
-    for query_id, leaf in waiting:
+    if not waiting:
+        return
+    suspect = any(
+        query_id in state.queries
+        and state.suspects.classify(state.queries[query_id].query.fingerprint, now_us)
+        is not Standing.CLEAR
+        for query_id, _ in waiting
+    )
+    hold_id = state.next_hold_id
+    state.next_hold_id += 1
+    state.crash_holds[hold_id] = waiting
+    delay_us = state.policy.suspect_notice_us if suspect else 0
+    state.timers.add(now_us + delay_us, TimerKind.RETRY, hold_id)
+
+
+def release_hold(state: State, hold_id: int, now_us: int, effects: Effects) -> None:
+    """Retry the leafs whose send was in flight at a server that broke its connections."""
+    for query_id, leaf in state.crash_holds.pop(hold_id, ()):
         open_query = state.queries.get(query_id)
         if open_query is None or leaf not in open_query.parts:
             continue
--- a/mimosapost/core/fanout.py
+++ b/mimosapost/core/fanout.py
@@ -15,7 +15,7 @@
 )
 from mimosapost.core.timers import TimerKind
 from mimosapost.model.codes import MissingReason
-from mimosapost.model.effects import Count, EmitSend
+from mimosapost.model.effects import Count, EmitSend, OpenProbe
 from mimosapost.model.identities import SlotId
 from mimosapost.model.published import SlotSettings
 from mimosapost.model.queries import SubRequest
@@ -24,8 +24,10 @@
 from mimosapost.routing.choice import Candidate, choose_slot
 from mimosapost.routing.eligibility import check_slot
 from mimosapost.routing.hedges import HedgeContext
+from mimosapost.suspects.book import Standing
 
 __all__ = [
+    "create_request_id",
     "hedge_send",
     "pump_server",
     "pump_waiting",
@@ -60,6 +62,8 @@
 ) -> None:
     """Drop all parts of the old plan and send the query again at a newer snapshot."""
     for part in open_query.parts.values():
+        # The new plan no longer lists these sends, but they may have run.
+        open_query.unknown_sends += len(part.open_sends)
         cancel_sends(state, part, effects)
         stop_waiting(state, part)
     effects.append(Count(counters.QUERIES_REPLANNED))
@@ -78,7 +82,8 @@
     open_query.service = service.settings
     open_query.coverage = Coverage(plan)
     open_query.hedge_delay_us = state.hedges.get_delay_us(service.settings.name)
-    open_query.parts = {leaf.name: LeafPart(leaf) for leaf in plan.leafs}
+    query_id = open_query.query.query_id
+    open_query.parts = {leaf.name: LeafPart(leaf, (query_id, leaf.name)) for leaf in plan.leafs}
     open_query.open_leafs = len(plan.leafs)
     for part in list(open_query.parts.values()):
         send_leaf(state, open_query, part, now_us, effects)
@@ -101,18 +106,29 @@
     :param hedge: whether this is a hedge; a hedge never waits.
     :returns: whether a send was emitted.
     """
+    if now_us >= open_query.query.deadline_us - state.policy.answer_margin_us:
+        # After a pause or a late tick this runs before the timer of the deadline.
+        if not part.open_sends:
+            set_missing(state, open_query, part, MissingReason.TIMED_OUT)
+        return False
     service = state.services.get(open_query.query.service)
     if service is None:
         set_missing(state, open_query, part, MissingReason.NO_ELIGIBLE_SLOT)
         return False
+    standing = state.suspects.classify(open_query.query.fingerprint, now_us)
+    open_query.suspect = standing is Standing.SUSPECT
+    if standing is Standing.REFUSED or (hedge and open_query.suspect):
+        if not part.open_sends:
+            set_missing(state, open_query, part, MissingReason.REQUEST_SUSPECT)
+        return False
     slots = list_eligible(service, part)
     if not slots:
         if not hedge and not part.open_sends:
             set_missing(state, open_query, part, MissingReason.NO_ELIGIBLE_SLOT)
         return False
-    if open_query.suspect and _count_live(state, slots) < 2:
-        if not part.open_sends:
-            set_missing(state, open_query, part, MissingReason.REQUEST_SUSPECT)
+    if open_query.suspect and not _may_run_suspect(
+        state, open_query, part, slots, now_us, effects
+    ):
         return False
     slot = _choose(state, open_query, part, slots, now_us)
     if slot is None:
@@ -133,8 +149,37 @@
     return slots
 
 
-def _count_live(state: State, slots: list[SlotSettings]) -> int:
-    return sum(not get_server(state, slot.server).down for slot in slots)
+def _may_run_suspect(
+    state: State,
+    open_query: OpenQuery,
+    part: LeafPart,
+    slots: list[SlotSettings],
+    now_us: int,
+    effects: Effects,
+) -> bool:
+    """Return whether a suspect leaves a leaf with a live slot even if it crashes one.
+
+    Two slots must be known to live from recent answers. Where the evidence is old, the servers
+    are probed and the leaf waits: another instance may have seen one of them crash just now.
+    """
+    if part.open_sends:
+        return False
+    addresses = sorted({slot.server for slot in slots})
+    servers = [get_server(state, address) for address in addresses]
+    live = [server for server in servers if not server.down]
+    if len(live) < 2:
+        set_missing(state, open_query, part, MissingReason.REQUEST_SUSPECT)
+        return False
+    limit_us = now_us - state.policy.live_evidence_us
+    stale = [server for server in live if server.alive_us < limit_us]
+    if len(live) - len(stale) >= 2:
+        return True
+    for server in stale:
+        if not server.probing:
+            server.probing = True
+            effects.append(OpenProbe(server.address))
+    _wait(state, open_query, part, slots)
+    return False
 
 
 def _choose(
@@ -280,13 +325,18 @@
         state.timers.add(now_us + delay_us, TimerKind.HEDGE, send_id)
 
 
+def create_request_id(state: State, send_id: int) -> str:
+    """Return the id of a send, unique over instances and their incarnations."""
+    return f"{state.identity.incarnation:x}-{send_id}"
+
+
 def _create_sub_request(
     state: State, open_query: OpenQuery, part: LeafPart, send_id: int, remaining_us: int
 ) -> SubRequest:
     query = open_query.query
     snapshot = open_query.plan.snapshot
     return SubRequest(
-        request_id=f"{state.identity.incarnation:x}-{send_id}",
+        request_id=create_request_id(state, send_id),
         service=query.service,
         leaf=part.settings.name,
         map_version=snapshot.map_version,
@@ -332,9 +382,9 @@
         return
     part.waiting = True
     state.waiting_leafs += 1
-    entry = (open_query.query.query_id, part.settings.name)
-    for slot in slots:
-        get_server(state, slot.server).waiting.add(open_query.query.priority, entry)
+    part.waiting_at = [slot.server for slot in slots]
+    for address in part.waiting_at:
+        get_server(state, address).waiting.add(open_query.query.priority, part.entry)
 
 
 def pump_server(state: State, server: ServerState, now_us: int, effects: Effects) -> None:
@@ -343,11 +393,11 @@
     for _ in range(len(server.waiting)):
         if len(server.sends) >= get_server_allowance(state, server, now_us):
             return
+        if not len(server.waiting):
+            return
         query_id, leaf = server.waiting.pop()
-        open_query = state.queries.get(query_id)
-        part = open_query.parts.get(leaf) if open_query is not None else None
-        if part is None or not part.waiting:
-            continue
+        open_query = state.queries[query_id]
+        part = open_query.parts[leaf]
         stop_waiting(state, part)
         send_leaf(state, open_query, part, now_us, effects)
         finish.finish_if_done(state, open_query, now_us, effects)
--- a/mimosapost/core/forwarding.py
+++ b/mimosapost/core/forwarding.py
@@ -25,6 +25,10 @@
 
 # Time for the answer to travel back between regions before the caller's own deadline.
 _RETURN_MARGIN_US = 15_000
+# Forwards are remembered for this many longest deadlines; their queries ended long before.
+_SEEN_DEADLINES = 4
+# Deep nesting ends the decoder with a recursion error.
+_UNREADABLE = (msgspec.DecodeError, RecursionError)
 
 
 def forward_query(
@@ -86,7 +90,9 @@
         return None
     try:
         query = msgspec.json.decode(message.query, type=Query)
-    except (msgspec.ValidationError, msgspec.DecodeError):
+    except _UNREADABLE:
+        return None
+    if _is_repeated(state, peer, message, now_us):
         return None
     query_id = state.next_internal_id
     state.next_internal_id -= 1
@@ -99,6 +105,23 @@
     )
 
 
+def _is_repeated(state: State, peer: str, message: Forward, now_us: int) -> bool:
+    """Return whether a forward is a second copy of one that was taken.
+
+    The first copy may have been refused as "not run", which made its ticket usable again.
+    """
+    seen = state.forwards_seen
+    while seen and next(iter(seen.values())) <= now_us:
+        del seen[next(iter(seen))]
+    member = state.members.find_name(peer)
+    identity = member.identity if member is not None else None
+    key = (peer, identity.incarnation if identity else 0, message.forward_id)
+    if key in seen:
+        return True
+    seen[key] = now_us + _SEEN_DEADLINES * state.policy.max_deadline_us
+    return False
+
+
 def read_forward_answer(
     state: State, peer: str, message: ForwardAnswer, now_us: int, effects: Effects
 ) -> None:
@@ -108,9 +131,9 @@
         return
     try:
         answer = msgspec.json.decode(message.answer, type=Answer)
-    except (msgspec.ValidationError, msgspec.DecodeError):
+        if answer.result is not None:
+            answer = replace(answer, result=msgspec.Raw(msgspec.json.encode(answer.result)))
+    except _UNREADABLE:
         return
-    if answer.result is not None:
-        answer = replace(answer, result=msgspec.Raw(msgspec.json.encode(answer.result)))
     del state.forwards[message.forward_id]
     finish.deliver(state, forwarded.query, answer, now_us, effects)
--- a/mimosapost/core/peering.py
+++ b/mimosapost/core/peering.py
@@ -21,11 +21,14 @@
     SubtreeRequest,
 )
 
-__all__ = ["finish_join", "send_gossip", "send_heartbeats"]
+__all__ = ["finish_join", "send_gossip", "send_heartbeats", "tell_suspects"]
 
-# 16 notes of about 80 bytes to 3 peers twice a second are under 8 KB/s; a fleet of more than a
-# few hundred servers hears of changes first and of the rest in turn.
+# Up to 16 changes travel in a message. A settled fleet sends 4 notes on servers in turn: 16 of 72
+# bytes to 3 peers twice a second were half of the 14 KB/s that control may send.
 WARMUP_NOTES = 16
+UNCHANGED_WARMUP_NOTES = 4
+# All peers of a deployment of today; more hear of a suspect in the following rounds.
+SUSPECT_FANOUT = 8
 
 MessageFunction = Callable[[State, str, PeerMessage, int, Effects], None]
 _RECEIVERS: dict[type, MessageFunction] = {}
@@ -66,7 +69,7 @@
     """Send gossip to random members, and to the seed peers until this instance joined."""
     leaving = bool(state.stop_requested_us)
     suspects = state.suspects.export(now_us)
-    warmups = state.warmup.export_notes(WARMUP_NOTES)
+    warmups = state.warmup.export_notes(now_us, WARMUP_NOTES, UNCHANGED_WARMUP_NOTES)
     sends = state.exchange.start_round(now_us, leaving, suspects, warmups)
     effects.extend(sends)
     if not state.joined:
@@ -90,7 +93,7 @@
         state.peer_addresses[peer] = message.identity.peer_address
     if isinstance(message, Gossip):
         state.suspects.merge(message.suspects, now_us)
-        state.warmup.merge_notes(message.warmups)
+        state.warmup.merge_notes(message.warmups, now_us)
     outcome = state.exchange.handle(peer, message, now_us)
     configuration.apply_outcome(state, outcome, now_us, effects)
 
@@ -130,6 +133,15 @@
     forwarding.read_forward_answer(state, peer, message, now_us, effects)
 
 
+def tell_suspects(state: State, now_us: int, effects: Effects) -> None:
+    """Tell peers of the suspects of a crash at once instead of in the next round."""
+    suspects = state.suspects.export(now_us)
+    leaving = bool(state.stop_requested_us)
+    gossip = Gossip(state.identity, leaving, (), suspects, False)
+    for member in state.members.choose_targets(state.rng, SUSPECT_FANOUT):
+        effects.append(SendPeer(member.name, member.peer_address, gossip))
+
+
 def finish_join(state: State, now_us: int, effects: Effects) -> None:
     """Start serving after several rounds of gossip with the seed peers.
 
--- a/mimosapost/core/retries.py
+++ b/mimosapost/core/retries.py
@@ -50,9 +50,10 @@
     return SlotId(send.service, send.leaf, send.slot.name)
 
 
-def record_alive(server: ServerState, boot_id: str) -> None:
+def record_alive(server: ServerState, boot_id: str, now_us: int) -> None:
     """Note that a server answered."""
     server.down = False
+    server.alive_us = now_us
     server.probe_backoff_us = 0
     if boot_id:
         server.boot_id = boot_id
@@ -84,7 +85,7 @@
         parts.set_missing(
             state, open_query, part, MissingReason.OUTCOME_UNKNOWN if unknown else reason
         )
-    elif not part.open_sends:
+    elif not part.open_sends and not part.waiting:
         _retry_or_give_up(state, open_query, part, reason, now_us, effects)
     finish.finish_if_done(state, open_query, now_us, effects)
 
--- a/mimosapost/core/state.py
+++ b/mimosapost/core/state.py
@@ -65,6 +65,10 @@
     :param join_us: longest wait for peers before an instance serves.
     :param drain_us: time that the balancer needs to stop sending.
     :param stop_us: longest wait for requests in flight at a graceful stop.
+    :param suspect_notice_us: time that peers get to hear of a suspect before the caller can
+        send it again; one way between regions takes 12 ms.
+    :param live_evidence_us: age up to which an answer proves that a server lives, before a
+        suspect may run beside it.
     :param max_attempts: first send and retries of one leaf; hedges are not counted.
     :param max_hedges: hedges of one leaf.
     :param hedge: whether repeatable work is hedged.
@@ -79,6 +83,8 @@
     join_us: int = 2_000_000
     drain_us: int = 3_000_000
     stop_us: int = 30_000_000
+    suspect_notice_us: int = 30_000
+    live_evidence_us: int = 1_000_000
     max_attempts: int = 3
     max_hedges: int = 2
     hedge: bool = True
@@ -89,8 +95,10 @@
     """Progress of one leaf of an open query."""
 
     settings: LeafSettings
+    entry: tuple[int, str]
     done: bool = False
     waiting: bool = False
+    waiting_at: list[str] = field(default_factory=list)
     attempts: int = 0
     hedges: int = 0
     open_sends: list[int] = field(default_factory=list)
@@ -113,7 +121,7 @@
     ticket_number: int = 0
     ran: bool = False
     unknown_sends: int = 0
-    joined: list[Query] = field(default_factory=list)
+    joined: dict[int, Query] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -146,10 +154,12 @@
     load_us: int = 0
     boot_id: str = ""
     down: bool = False
+    alive_us: int = -(2**62)
     probe_due_us: int = 0
     probe_backoff_us: int = 0
     probing: bool = False
     crash_fingerprints: set[int] = field(default_factory=set)
+    crash_boot_id: str = ""
     crash_ran_alone: bool = False
     crash_waiting: list[tuple[int, str]] = field(default_factory=list)
     waiting: WaitingLeafs = field(default_factory=WaitingLeafs)
@@ -202,13 +212,16 @@
     seed_peers: tuple[str, ...] = ()
     services: dict[str, ServiceState] = field(default_factory=dict)
     servers: dict[str, ServerState] = field(default_factory=dict)
+    published_servers: frozenset[str] = frozenset()
     callers: dict[str, CallerSettings] = field(default_factory=dict)
     caller_digests: dict[str, CallerSettings] = field(default_factory=dict)
     caller_open: dict[str, int] = field(default_factory=dict)
     queries: dict[int, OpenQuery] = field(default_factory=dict)
     sends: dict[int, OpenSend] = field(default_factory=dict)
     forwards: dict[int, ForwardedQuery] = field(default_factory=dict)
+    forwards_seen: dict[tuple[str, int, int], int] = field(default_factory=dict)
     tickets_running: dict[int, int] = field(default_factory=dict)
+    joined_to: dict[int, int] = field(default_factory=dict)
     reply_to: dict[int, tuple[str, int]] = field(default_factory=dict)
     leaving_addresses: frozenset[str] = frozenset()
     regions: dict[str, str] = field(default_factory=dict)
@@ -217,6 +230,8 @@
     next_forward_id: int = 1
     next_internal_id: int = -1
     waiting_leafs: int = 0
+    crash_holds: dict[int, list[tuple[int, str]]] = field(default_factory=dict)
+    next_hold_id: int = 1
     dirty_services: set[str] = field(default_factory=set)
     dirty_servers: set[str] = field(default_factory=set)
     resumed_us: int = 0
--- a/mimosapost/edge/instance.py
+++ b/mimosapost/edge/instance.py
@@ -7,6 +7,7 @@
 import secrets
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 import aiohttp
@@ -17,12 +18,14 @@
 from mimosapost.core.status import describe_state
 from mimosapost.edge.backends import BackendClient
 from mimosapost.edge.callers import CallerServer
+from mimosapost.edge.checking import SubtreeChecker
 from mimosapost.edge.clock import read_clock_us
 from mimosapost.edge.logs import Logs
 from mimosapost.edge.metrics import Metrics
 from mimosapost.edge.operators import OperatorServer
 from mimosapost.edge.peers import PeerLinks
 from mimosapost.edge.platform import HttpConfigSource, HttpInstanceSource, PlatformReader
+from mimosapost.edge.spans import ForwardSpans
 from mimosapost.edge.traces import Traces, open_trace_stream
 from mimosapost.merging import list_merges
 from mimosapost.model.effects import (
@@ -76,9 +79,12 @@
             settings.region,
             settings.peer_address,
         )
+        self._checker = SubtreeChecker(
+            lambda team, text: check_subtree(team, text, list_merges())
+        )
         self._state = create_state(
             self._identity,
-            lambda team, text: check_subtree(team, text, list_merges()),
+            self._checker.check,
             secrets.token_bytes(32),
             secrets.randbits(63),
             read_clock_us(),
@@ -90,10 +96,12 @@
         self._reducing = False
         self._timer = None
         self._served = asyncio.Event()
+        self.failed_events = 0
         self.metrics = Metrics()
         self._logs = Logs()
         stream = open_trace_stream(settings.trace_export)
         self._traces = Traces(stream, _TRACE_RATIO if stream else 0.0)
+        self._spans = ForwardSpans(self._traces)
         self._executors: dict[type[Effect], Callable] = {}
 
     @property
@@ -127,7 +135,7 @@
             Count: self.metrics.execute,
             EmitSend: backends.execute,
             OpenProbe: backends.execute,
-            SendPeer: peers.send,
+            SendPeer: lambda effect: self._send_peer(peers, effect),
             StopServing: self._stop_serving,
             WakeAt: self._wake_at,
             WriteLog: self._logs.execute,
@@ -166,7 +174,7 @@
             host=host,
             port=int(port),
             is_configured=lambda: bool(self._state.services),
-            is_ready=self._is_ready,
+            is_ready=self.is_ready,
             next_query_id=itertools.count(1).__next__,
             metrics=self.metrics,
             traces=self._traces,
@@ -180,20 +188,22 @@
         return OperatorServer(
             lambda: {
                 **describe_state(self._state, read_clock_us()),
+                "failed_events": self.failed_events,
                 "peer_links": peers.describe(),
                 "platform": platform.describe(),
             },
             self.metrics,
             host=host,
             port=int(port),
-            is_ready=self._is_ready,
+            is_ready=self.is_ready,
         )
 
     def _find_service(self, name: str):
         service = self._state.services.get(name)
         return service.settings if service is not None else None
 
-    def _is_ready(self) -> bool:
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send queries to this instance."""
         return self._state.is_ready(read_clock_us())
 
     def _is_known_peer(self, name_or_address: str) -> bool:
@@ -219,20 +229,47 @@
 
     def handle(self, event: Event) -> None:
         """Reduce an event and execute its effects; events that arrive meanwhile follow."""
+        found = self._checker.find_text(event)
+        if found is not None:
+            self.add_future(self._handle_checked(event, *found))
+            return
+        self._add_event(event)
+
+    async def _handle_checked(self, event: Event, team: str, text: bytes) -> None:
+        await self._checker.prepare(team, text)
+        # The time of the event is that of its reduction; time must not go back.
+        self._add_event(replace(event, now_us=read_clock_us()))
+
+    def _add_event(self, event: Event) -> None:
         self._events.append(event)
         if self._reducing:
             return
         self._reducing = True
         try:
             while self._events:
-                self._execute(reduce(self._state, self._events.popleft()))
+                self._handle_one(self._events.popleft())
         finally:
             self._reducing = False
 
+    def _handle_one(self, event: Event) -> None:
+        self._spans.record_event(event)
+        try:
+            self._execute(reduce(self._state, event))
+        except Exception as error:
+            # One event that fails must not end the service of all callers.
+            self.failed_events += 1
+            self._logs.write(
+                "event_failed", {"event_type": type(event).__name__, "error": repr(error)}
+            )
+
     def _execute(self, effects: list[Effect]) -> None:
         for effect in effects:
             self._executors[type(effect)](effect)
 
+    def _send_peer(self, peers: PeerLinks, effect: SendPeer) -> None:
+        self._spans.record_effect(effect)
+        peers.send(effect)
+
     def _wake_at(self, effect: WakeAt) -> None:
         if self._timer is not None:
             self._timer.cancel()
