--- a/mimosapost/core/peering.py
+++ b/mimosapost/core/peering.py
@@ -23,8 +23,8 @@
 
 __all__ = ["finish_join", "send_gossip", "send_heartbeats", "tell_suspects"]
 
-# Up to 16 changes travel in a message. A settled fleet sends 4 notes on servers in turn: 16 of 72
-# bytes to 3 peers twice a second were half of the 14 KB/s that control may send.
+# Up to 16 changes travel in a message. A settled fleet sends 4 notes on servers in turn: 16
+# notes of 72 bytes to 3 peers twice a second were half of the 14 KB/s that control may send.
 WARMUP_NOTES = 16
 UNCHANGED_WARMUP_NOTES = 4
 # All peers of a deployment of today; more hear of a suspect in the following rounds.
