Require that withdrawn sends end before their deadline when connections close

Cause: test_withdrawn_sends_free_silent_connections passed when close_connections ignored withdrawn sends, because the deadline of the send closed the connection. Change: the test requires that the event of the send comes before its deadline.

--- a/mimosapost/edge/tests/test_sends.py
+++ b/mimosapost/edge/tests/test_sends.py
@@ -343,11 +343,13 @@
         await events.wait_for(1)
         server.silence_connections()
         (silent,) = server.transports
-        client.execute(create_send(2, server.address))
+        withdrawn = create_send(2, server.address)
+        client.execute(withdrawn)
         await asyncio.sleep(0.05)
         client.execute(CancelSend(2))
         client.execute(CloseConnections(server.address))
         await events.wait_for(2)
+        assert events[1].now_us < withdrawn.deadline_us
         async with asyncio.timeout(5):
             while silent in server.transports:
                 await asyncio.sleep(0.01)
