--- a/mimosapost/core/tests/invariants.py
+++ b/mimosapost/core/tests/invariants.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from mimosapost.core.tests.fleet import Fleet, evaluate_naively
+from mimosapost.core.tests.fleet import Fleet
+from mimosapost.core.tests.servers import evaluate_naively
 from mimosapost.model.codes import RunState
 from mimosapost.suspects.book import Standing
 
--- a/mimosapost/core/tests/test_invariants.py
+++ b/mimosapost/core/tests/test_invariants.py
@@ -42,6 +42,12 @@
     run_schedule(seed, ("resent_suspects", "stragglers"), instances=instances)
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_a_graceful_stop_under_load_interrupts_nothing(seed):
+    """Guards against an instance that ends while slow queries are open."""
+    run_schedule(seed, ("graceful_stop", "stragglers"), queries=340)
+
+
 def test_the_schedules_reach_the_cases_they_are_for():
     """Guards against schedules that pass because nothing happens in them."""
     fleet = run_schedule(7, {"stragglers"})
