Defer a hedge that the budget refuses instead of dropping it

Cause: a hedge was considered once. When all leafs of a query are late together (first query, stalled servers) they empty the budget, and the real stragglers among them ran to their end. Change: overload, an empty budget or a missing allowance put the hedge off; the wait doubles.

--- a/mimosapost/core/fanout.py
+++ b/mimosapost/core/fanout.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from mimosapost.core import counters, finish
 from mimosapost.core.parts import cancel_sends, set_missing, stop_waiting
 from mimosapost.core.registry import Effects
@@ -350,7 +352,10 @@
 
 
 def hedge_send(state: State, send_id: int, now_us: int, effects: Effects) -> None:
-    """Hedge a send that is still open after the hedge delay, if policy and budget allow."""
+    """Hedge a send that is still open after the hedge delay, if policy and budget allow.
+
+    Overload, an empty budget or a missing allowance only defer the hedge.
+    """
     send = state.sends.get(send_id)
     open_query = state.queries.get(send.query_id) if send is not None else None
     if open_query is None or send.wasted:
@@ -368,11 +373,18 @@
         remaining_us=open_query.query.deadline_us - now_us,
         expected_us=state.latency.get_median_us(send.service),
     )
-    if not state.hedges.decide(context) or not service.hedge_budget.available:
-        return
-    if send_leaf(state, open_query, part, now_us, effects, hedge=True):
+    if (
+        state.hedges.decide(context)
+        and service.hedge_budget.available
+        and send_leaf(state, open_query, part, now_us, effects, hedge=True)
+    ):
         service.hedge_budget.try_spend()
         effects.append(Count(counters.SENDS_HEDGED))
+    elif state.hedges.decide(replace(context, overloaded=False)):
+        # The cause passes: a stall of many leafs empties the budget at once, and most of them
+        # answer without a hedge. The wait doubles, so a leaf is looked at a few times only.
+        delay_us = max(open_query.hedge_delay_us, now_us - send.sent_us)
+        state.timers.add(now_us + delay_us, TimerKind.HEDGE, send_id)
 
 
 def _wait(
