Bound joined copies and issue no tickets while stopping

Cause: the review of the decision path found that copies of one running request were kept without bound, and that a stopping instance handed out tickets that could only end in ISSUER_UNREACHABLE. Change: at most 64 copies wait for one request, further ones get 4004 unknown; an instance that was asked to stop issues no ticket. Measured: both new tests fail without the change and pass with it.

--- a/mimosapost/core/admission.py
+++ b/mimosapost/core/admission.py
@@ -18,6 +18,10 @@
 __all__ = ["accept_query", "pump_service"]
 
 
+# Copies of one request that wait for its answer; more of them are a fault of the caller.
+MAX_JOINED = 64
+
+
 @handles(QueryArrived)
 def handle_query_arrived(state: State, event: QueryArrived, effects: Effects) -> None:
     """Admit, queue, forward or refuse a query."""
@@ -119,7 +123,7 @@
     state: State, number: int, query: Query, now_us: int, effects: Effects
 ) -> None:
     running = state.queries.get(state.tickets_running.get(number, 0))
-    if running is None:
+    if running is None or len(running.joined) >= MAX_JOINED:
         answer = Answer(ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN)
         finish.deliver(state, query, answer, now_us, effects)
         return
--- a/mimosapost/core/finish.py
+++ b/mimosapost/core/finish.py
@@ -214,5 +214,7 @@
         message = ForwardAnswer(forward_id, msgspec.json.encode(answer))
         effects.append(SendPeer(peer, state.peer_addresses.get(peer, ""), message))
         return
-    ticket = state.tickets.issue(query.caller, now_us) or ""
+    # A ticket dies with its issuer, so an instance that stops hands out none.
+    stopping = bool(state.stop_requested_us)
+    ticket = "" if stopping else state.tickets.issue(query.caller, now_us) or ""
     effects.append(AnswerCaller(query.query_id, replace(answer, ticket=ticket)))
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -108,6 +108,27 @@
     assert len(solo.list_answers(again)) == 1
 
 
+def test_copies_that_join_a_running_request_are_bounded():
+    """Guards against memory that grows with the copies of one request."""
+    solo = Solo(leafs=1)
+    ticket = solo.get_ticket()
+    numbers = [solo.ask(repeatable=False, ticket=ticket) for _ in range(70)]
+    refused = [number for number in numbers if solo.list_answers(number)]
+    assert refused == numbers[65:]
+    assert {solo.list_answers(number)[0].run for number in refused} == {RunState.UNKNOWN}
+
+
+@pytest.mark.parametrize("stopping", [False, True])
+def test_only_an_instance_that_stays_issues_tickets(stopping):
+    """Guards against tickets whose issuer is gone before the caller can use them."""
+    solo = Solo(leafs=1)
+    if stopping:
+        solo.give(ev.StopRequested)
+    number = solo.ask()
+    solo.answer(solo.list_open()[0])
+    assert bool(solo.list_answers(number)[0].ticket) is not stopping
+
+
 def test_queries_of_a_service_that_returns_are_counted():
     """Guards against a negative count of open queries after a service was published again."""
     solo = Solo(leafs=1, cold_limit=20)
