Show the warm-up state and log refused requests

Change: each slot on the status page has a warmup object; request_suspect and request_refused are logged with the fingerprint, the latter with its caller. Measured: test_refused_request_is_logged_with_its_caller and the handler tests pass.

--- a/mimosapost/core/admission.py
+++ b/mimosapost/core/admission.py
@@ -10,6 +10,7 @@
 from mimosapost.core.timers import TimerKind
 from mimosapost.limits.admission import Waiting
 from mimosapost.model.codes import ResultCode, RunState
+from mimosapost.model.effects import WriteLog
 from mimosapost.model.events import CallerGone, QueryArrived
 from mimosapost.model.queries import Answer, Query
 from mimosapost.once.tickets import TicketState
@@ -50,6 +51,13 @@
         query = replace(query, deadline_us=latest_us)
     service = state.services.get(query.service)
     refusal = _check_query(state, query, service, now_us)
+    if refusal is ResultCode.REQUEST_REFUSED:
+        fields = (
+            ("fingerprint", f"{query.fingerprint:016x}"),
+            ("caller", query.caller),
+            ("service", query.service),
+        )
+        effects.append(WriteLog("request_refused", fields))
     if refusal is not None:
         finish.refuse(state, query, refusal, now_us, effects)
         return
--- a/mimosapost/core/failures.py
+++ b/mimosapost/core/failures.py
@@ -186,6 +186,14 @@
             (("server", server.address), ("requests_in_flight", len(fingerprints))),
         )
     )
+    for fingerprint in fingerprints:
+        standing = state.suspects.classify(fingerprint, now_us)
+        effects.append(
+            WriteLog(
+                "request_suspect",
+                (("fingerprint", f"{fingerprint:016x}"), ("standing", standing.value)),
+            )
+        )
 
 
 def _release_crash_waiting(
--- a/mimosapost/core/status.py
+++ b/mimosapost/core/status.py
@@ -80,6 +80,12 @@
         "allowance": fanout.get_server_allowance(state, server, now_us),
         "fleet_limit": state.warmup.get_limit(slot.server, now_us),
         "boot_id": server.boot_id,
+        "warmup": _describe_warmup(state, slot, now_us),
         "reported_load": server.load,
         "report_age_us": now_us - server.load_us if server.load_us else None,
     }
+
+
+def _describe_warmup(state: State, slot: SlotSettings, now_us: int) -> dict[str, Any] | None:
+    status = state.warmup.describe(slot.server, now_us)
+    return None if status is None else asdict(status)
--- a/mimosapost/core/tests/test_faults.py
+++ b/mimosapost/core/tests/test_faults.py
@@ -151,6 +151,17 @@
     assert (answer.code, answer.run) == (ResultCode.UNKNOWN_SERVICE, RunState.NOT_RUN)
 
 
+def test_refused_request_is_logged_with_its_caller():
+    """Guards against a poison request that operators cannot find in the log."""
+    solo = Solo(leafs=1)
+    solo.state.suspects.merge([SuspectNote(7, 2, 60_000_000)], solo.now_us)
+    number = solo.ask(fingerprint=7)
+    assert solo.list_answers(number)[0].code is ResultCode.REQUEST_REFUSED
+    logged = [e for e in solo.effects if isinstance(e, fx.WriteLog)]
+    assert dict(logged[-1].fields)["fingerprint"] == "0000000000000007"
+    assert logged[-1].event == "request_refused"
+
+
 def test_refused_request_does_not_leave_the_queue():
     """Guards against a confirmed poison request that runs because it was queued before."""
     solo = Solo(leafs=1, concurrency=1, cold_limit=20)
