--- a/mimosapost/core/tests/schedules.py
+++ b/mimosapost/core/tests/schedules.py
@@ -247,7 +247,7 @@
     """Run queries of both kinds while faults go on; return the fleet after its end."""
     fleet = Fleet(seed, instances, team=create_team(merge=merge), check=Checker())
     fleet.run(START_US)
-    for name in faults:
+    for name in sorted(faults):
         FAULTS[name](fleet)
     tickets = []
     for number in range(queries):
