--- a/mimosapost/core/answers.py
+++ b/mimosapost/core/answers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from mimosapost.core import counters, fanout, finish, parts, retries
+from mimosapost.core import counters, fanout, finish, parts, retries, slots
 from mimosapost.core.registry import Effects, handles
 from mimosapost.core.state import OpenQuery, OpenSend, State
 from mimosapost.merging import find_merge
@@ -121,5 +121,5 @@
 @handles(LoadReported)
 def handle_load_reported(state: State, event: LoadReported, effects: Effects) -> None:
     """Store a load report with its time; the choice of slots weighs it by age."""
-    server = fanout.get_server(state, event.server)
+    server = slots.get_server(state, event.server)
     server.load, server.load_us = event.load, event.now_us
--- a/mimosapost/core/failures.py
+++ b/mimosapost/core/failures.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from mimosapost.core import counters, fanout, finish, parts, peering, retries
+from mimosapost.core import counters, finish, parts, peering, retries, slots
 from mimosapost.core.registry import Effects, handles
 from mimosapost.core.state import OpenQuery, OpenSend, ServerState, State
 from mimosapost.core.timers import TimerKind
@@ -141,7 +141,7 @@
 @handles(ProbeAnswered)
 def handle_probe_answered(state: State, event: ProbeAnswered, effects: Effects) -> None:
     """End the outage of a server, and tell a restart from a broken connection."""
-    server = fanout.get_server(state, event.server)
+    server = slots.get_server(state, event.server)
     server.probing = False
     state.silence.record_probe(server.address, True, event.now_us)
     # An answer of the restarted server may have come before the one to the probe.
@@ -162,7 +162,7 @@
 @handles(ProbeFailed)
 def handle_probe_failed(state: State, event: ProbeFailed, effects: Effects) -> None:
     """Treat a server whose probe failed as down; what was in flight may have crashed it."""
-    server = fanout.get_server(state, event.server)
+    server = slots.get_server(state, event.server)
     server.probing = False
     state.silence.record_probe(server.address, False, event.now_us)
     mark_down(state, server, event.now_us, effects)
--- a/mimosapost/core/fanout.py
+++ b/mimosapost/core/fanout.py
@@ -7,6 +7,12 @@
 from mimosapost.core import counters, finish
 from mimosapost.core.parts import cancel_sends, set_missing, stop_waiting
 from mimosapost.core.registry import Effects
+from mimosapost.core.slots import (
+    choose_eligible,
+    get_server,
+    get_server_allowance,
+    list_eligible,
+)
 from mimosapost.core.state import (
     LeafPart,
     OpenQuery,
@@ -18,13 +24,10 @@
 from mimosapost.core.timers import TimerKind
 from mimosapost.model.codes import MissingReason
 from mimosapost.model.effects import Count, EmitSend, OpenProbe
-from mimosapost.model.identities import SlotId
 from mimosapost.model.published import SlotSettings
 from mimosapost.model.queries import SubRequest
 from mimosapost.planning.coverage import Coverage
 from mimosapost.planning.plans import Plan, create_plan
-from mimosapost.routing.choice import Candidate, choose_slot
-from mimosapost.routing.eligibility import check_slot
 from mimosapost.routing.hedges import HedgeContext
 from mimosapost.suspects.book import Standing
 
@@ -38,10 +41,6 @@
     "start_query",
 ]
 
-# Own latency estimates contain the network already; this only breaks ties between slots that
-# are not measured yet in favour of the near one.
-LOCALITY_US = {"domain": 0, "region": 500, "other": 2_000}
-
 
 def start_query(
     state: State, open_query: OpenQuery, service: ServiceState, now_us: int, effects: Effects
@@ -132,7 +131,7 @@
         state, open_query, part, slots, now_us, effects
     ):
         return False
-    slot = _choose(state, open_query, part, slots, now_us)
+    slot = choose_eligible(state, open_query, part, slots, now_us)
     if slot is None:
         if not hedge:
             _wait(state, open_query, part, slots)
@@ -141,16 +140,6 @@
     return True
 
 
-def list_eligible(service: ServiceState, part: LeafPart) -> list[SlotSettings]:
-    """Return the slots of a leaf that may get new work by the newest configuration."""
-    slots = []
-    for planned in part.settings.slots:
-        slot = service.slots.get(planned.server)
-        if check_slot(slot, service.view) is None:
-            slots.append(slot)
-    return slots
-
-
 def _may_run_suspect(
     state: State,
     open_query: OpenQuery,
@@ -184,90 +173,6 @@
     return False
 
 
-def _choose(
-    state: State,
-    open_query: OpenQuery,
-    part: LeafPart,
-    slots: list[SlotSettings],
-    now_us: int,
-) -> SlotSettings | None:
-    """Choose an untried slot first, then any; ``None`` if no allowance is free."""
-    untried = [slot for slot in slots if slot.server not in part.tried]
-    for group in (untried, slots):
-        if not group:
-            continue
-        candidates = [
-            _create_candidate(state, open_query, part, slot, now_us) for slot in group
-        ]
-        index = choose_slot(candidates, state.rng)
-        if index is not None:
-            return group[index]
-        if open_query.suspect:
-            return None
-    return None
-
-
-def _create_candidate(
-    state: State,
-    open_query: OpenQuery,
-    part: LeafPart,
-    slot: SlotSettings,
-    now_us: int,
-) -> Candidate:
-    server = get_server(state, slot.server)
-    slot_id = SlotId(open_query.query.service, part.settings.name, slot.name)
-    return Candidate(
-        slot_id=slot_id,
-        server=slot.server,
-        in_flight=len(server.sends),
-        allowance=get_server_allowance(state, server, now_us, suspect=open_query.suspect),
-        latency_us=state.latency.get_slot_us(slot_id, now_us),
-        locality_us=_get_locality_us(state, slot.domain),
-        reported_load=server.load,
-        report_age_us=now_us - server.load_us if server.load_us else 1 << 40,
-        live=not server.down,
-    )
-
-
-def _get_locality_us(state: State, domain: str) -> int:
-    if domain == state.identity.domain:
-        return LOCALITY_US["domain"]
-    if state.regions.get(domain) == state.identity.region:
-        return LOCALITY_US["region"]
-    return LOCALITY_US["other"]
-
-
-def is_server_eligible(state: State, server: ServerState) -> bool:
-    """Return whether any service may send new work to a server."""
-    for service in state.services.values():
-        slot = service.slots.get(server.address)
-        if slot is not None and check_slot(slot, service.view) is None:
-            return True
-    return False
-
-
-def get_server(state: State, address: str) -> ServerState:
-    """Return the state of a backend server, creating it on first use."""
-    server = state.servers.get(address)
-    if server is None:
-        server = state.servers[address] = ServerState(address)
-    return server
-
-
-def get_server_allowance(
-    state: State, server: ServerState, now_us: int, *, suspect: bool = False
-) -> int:
-    """Return how many requests this instance may have in flight at a server.
-
-    The warm-up limit is that of the whole fleet; the lease table gives this instance's share
-    of it. A suspect request runs alone, and nothing else runs beside it.
-    """
-    if server.exclusive or (suspect and server.sends):
-        return 0
-    limit = state.warmup.get_limit(server.address, now_us)
-    return state.leases.get_allowance(limit, server.address, now_us)
-
-
 def _emit(
     state: State,
     open_query: OpenQuery,
--- a/mimosapost/core/schedule.py
+++ b/mimosapost/core/schedule.py
@@ -4,7 +4,16 @@
 
 from collections.abc import Callable
 
-from mimosapost.core import admission, failures, fanout, finish, forwarding, peering, stopping
+from mimosapost.core import (
+    admission,
+    failures,
+    fanout,
+    finish,
+    forwarding,
+    peering,
+    slots,
+    stopping,
+)
 from mimosapost.core.registry import Effects, handles
 from mimosapost.core.state import ServerState, State
 from mimosapost.core.timers import TimerKind
@@ -107,7 +116,7 @@
     for server in list(state.servers.values()):
         if failures.forget_unused(state, server):
             continue
-        if server.down and fanout.is_server_eligible(state, server):
+        if server.down and slots.is_server_eligible(state, server):
             failures.probe_server(server, now_us, effects)
         if server.sends:
             _check_silence(state, server, now_us, effects)
--- a/mimosapost/core/status.py
+++ b/mimosapost/core/status.py
@@ -5,7 +5,7 @@
 from dataclasses import asdict
 from typing import Any
 
-from mimosapost.core import fanout
+from mimosapost.core import slots
 from mimosapost.core.state import ServiceState, State
 from mimosapost.model.published import LeafSettings, SlotSettings
 from mimosapost.routing.eligibility import check_slot
@@ -68,7 +68,7 @@
 def _describe_slot(
     state: State, service: ServiceState, slot: SlotSettings, now_us: int
 ) -> dict[str, Any]:
-    server = fanout.get_server(state, slot.server)
+    server = slots.get_server(state, slot.server)
     reason = check_slot(slot, service.view)
     return {
         "server": slot.server,
@@ -77,7 +77,7 @@
         "reason": reason.value if reason else "",
         "down": server.down,
         "in_flight": len(server.sends),
-        "allowance": fanout.get_server_allowance(state, server, now_us),
+        "allowance": slots.get_server_allowance(state, server, now_us),
         "fleet_limit": state.warmup.get_limit(slot.server, now_us),
         "boot_id": server.boot_id,
         "warmup": _describe_warmup(state, slot, now_us),
