Accept only trace exports that exist

Cause: trace_export allowed a URL, at which the process ended with a traceback. Change: none or fd:NUMBER; a URL is a settings fault with path and expectation. Conclusion: export to a collector stays open.

--- a/mimosapost/settings/local.py
+++ b/mimosapost/settings/local.py
@@ -70,8 +70,8 @@
     trace_export: Annotated[
         str,
         Field(
-            pattern=r"^(none|fd:[0-9]{1,4}|https?://[!-~]{1,500})$",
-            description="where spans go: none, fd:NUMBER (open file descriptor) or a URL",
+            pattern=r"^(none|fd:[0-9]{1,4})$",
+            description="where spans go: none, or fd:NUMBER (open file descriptor)",
         ),
     ] = "none"
     log_level: Annotated[
@@ -123,7 +123,7 @@
 @rule("local")
 def urls_name_an_address(document: Document, _: Collection[str]) -> Iterator[Fault]:
     """Require URLs with an IPv4 address as host and without user name or password."""
-    for key in ("config_url", "instances_url", "trace_export"):
+    for key in ("config_url", "instances_url"):
         text = document.get(key)
         if not isinstance(text, str) or "://" not in text:
             continue
