--- a/mimosapost/edge/exchanges.py
+++ b/mimosapost/edge/exchanges.py
@@ -68,6 +68,7 @@
         self._started = False
         self._complete = False
         self._extra = False
+        self._keeps = False
 
     # Callbacks of the parser.
 
@@ -82,6 +83,8 @@
 
     def on_headers_complete(self) -> None:
         self._started = True
+        # The parser forgets this when the message ends.
+        self._keeps = self._parser.should_keep_alive()
 
     def on_body(self, body: bytes) -> None:
         if not self._complete:
@@ -179,7 +182,7 @@
         body = b"".join(self._chunks)
         answer, echoed = self.owner.codec.decode_answer(status, self._headers, body)
         crossed = echoed != send.request.request_id
-        keeps = self._parser.should_keep_alive() and not answer.closing
+        keeps = self._keeps and not answer.closing
         if crossed or unsent or self._extra or not keeps or not self._framed:
             self.close()
         else:
--- a/mimosapost/platform/store.py
+++ b/mimosapost/platform/store.py
@@ -31,12 +31,13 @@
 _SERVERS = "servers/"
 _CONFIG = "op/config"
 _OUT = "op/evacuate/"
-_PREFIXES = (_SERVERS, "op/")
 # A watch that hears nothing answers after this time, which shows that its connection lives.
 # The shortest bound that depends on it is 3 s, for servers that leave.
-_WAIT_MS = 1_800
+_WAIT_MS = 2_500
 # A slow store takes up to 250 ms an answer.
 _ANSWER_SECONDS = 0.7
+# Changes come in groups; a pause after one lets the next call bring several.
+_GROUP_SECONDS = 0.15
 # Waits between calls that fail; all calls are charged, refused ones too.
 _FIRST_BACKOFF_SECONDS = 0.1
 _LONGEST_BACKOFF_SECONDS = 0.4
@@ -67,7 +68,7 @@
 
 
 class StoreReader(mode.Service):
-    """Reads everything once, then watches for changes, one call at a time for each prefix.
+    """Reads everything once, then watches for changes, one call at a time.
 
     :param address: ``ip:port`` of the store.
     :param handle: takes events for the reducer.
@@ -90,37 +91,35 @@
         self._session: aiohttp.ClientSession | None = None
         self._revisions: dict[str, int] = {}
         self._out: frozenset[str] = frozenset()
-        self._lost: set[str] = set()
+        self._lost = False
 
     async def on_start(self) -> None:
-        """Open the session and start one reader for each prefix."""
-        connector = aiohttp.TCPConnector(limit=8, force_close=False)
+        """Open the session and start reading."""
         self._session = await self.async_exit_stack.enter_async_context(
-            aiohttp.ClientSession(connector=connector)
+            aiohttp.ClientSession()
         )
-        for prefix in _PREFIXES:
-            self.add_future(self._follow(prefix))
+        self.add_future(self._follow())
 
-    async def _follow(self, prefix: str) -> None:
+    async def _follow(self) -> None:
         after = None
         backoff = _FIRST_BACKOFF_SECONDS
         while not self.should_stop:
             try:
                 if after is None:
-                    after = await self._list(prefix)
+                    after = await self._list()
                 else:
-                    after = await self._watch(prefix, after)
+                    after = await self._watch(after)
             except _HistoryLost:
-                self._logs.write("store_history_lost", {"prefix": prefix, "after": after})
+                self._logs.write("store_history_lost", {"after": after})
                 after = None
                 continue
             except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
-                self._report_lost(prefix, error)
+                self._report_lost(error)
                 await asyncio.sleep(backoff)
                 backoff = min(2 * backoff, _LONGEST_BACKOFF_SECONDS)
                 continue
             backoff = _FIRST_BACKOFF_SECONDS
-            self._report_regained(prefix)
+            self._report_regained()
 
     async def _call(self, path: str, fields: dict[str, Any], seconds: float) -> bytes:
         timeout = aiohttp.ClientTimeout(total=seconds)
@@ -131,14 +130,14 @@
             response.raise_for_status()
             return await response.read()
 
-    async def _list(self, prefix: str) -> int:
-        """Read all items of a prefix.
+    async def _list(self) -> int:
+        """Read all items.
 
         :returns: revision of the first page; pages are no snapshot, so changes since then
             are watched for.
         """
         items: list[_Item] = []
-        fields: dict[str, Any] = {"pathPrefix": prefix}
+        fields: dict[str, Any] = {"pathPrefix": ""}
         first = None
         while True:
             data = await self._call("/api/kv-range", fields, _ANSWER_SECONDS)
@@ -148,28 +147,23 @@
             if not page.truncated or not page.items:
                 break
             fields["after"] = page.items[-1].key
-        for key in [key for key in self._revisions if key.startswith(prefix)]:
-            del self._revisions[key]
-        self._replace(prefix, items)
+        self._replace(items)
         return first
 
-    def _replace(self, prefix: str, items: list[_Item]) -> None:
-        now_us = self._read_clock_us()
-        for item in items:
-            self._revisions[item.key] = item.revision
-        if prefix == _SERVERS:
-            servers = [self._decode_server(item) for item in items]
-            kept = tuple(server for server in servers if server is not None)
-            self._handle(ServersReplaced(now_us, kept))
-            return
+    def _replace(self, items: list[_Item]) -> None:
+        self._revisions = {item.key: item.revision for item in items}
+        entries = [item for item in items if item.key.startswith(_SERVERS)]
+        servers = [self._decode_server(item) for item in entries]
+        kept = tuple(server for server in servers if server is not None)
+        self._handle(ServersReplaced(self._read_clock_us(), kept))
         out = (item.key.removeprefix(_OUT) for item in items if item.key.startswith(_OUT))
         self._set_out(frozenset(out))
         for item in items:
             if item.key == _CONFIG:
                 self._take_config(item)
 
-    async def _watch(self, prefix: str, after: int) -> int:
-        fields = {"pathPrefix": prefix, "after": after, "waitMs": _WAIT_MS}
+    async def _watch(self, after: int) -> int:
+        fields = {"pathPrefix": "", "after": after, "waitMs": _WAIT_MS}
         seconds = _WAIT_MS / 1_000 + _ANSWER_SECONDS
         data = await self._call("/api/kv-watch", fields, seconds)
         found = msgspec.json.decode(data, type=_Events)
@@ -177,6 +171,8 @@
             if item.revision > self._revisions.get(item.key, 0):
                 self._revisions[item.key] = item.revision
                 self._take_change(item)
+        if found.events:
+            await asyncio.sleep(_GROUP_SECONDS)
         return max(after, found.asOf)
 
     def _take_change(self, item: _Item) -> None:
@@ -218,17 +214,16 @@
             return
         self._handle(CatalogRead(self._read_clock_us(), catalog))
 
-    def _report_lost(self, prefix: str, error: Exception) -> None:
+    def _report_lost(self, error: Exception) -> None:
         if not self._lost:
             reason = f"{type(error).__name__} {error}"[:200]
             self._handle(SourceLost(self._read_clock_us(), reason))
-        self._lost.add(prefix)
+        self._lost = True
 
-    def _report_regained(self, prefix: str) -> None:
-        if prefix in self._lost:
-            self._lost.discard(prefix)
-            if not self._lost:
-                self._handle(SourceRegained(self._read_clock_us()))
+    def _report_regained(self) -> None:
+        if self._lost:
+            self._lost = False
+            self._handle(SourceRegained(self._read_clock_us()))
 
 
 def _decode_value(item: _Item) -> bytes:
