Keep a second answer's headers out of the first one

Ruled out: reuse of the connection, which was closed. The new test of edge/exchanges.py failed before.

--- a/mimosapost/edge/exchanges.py
+++ b/mimosapost/edge/exchanges.py
@@ -69,6 +69,7 @@
         self._complete = False
         self._extra = False
         self._keeps = False
+        self._status = 0
 
     # Callbacks of the parser.
 
@@ -76,14 +77,20 @@
         self._extra = self._complete
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._complete:
+            # A second answer in the same bytes must not lend its headers to the first.
+            return
         name = name.lower()
         self._headers.append((name, value))
         if name in (b"content-length", b"transfer-encoding"):
             self._framed = True
 
     def on_headers_complete(self) -> None:
+        if self._complete:
+            return
         self._started = True
-        # The parser forgets this when the message ends.
+        # The parser forgets both when the message ends.
+        self._status = self._parser.get_status_code()
         self._keeps = self._parser.should_keep_alive()
 
     def on_body(self, body: bytes) -> None:
@@ -92,9 +99,9 @@
             self._size += len(body)
 
     def on_message_complete(self) -> None:
-        if self._extra:
+        if self._complete:
             return
-        if self._parser.get_status_code() < 200:
+        if self._status < 200:
             # Interim answers such as 100 Continue precede the final one.
             self._headers, self._chunks, self._framed = [], [], False
             self._started = False
@@ -178,9 +185,8 @@
         # A server that answered before it read the whole body would take the rest of it for
         # the next request.
         unsent = self.transport.get_write_buffer_size() > 0
-        status = self._parser.get_status_code()
         body = b"".join(self._chunks)
-        answer, echoed = self.owner.codec.decode_answer(status, self._headers, body)
+        answer, echoed = self.owner.codec.decode_answer(self._status, self._headers, body)
         crossed = echoed != send.request.request_id
         keeps = self._keeps and not answer.closing
         if crossed or unsent or self._extra or not keeps or not self._framed:
--- /dev/null
+++ b/mimosapost/edge/tests/test_exchanges.py
@@ -0,0 +1,217 @@
+"""Guards against bytes of a server that reach the wrong request, or none."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from contextlib import asynccontextmanager
+
+import pytest
+
+from mimosapost.edge.clock import read_clock_us
+from mimosapost.edge.exchanges import ServerConnections
+from mimosapost.model.codes import FailureKind, RunState
+from mimosapost.platform.wire import PlatformCodec
+from mimosapost.relay.effects import AbandonSend, StartSend
+from mimosapost.relay.events import AnswerArrived, ExchangeFailed
+from mimosapost.relay.exchanges import BackendServer
+
+CODEC = PlatformCodec()
+
+
+def create_answer(request_id: str, body: bytes = b"b" * 16, more: str = "", status=200) -> bytes:
+    """Return the bytes of an answer of known length."""
+    head = (
+        f"HTTP/1.1 {status} X\r\nX-Request-Id: {request_id}\r\nX-Response-Seal: s-{request_id}"
+        f"\r\n{more}Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+class Exchange:
+    """Connections to one scripted server and the events that they report."""
+
+    def __init__(self, connections: ServerConnections, events: asyncio.Queue, address: str):
+        self.connections = connections
+        self.events = events
+        self.server = BackendServer("i-1", "one", address, "a1", 2)
+
+    def start(self, send_id: int, body: bytes = b"") -> None:
+        """Start a send whose request id is ``r<send_id>``."""
+        headers = [(b"Host", b"h"), (b"X-Request-Id", b"r%d" % send_id)]
+        if body:
+            headers.append((b"Content-Length", b"%d" % len(body)))
+        now_us = read_clock_us()
+        request = CODEC.decode_request(
+            send_id, "POST" if body else "GET", "/x", headers, body, now_us
+        )
+        deadline_us = now_us + 2_000_000
+        send = StartSend(send_id, self.server, request, deadline_us, deadline_us, 4)
+        self.connections.start_send(send)
+
+    async def take(self):
+        """Return the next event."""
+        return await asyncio.wait_for(self.events.get(), 3)
+
+
+@asynccontextmanager
+async def open_exchange(script):
+    """Serve connections by a script: a function of reader, writer and connection number."""
+    numbers = iter(range(100))
+
+    async def serve(reader, writer):
+        try:
+            await script(reader, writer, next(numbers))
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    events: asyncio.Queue = asyncio.Queue()
+    async with ServerConnections(events.put_nowait, read_clock_us, CODEC) as connections:
+        yield Exchange(connections, events, f"127.0.0.1:{port}")
+    listener.close()
+
+
+async def read_head(reader) -> bytes:
+    return await reader.readuntil(b"\r\n\r\n")
+
+
+async def answer_twice(reader, writer, number):
+    await read_head(reader)
+    writer.write(create_answer("r1", b"a" * 16) + create_answer("r0", b"z" * 16, status=500))
+    await read_head(reader)
+
+
+async def test_a_second_answer_in_the_same_bytes_changes_nothing_of_the_first():
+    async with open_exchange(answer_twice) as exchange:
+        exchange.start(1)
+        event = await exchange.take()
+        assert isinstance(event, AnswerArrived)
+        assert (event.answer.status, event.answer.signature) == (200, "s-r1")
+        assert event.answer.body == b"a" * 16
+
+
+async def answer_late_again(reader, writer, number):
+    for _ in range(2):
+        head = await read_head(reader)
+        own = head.partition(b"X-Request-Id: ")[2].partition(b"\r\n")[0].decode()
+        if own == "r2" and number == 0:
+            writer.write(create_answer("r1"))
+        else:
+            writer.write(create_answer(own))
+
+
+async def test_an_answer_to_an_earlier_request_is_not_taken_for_the_next():
+    async with open_exchange(answer_late_again) as exchange:
+        exchange.start(1)
+        assert isinstance(await exchange.take(), AnswerArrived)
+        exchange.start(2)
+        event = await exchange.take()
+        assert isinstance(event, ExchangeFailed)
+        assert (event.kind, event.run) == (FailureKind.MALFORMED, RunState.UNKNOWN)
+        exchange.start(3)
+        event = await exchange.take()
+        assert isinstance(event, AnswerArrived)
+        assert event.answer.signature == "s-r3"
+
+
+async def close_after_request(reader, writer, number):
+    if number == 0:
+        await read_head(reader)
+        writer.write(create_answer("r1"))
+    await read_head(reader)
+    closed.append(number)
+
+
+closed: list[int] = []
+
+
+async def test_a_request_is_not_sent_again_when_a_kept_connection_closes():
+    closed.clear()
+    async with open_exchange(close_after_request) as exchange:
+        exchange.start(1)
+        assert isinstance(await exchange.take(), AnswerArrived)
+        exchange.start(2)
+        event = await exchange.take()
+        assert (event.kind, event.run) == (FailureKind.CLOSED, RunState.UNKNOWN)
+        await asyncio.sleep(0.05)
+        assert closed == [0]
+
+
+def write_raw(data: bytes, reset: bool = False):
+    async def script(reader, writer, number):
+        await read_head(reader)
+        writer.write(data)
+        await writer.drain()
+        if reset:
+            await asyncio.sleep(0.02)
+            # Without time to linger the kernel ends the connection with a reset.
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
+    return script
+
+
+UNFRAMED = b"HTTP/1.1 200 X\r\nX-Request-Id: r1\r\nX-Response-Seal: s\r\n\r\nbody"
+CUT = create_answer("r1", b"b" * 100)[:-10]
+
+
+@pytest.mark.parametrize(
+    ("data", "reset", "expected"),
+    [
+        (UNFRAMED, False, b"body"),
+        (UNFRAMED, True, FailureKind.RESET),
+        (CUT, False, FailureKind.CLOSED),
+        (b"not an answer\r\n\r\n", False, FailureKind.MALFORMED),
+        (b"", False, FailureKind.CLOSED),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + create_answer("r1", b"x"), False, b"x"),
+        (create_answer("other"), False, FailureKind.MALFORMED),
+    ],
+)
+async def test_ends_of_answers(data, reset, expected):
+    async with open_exchange(write_raw(data, reset)) as exchange:
+        exchange.start(1)
+        event = await exchange.take()
+        if isinstance(expected, bytes):
+            assert event.answer.body == expected
+        else:
+            assert (event.kind, event.run) == (expected, RunState.UNKNOWN)
+
+
+async def test_a_connection_that_cannot_be_opened_means_not_run():
+    async with open_exchange(answer_twice) as exchange:
+        exchange.server = BackendServer("i-2", "one", "127.0.0.1:1", "a1", 2)
+        exchange.start(1)
+        event = await exchange.take()
+        assert (event.kind, event.run) == (FailureKind.REFUSED, RunState.NOT_RUN)
+
+
+async def stay_silent(reader, writer, number):
+    await reader.read()
+
+
+async def test_an_abandoned_send_ends_with_its_connection():
+    async with open_exchange(stay_silent) as exchange:
+        exchange.start(1)
+        await asyncio.sleep(0.05)
+        exchange.connections.abandon_send(AbandonSend(1, read_clock_us() + 20_000))
+        event = await exchange.take()
+        assert (event.kind, event.run) == (FailureKind.WITHDRAWN, RunState.UNKNOWN)
+
+
+async def answer_before_body(reader, writer, number):
+    await read_head(reader)
+    writer.write(create_answer("r1"))
+    await reader.read()
+
+
+async def test_a_connection_is_not_kept_while_a_body_is_still_being_sent():
+    async with open_exchange(answer_before_body) as exchange:
+        exchange.start(1, b"x" * 30_000_000)
+        assert isinstance(await exchange.take(), AnswerArrived)
+        assert not any(exchange.connections._idle.values())
--- /dev/null
+++ b/mimosapost/relay/tests/relays.py
@@ -0,0 +1,153 @@
+"""A relay with servers and routes, driven by events, for the tests of this package."""
+
+from __future__ import annotations
+
+import itertools
+
+from mimosapost.model.codes import FailureKind, RunState
+from mimosapost.model.effects import Effect, WakeAt
+from mimosapost.model.events import Event
+from mimosapost.relay.catalog import Route, ServiceRules, create_catalog
+from mimosapost.relay.effects import AbandonSend, SendReply, StartSend
+from mimosapost.relay.events import (
+    AnswerArrived,
+    CatalogRead,
+    ExchangeFailed,
+    RequestArrived,
+    ServersReplaced,
+    TimerFired,
+)
+from mimosapost.relay.exchanges import BackendServer, RelayRequest, ServerAnswer
+from mimosapost.relay.reducer import reduce
+from mimosapost.relay.state import Place, create_relay_state
+
+MS = 1_000
+REGIONS = {"a1": "north", "b1": "south", "c1": "west"}
+HOST = "shop.example"
+
+
+def create_route(name: str = "search", **changes) -> Route:
+    """Return a gathered route over four shards, or what ``changes`` make of it."""
+    fields = {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "repeatable": True,
+        "timeout_us": 600 * MS,
+        "goal_us": 100 * MS,
+        "rank": 1,
+        "max_sends": 2,
+        "shards": ("s0", "s1", "s2", "s3"),
+        "top": 3,
+        "min_coverage": 0.7,
+    }
+    return Route(**(fields | changes))
+
+
+def create_single(name: str = "look", **changes) -> Route:
+    """Return a route to one server of service ``one``."""
+    fields = {"shards": (), "split": (("one", 1.0),), "goal_us": 300 * MS, "top": 0}
+    return create_route(name, **(fields | changes))
+
+
+def create_servers(service: str, domains=("a1", "b1"), **changes) -> list[BackendServer]:
+    """Return one server of a service in each domain."""
+    return [
+        BackendServer(
+            f"{service}-{n}", service, f"10.0.{n}.1:80", domain, **({"slots": 2} | changes)
+        )
+        for n, domain in enumerate(domains)
+    ]
+
+
+def create_answer(status: int = 200, **changes) -> ServerAnswer:
+    """Return a whole, signed answer of one record."""
+    fields = {"headers": (), "body": b"r" * 16, "signature": "sig"}
+    return ServerAnswer(status, **(fields | changes))
+
+
+class Relay:
+    """A relay under test: effects collect, the clock moves by hand."""
+
+    def __init__(self, routes, servers, rules=(), domain="a1", seed=1) -> None:
+        place = Place("n1", domain, REGIONS[domain], REGIONS)
+        self.state = create_relay_state(place, seed)
+        self.now_us = 1_000_000
+        self.effects: list[Effect] = []
+        self._numbers = itertools.count(1)
+        names = {server.service for server in servers}
+        self.rules = {rule.name: rule for rule in rules}
+        services = [self.rules.get(name, ServiceRules(name, 100)) for name in sorted(names)]
+        self.put(CatalogRead(self.now_us, create_catalog(1, routes, services)))
+        self.put(ServersReplaced(self.now_us, tuple(servers)))
+        self.effects.clear()
+
+    def put(self, event: Event) -> list[Effect]:
+        """Reduce one event."""
+        new = reduce(self.state, event)
+        self.effects += new
+        return new
+
+    def advance(self, milliseconds: float) -> None:
+        """Move the clock and fire the timers that fall due on the way."""
+        until_us = self.now_us + int(milliseconds * MS)
+        while (due_us := self.state.timers.get_next_due_us()) is not None:
+            if due_us > until_us:
+                break
+            self.now_us = max(self.now_us, due_us)
+            self.put(TimerFired(self.now_us))
+        self.now_us = until_us
+
+    def request(self, path: str = "/search/x", deadline_ms: int = 600, fingerprint=1) -> int:
+        """Let a request arrive; returns its number."""
+        number = next(self._numbers)
+        deadline_us = self.now_us + deadline_ms * MS
+        request = RelayRequest(
+            number, f"id-{number}", HOST, path, deadline_us, b"GET", b"", fingerprint
+        )
+        self.put(RequestArrived(self.now_us, request))
+        return number
+
+    def answer(self, send: StartSend, **changes) -> None:
+        """Let a server answer a send."""
+        answer = create_answer(**({"signature": f"sig-{send.send_id}"} | changes))
+        self.put(AnswerArrived(self.now_us, send.send_id, answer))
+
+    def fail(self, send: StartSend, kind=FailureKind.RESET, run=RunState.UNKNOWN) -> None:
+        """Let a send end without an answer."""
+        self.put(ExchangeFailed(self.now_us, send.send_id, kind, run))
+
+    def take_sends(self) -> list[StartSend]:
+        """Return the sends since the last call, and forget them."""
+        sends = [effect for effect in self.effects if isinstance(effect, StartSend)]
+        self.effects = [e for e in self.effects if not isinstance(e, StartSend)]
+        return sends
+
+    def get_reply(self, number: int):
+        """Return the only reply to a request, or ``None``."""
+        found = [
+            effect.reply
+            for effect in self.effects
+            if isinstance(effect, SendReply) and effect.number == number
+        ]
+        assert len(found) <= 1, "a request has two replies"
+        return found[0] if found else None
+
+    def list_abandoned(self) -> list[int]:
+        """Return the sends that were abandoned."""
+        return [e.send_id for e in self.effects if isinstance(e, AbandonSend)]
+
+    def list_wakes(self) -> list[int]:
+        """Return the times at which the relay asked to be woken."""
+        return [effect.due_us for effect in self.effects if isinstance(effect, WakeAt)]
+
+
+def create_search(**changes) -> Relay:
+    """Return a relay with the gathered route over four shards of two servers each."""
+    servers = [s for n in range(4) for s in create_servers(f"s{n}")]
+    return Relay([create_route(**changes)], servers)
+
+
+def create_look(domains=("a1", "b1"), rules=(), slots=2, **changes) -> Relay:
+    """Return a relay with the route to one server."""
+    return Relay([create_single(**changes)], create_servers("one", domains, slots=slots), rules)
--- /dev/null
+++ b/mimosapost/relay/tests/test_load_patterns.py
@@ -0,0 +1,203 @@
+"""Guards decisions at worst load: each test replays the pattern that its module answers."""
+
+import random
+import zlib
+
+import pytest
+
+from mimosapost.relay.latencies import LatencyPool, get_distance
+from mimosapost.relay.placement import (
+    ServerRecord,
+    choose_server,
+    record_failure,
+    record_success,
+    record_time,
+)
+from mimosapost.relay.repeats import BURST, RATIO, get_hedge_delay_us
+from mimosapost.relay.splits import WeightedTurns
+from mimosapost.relay.tests.relays import (
+    MS,
+    Relay,
+    create_look,
+    create_search,
+    create_servers,
+    create_single,
+)
+from mimosapost.relay.warmup import ColdAllowance
+
+
+def create_pools(*medians_ms):
+    pools = []
+    for distance, median_ms in enumerate(medians_ms):
+        pool = LatencyPool(distance)
+        for _ in range(16):
+            pool.record(median_ms * MS)
+        pools.append(pool)
+    return tuple(pools)
+
+
+def create_records(distances):
+    domains = ("a1", "b1", "c1")[: len(distances)]
+    servers = create_servers("one", domains)
+    return [ServerRecord(s, d, "") for s, d in zip(servers, distances, strict=True)]
+
+
+@pytest.mark.parametrize(
+    ("slow_factor", "seconds_since", "expected"),
+    [(1, 0, "near"), (8, 0, "far"), (8, 15, "near")],
+)
+def test_a_slow_server_is_left_and_tried_again_later(slow_factor, seconds_since, expected):
+    pools = create_pools(10, 12, 30)
+    near, far = create_records((0, 2))
+    for _ in range(5):
+        record_time(near, pools[0], slow_factor * 10 * MS, 1_000_000)
+    now_us = 1_000_000 + seconds_since * 1_000_000
+    chosen = choose_server([near, far], pools, now_us, random.Random(1))
+    assert ("near" if chosen is near else "far") == expected
+
+
+def test_a_silent_server_is_left_while_its_send_is_open():
+    pools = create_pools(10, 12, 30)
+    near, far = create_records((0, 2))
+    near.open_sends[1] = 0
+    assert choose_server([near, far], pools, 5 * MS, random.Random(1)) is near
+    assert choose_server([near, far], pools, 120 * MS, random.Random(1)) is far
+
+
+def test_a_burst_fills_the_near_server_and_then_the_far_one():
+    pools = create_pools(10, 12, 30)
+    near, far = create_records((0, 2))
+    taken = []
+    for number in range(12):
+        chosen = choose_server([near, far], pools, 0, random.Random(number))
+        chosen.open_sends[number] = 0
+        taken.append("near" if chosen is near else "far")
+    assert taken[:2] == ["near", "near"]
+    # With two slots each, 8 near and 4 far ones end at the same time.
+    assert 3 <= taken.count("far") <= 5
+
+
+def test_a_server_that_fails_quickly_attracts_no_more_work():
+    pools = create_pools(10, 12, 30)
+    near, far = create_records((0, 2))
+    for _ in range(4):
+        record_time(near, pools[0], MS, 0)
+        record_failure(near, 0, unreachable=False)
+    assert choose_server([near, far], pools, 0, random.Random(1)) is far
+
+
+def test_blocks_double_up_to_a_bound_and_end_with_an_answer():
+    (record,) = create_records((0,))
+    lengths, now_us = [], 0
+    for _ in range(5):
+        record_failure(record, now_us, unreachable=True)
+        lengths.append((record.blocked_until_us - now_us) // MS)
+        now_us = record.blocked_until_us
+    assert lengths == [300, 600, 1200, 1200, 1200]
+    record_success(record)
+    assert not record.is_blocked(now_us)
+
+
+@pytest.mark.parametrize(
+    ("own", "server", "distance"),
+    [(("a", "r"), ("a", "r"), 0), (("a", "r"), ("b", "r"), 1), (("a", "r"), ("c", "q"), 2)],
+)
+def test_distance(own, server, distance):
+    assert get_distance(*own, *server) == distance
+
+
+def replay_pauses(seconds, pause_every_ms, pause_ms):
+    """Queries over four shards whose near servers pause in turn; returns relay and times."""
+    relay = create_search()
+    elapsed = []
+    rng = random.Random(5)
+    for _ in range(int(seconds * 50)):
+        started_us = relay.now_us
+        number = relay.request()
+        due = []
+        step = 0
+        while relay.get_reply(number) is None and step < 200:
+            for send in relay.take_sends():
+                phase = zlib.crc32(send.server.server_id.encode()) % pause_every_ms
+                at_ms = (relay.now_us // MS + phase) % pause_every_ms
+                wait_ms = 8 + rng.random() * 4 + max(0, pause_ms - at_ms)
+                due.append((relay.now_us + int(wait_ms * MS), send))
+            relay.advance(1)
+            for entry in [entry for entry in due if entry[0] <= relay.now_us]:
+                due.remove(entry)
+                if entry[1].send_id in relay.state.sends:
+                    relay.answer(entry[1])
+            step += 1
+        elapsed.append((relay.now_us - started_us) // MS)
+        relay.advance(9)
+        for _, send in due:
+            if send.send_id in relay.state.sends:
+                relay.answer(send)
+    return relay, sorted(elapsed)
+
+
+def test_pauses_of_single_servers_are_hedged_within_the_budget():
+    relay, elapsed = replay_pauses(6, pause_every_ms=3_000, pause_ms=120)
+    assert elapsed[int(len(elapsed) * 0.99)] < 100
+    sends = relay.state.next_send_id - 1
+    first = 4 * len(elapsed)
+    assert sends - first <= RATIO * first + 4 * BURST
+
+
+def test_hedges_wait_for_most_answers_and_leave_time_for_their_own():
+    (pool,) = create_pools(20)
+    assert 20 * MS < get_hedge_delay_us(pool, 100 * MS) < 45 * MS
+    assert get_hedge_delay_us(pool, 20 * MS) < 10 * MS
+
+
+def test_repeats_of_all_instances_stay_within_the_budget_when_all_servers_fail():
+    relay = create_look(max_sends=2)
+    requests = 200
+    sends = 0
+    for _ in range(requests):
+        relay.request("/look/x")
+        while new := relay.take_sends():
+            sends += len(new)
+            for send in new:
+                relay.fail(send)
+        relay.advance(10)
+    assert sends - requests <= RATIO * requests + BURST
+
+
+def test_all_instances_together_stay_below_what_a_cold_server_bears():
+    per_second = 8.0
+    sent = []
+    instances = [ColdAllowance(per_second, instances=8) for _ in range(8)]
+    for now_us in range(0, 5_000_000, 7_000):
+        sent += [now_us for instance in instances if instance.try_take(now_us)]
+    busiest = max(sum(1 for b in sent if a <= b < a + 1_000_000) for a in sent)
+    assert busiest <= per_second
+
+
+@pytest.mark.parametrize("weights", [(1.0,), (3.0, 1.0), (0.2, 0.3, 0.5), (1.0, 0.0)])
+def test_each_service_of_a_split_gets_its_share_of_any_hundred_requests(weights):
+    turns = WeightedTurns(tuple((f"s{n}", weight) for n, weight in enumerate(weights)))
+    taken = [turns.take() for _ in range(300)]
+    for start in (0, 57, 200):
+        window = taken[start : start + 100]
+        for n, weight in enumerate(weights):
+            share = window.count(f"s{n}") / len(window)
+            assert share == pytest.approx(weight / sum(weights), abs=0.02)
+
+
+def test_the_most_urgent_of_the_waiting_is_sent_first():
+    routes = [create_single("look", rank=2), create_single("urgent", rank=0)]
+    relay = Relay(routes, create_servers("one", ("a1",), slots=1))
+    for _ in range(20):
+        relay.request("/look/x")
+    running = relay.take_sends()
+    later = relay.request("/look/x")
+    sooner = relay.request("/urgent/x")
+    assert relay.take_sends() == []
+    relay.answer(running[0])
+    (send,) = relay.take_sends()
+    assert send.request.number == sooner
+    relay.answer(running[1])
+    waiting = sorted({n for n in range(1, later + 1)} - {s.request.number for s in running})
+    (send,) = relay.take_sends()
+    assert send.request.number == waiting[0]
--- /dev/null
+++ b/mimosapost/relay/tests/test_requests.py
@@ -0,0 +1,170 @@
+"""Guards against wrong replies: parts mixed, refusals that are untrue, and repeats of writes."""
+
+import pytest
+
+from mimosapost.model.codes import FailureKind, ResultCode, RunState
+from mimosapost.relay.events import CallerLeft
+from mimosapost.relay.exchanges import GatheredReply, PassedReply, Refusal
+from mimosapost.relay.tests.relays import create_look, create_search
+
+RESET = (FailureKind.RESET, RunState.UNKNOWN)
+REFUSED = (FailureKind.REFUSED, RunState.NOT_RUN)
+
+
+def test_gathered_reply_merges_one_part_of_each_shard():
+    relay = create_search()
+    number = relay.request()
+    sends = relay.take_sends()
+    assert sorted(send.server.service for send in sends) == ["s0", "s1", "s2", "s3"]
+    for value, send in enumerate(sends):
+        relay.answer(send, body=bytes([65 + value]) * 16)
+    reply = relay.get_reply(number)
+    assert reply.code is ResultCode.COMPLETE
+    assert reply.missing == 0
+    assert len(set(reply.signatures)) == 4
+    assert reply.body == b"D" * 16 + b"C" * 16 + b"B" * 16
+
+
+@pytest.mark.parametrize(
+    ("answered", "expected"),
+    [
+        (4, (GatheredReply, ResultCode.COMPLETE, 0)),
+        (3, (GatheredReply, ResultCode.PARTIAL, 1)),
+        (2, (type(None), None, 0)),
+    ],
+)
+def test_at_the_goal_enough_parts_are_a_success(answered, expected):
+    relay = create_search()
+    number = relay.request()
+    for send in relay.take_sends()[:answered]:
+        relay.answer(send)
+    relay.advance(99)
+    reply = relay.get_reply(number)
+    kind, code, missing = expected
+    assert type(reply) is kind
+    assert getattr(reply, "code", None) is code
+    assert getattr(reply, "missing", 0) == missing
+
+
+def test_after_the_goal_the_reply_leaves_with_the_first_sufficient_part():
+    relay = create_search()
+    number = relay.request()
+    sends = relay.take_sends()
+    relay.answer(sends[0])
+    relay.answer(sends[1])
+    relay.advance(150)
+    assert relay.get_reply(number) is None
+    relay.answer(sends[2])
+    assert relay.get_reply(number).missing == 1
+
+
+def test_a_late_part_reaches_no_other_request():
+    relay = create_search()
+    first = relay.request()
+    sends = relay.take_sends()
+    for send in sends[:3]:
+        relay.answer(send)
+    relay.advance(99)
+    assert relay.get_reply(first).missing == 1
+    second = relay.request()
+    relay.answer(sends[3])
+    assert relay.get_reply(second) is None
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "ends", "code", "sends"),
+    [
+        (True, [RESET, RESET], ResultCode.OUTCOME_UNKNOWN, 2),
+        (True, [REFUSED, RESET, RESET], ResultCode.OUTCOME_UNKNOWN, 3),
+        (False, [RESET], ResultCode.OUTCOME_UNKNOWN, 1),
+        (False, [REFUSED, RESET], ResultCode.OUTCOME_UNKNOWN, 2),
+        (False, [REFUSED, REFUSED, REFUSED], ResultCode.OVERLOADED, 3),
+        (True, [REFUSED, REFUSED, REFUSED], ResultCode.OVERLOADED, 3),
+    ],
+)
+def test_a_refusal_says_not_run_only_if_no_send_may_have_run(repeatable, ends, code, sends):
+    relay = create_look(("a1", "b1", "c1"), repeatable=repeatable)
+    number = relay.request("/look/x")
+    seen = 0
+    for kind, run in ends:
+        for send in relay.take_sends():
+            seen += 1
+            relay.fail(send, kind, run)
+    reply = relay.get_reply(number)
+    assert isinstance(reply, Refusal)
+    assert reply.code is code
+    assert seen == sends
+    assert bool(reply.retry_after_us) == (code is ResultCode.OVERLOADED)
+
+
+def test_a_write_that_hangs_is_sent_once_and_ends_unknown():
+    relay = create_look(repeatable=False)
+    number = relay.request("/look/x")
+    assert len(relay.take_sends()) == 1
+    relay.advance(700)
+    assert relay.take_sends() == []
+    assert relay.get_reply(number).code is ResultCode.DEADLINE_EXCEEDED
+
+
+@pytest.mark.parametrize("status", [200, 201, 404, 409])
+def test_an_answer_to_one_server_is_passed_unchanged(status):
+    relay = create_look()
+    number = relay.request("/look/x")
+    relay.answer(relay.take_sends()[0], status=status, body=b"b")
+    reply = relay.get_reply(number)
+    assert isinstance(reply, PassedReply)
+    assert (reply.answer.status, reply.answer.body) == (status, b"b")
+
+
+def test_the_failure_of_the_last_server_is_passed_on():
+    relay = create_look()
+    number = relay.request("/look/x")
+    for _ in range(2):
+        relay.answer(relay.take_sends()[0], status=500)
+    assert relay.get_reply(number).answer.status == 500
+
+
+def test_an_answer_without_signature_is_no_success():
+    relay = create_look(repeatable=False)
+    number = relay.request("/look/x")
+    relay.answer(relay.take_sends()[0], signature="")
+    assert relay.get_reply(number).code is ResultCode.OUTCOME_UNKNOWN
+
+
+def test_a_rejected_write_is_sent_to_another_server():
+    relay = create_look(repeatable=False)
+    number = relay.request("/look/x")
+    first = relay.take_sends()[0]
+    relay.answer(first, status=503, signature="", not_run=True)
+    second = relay.take_sends()[0]
+    assert second.server != first.server
+    relay.answer(second)
+    assert isinstance(relay.get_reply(number), PassedReply)
+
+
+def test_work_stops_within_half_a_second_when_the_caller_leaves():
+    relay = create_search()
+    number = relay.request()
+    sends = relay.take_sends()
+    relay.put(CallerLeft(relay.now_us, number))
+    assert sorted(relay.list_abandoned()) == sorted(send.send_id for send in sends)
+    ends = [e.until_us for e in relay.effects if hasattr(e, "until_us")]
+    assert all(end <= relay.now_us + 500_000 for end in ends)
+    assert relay.get_reply(number) is None
+
+
+@pytest.mark.parametrize(
+    ("path", "code"),
+    [("/nowhere/x", ResultCode.UNKNOWN_SERVICE), ("/search", ResultCode.UNKNOWN_SERVICE)],
+)
+def test_a_request_without_a_route_is_refused_at_once(path, code):
+    relay = create_search()
+    assert relay.get_reply(relay.request(path)).code is code
+
+
+def test_nothing_is_refused_as_unknown_before_there_is_a_catalog():
+    relay = create_search()
+    relay.state.catalog = None
+    reply = relay.get_reply(relay.request("/nowhere/x"))
+    assert reply.code is ResultCode.NOT_CONFIGURED
+    assert reply.retry_after_us > 0
