--- a/mimosapost/edge/tests/test_exchanges.py
+++ b/mimosapost/edge/tests/test_exchanges.py
@@ -20,7 +20,9 @@
 CODEC = PlatformCodec()
 
 
-def create_answer(request_id: str, body: bytes = b"b" * 16, more: str = "", status=200) -> bytes:
+def create_answer(
+    request_id: str, body: bytes = b"b" * 16, more: str = "", status=200
+) -> bytes:
     """Return the bytes of an answer of known length."""
     head = (
         f"HTTP/1.1 {status} X\r\nX-Request-Id: {request_id}\r\nX-Response-Seal: s-{request_id}"
--- a/mimosapost/platform/store.py
+++ b/mimosapost/platform/store.py
@@ -95,9 +95,7 @@
 
     async def on_start(self) -> None:
         """Open the session and start reading."""
-        self._session = await self.async_exit_stack.enter_async_context(
-            aiohttp.ClientSession()
-        )
+        self._session = await self.async_exit_stack.enter_async_context(aiohttp.ClientSession())
         self.add_future(self._follow())
 
     async def _follow(self) -> None:
--- a/mimosapost/platform/wire.py
+++ b/mimosapost/platform/wire.py
@@ -125,7 +125,9 @@
             passed,
             body,
             # An encoded body is not the one that the server signed.
-            "" if b"content-encoding" in found else found.get(_SIGNATURE, b"").decode("latin-1"),
+            ""
+            if b"content-encoding" in found
+            else found.get(_SIGNATURE, b"").decode("latin-1"),
             misdirected or _NOT_RUN in found,
             misdirected,
             b"close" in found.get(b"connection", b"").lower(),
--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -65,9 +65,7 @@
     _start_parts(state, opened, now_us, effects)
 
 
-def _start_parts(
-    state: RelayState, opened: OpenRequest, now_us: int, effects: Effects
-) -> None:
+def _start_parts(state: RelayState, opened: OpenRequest, now_us: int, effects: Effects) -> None:
     for part in opened.parts:
         if start_send(state, opened, part, now_us, effects) is Started.NO_SERVER:
             fail_part(state, opened, part, "no_server", now_us, effects)
--- a/mimosapost/relay/outcomes.py
+++ b/mimosapost/relay/outcomes.py
@@ -88,9 +88,7 @@
         record_failure(send.record, now_us, unreachable)
         if unreachable and not blocked:
             _log_server(effects, "server_blocked", send, event.kind.value)
-    effects.append(
-        Count("mimosapost_relay_send_failures_total", (("kind", event.kind.value),))
-    )
+    effects.append(Count("mimosapost_relay_send_failures_total", (("kind", event.kind.value),)))
     _go_on(state, send, event.kind.value, now_us, effects)
 
 
