--- a/mimosapost/edge/exchanges.py
+++ b/mimosapost/edge/exchanges.py
@@ -187,7 +187,8 @@
         unsent = self.transport.get_write_buffer_size() > 0
         body = b"".join(self._chunks)
         answer, echoed = self.owner.codec.decode_answer(self._status, self._headers, body)
-        crossed = echoed != send.request.request_id
+        # Rejections need not carry the id; every answer of a server that ran a request does.
+        crossed = echoed != send.request.request_id and (echoed or not answer.not_run)
         keeps = self._keeps and not answer.closing
         if crossed or unsent or self._extra or not keeps or not self._framed:
             self.close()
--- a/mimosapost/edge/relay_callers.py
+++ b/mimosapost/edge/relay_callers.py
@@ -25,6 +25,8 @@
 # the limit never meets a close.
 _IDLE_MARGIN_SECONDS = 5.0
 _READ_BYTES = 64 * 1024
+# Connections that wait to be accepted; a burst of callers opens some hundreds at once.
+_BACKLOG = 1_024
 
 
 class RequestCodec(Protocol):
@@ -95,6 +97,7 @@
         logs: Logs,
     ) -> None:
         self._address = address
+        self.address = address
         self._codec = codec
         self._handle = handle
         self._read_clock_us = read_clock_us
@@ -107,7 +110,7 @@
 
     async def __aenter__(self) -> RelayCallers:
         server = _LimitedServer(self._answer, self._get_limits)
-        await start_listener(self._stack, server, self._address)
+        self.address = await start_listener(self._stack, server, self._address)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -117,7 +120,7 @@
         try:
             body = await self._read_body(http_request)
         except _BodyTooLarge:
-            return self._refuse(http_request, 413, "body is too large")
+            return self._refuse(413, "body is too large")
         number = next(self._numbers)
         try:
             request = self._codec.decode_request(
@@ -129,7 +132,7 @@
                 self._read_clock_us(),
             )
         except ValueError as error:
-            return self._refuse(http_request, 400, str(error))
+            return self._refuse(400, str(error))
         reply = await self._wait(number, request)
         status, headers, content = self._codec.encode_reply(reply)
         response = web.Response(status=status, headers=headers, body=content)
@@ -163,9 +166,7 @@
             chunks.append(chunk)
         return b"".join(chunks)
 
-    def _refuse(
-        self, http_request: web.BaseRequest, status: int, reason: str
-    ) -> web.StreamResponse:
+    def _refuse(self, status: int, reason: str) -> web.StreamResponse:
         self._logs.write("request_malformed", {"status": status, "reason": reason})
         response = web.Response(status=status)
         response.force_close()
@@ -178,10 +179,14 @@
             future.set_result(effect.reply)
 
 
-async def start_listener(stack: AsyncExitStack, server: web.Server, address: str) -> None:
-    """Listen on an address until the stack closes."""
+async def start_listener(stack: AsyncExitStack, server: web.Server, address: str) -> str:
+    """Listen on an address until the stack closes.
+
+    :returns: the address, with the port that the system chose where the given one is 0.
+    """
     host, _, port = address.rpartition(":")
     runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.5)
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
-    await web.TCPSite(runner, host, int(port), backlog=1_024).start()
+    await web.TCPSite(runner, host, int(port), backlog=_BACKLOG).start()
+    return f"{host}:{runner.addresses[0][1]}"
--- a/mimosapost/edge/relay_instance.py
+++ b/mimosapost/edge/relay_instance.py
@@ -71,6 +71,8 @@
         self._served = asyncio.Event()
         self._executors: dict[type[Effect], Callable] = {}
         self.metrics = Metrics()
+        #: Where callers connect, known once the service has started.
+        self.caller_address = ""
 
     @property
     def state(self) -> RelayState:
@@ -101,6 +103,7 @@
             WriteLog: self._logs.execute,
         }
         await enter(callers)
+        self.caller_address = callers.address
         ready = web.Server(self._answer_ready, access_log=None)
         await start_listener(self.async_exit_stack, ready, self._addresses.ready_address)
         if self._addresses.peer_address:
--- a/mimosapost/relay/stopping.py
+++ b/mimosapost/relay/stopping.py
@@ -23,7 +23,7 @@
 
 
 @fires(TimerKind.STOP)
-def end_stop(state: RelayState, key: int, now_us: int, effects: Effects) -> None:
+def end_stop(state: RelayState, _key: int, now_us: int, effects: Effects) -> None:
     """End as soon as no request is open, at the latest at the end of the grace period."""
     if state.requests and now_us < state.stop_requested_us + state.place.stop_us:
         state.timers.add(now_us + _CHECK_US, TimerKind.STOP)
--- a/mimosapost/relay/tests/test_load_patterns.py
+++ b/mimosapost/relay/tests/test_load_patterns.py
@@ -107,7 +107,10 @@
 
 
 def replay_pauses(seconds, pause_every_ms, pause_ms):
-    """Queries over four shards whose near servers pause in turn; returns relay and times."""
+    """Replay queries over four shards whose servers pause in turn.
+
+    :returns: the relay and the sorted times of the queries in milliseconds.
+    """
     relay = create_search()
     elapsed = []
     rng = random.Random(5)
@@ -198,6 +201,6 @@
     (send,) = relay.take_sends()
     assert send.request.number == sooner
     relay.answer(running[1])
-    waiting = sorted({n for n in range(1, later + 1)} - {s.request.number for s in running})
+    waiting = sorted(set(range(1, later + 1)) - {s.request.number for s in running})
     (send,) = relay.take_sends()
     assert send.request.number == waiting[0]
--- a/mimosapost/relay/tests/test_requests.py
+++ b/mimosapost/relay/tests/test_requests.py
@@ -1,4 +1,4 @@
-"""Guards against wrong replies: parts mixed, refusals that are untrue, and repeats of writes."""
+"""Guards against wrong replies: mixed parts, untrue refusals and repeated writes."""
 
 import pytest
 
