--- a/mimosapost/platform/__main__.py
+++ b/mimosapost/platform/__main__.py
@@ -47,7 +47,9 @@
         settings.place,
         settings,
         PlatformCodec(),
-        lambda *context: StoreReader(settings.store_address, *context),
+        lambda *context: StoreReader(
+            settings.store_address, *context, hear_ms=settings.hear_ms
+        ),
         logs,
     )
     loop = asyncio.get_running_loop()
--- a/mimosapost/platform/settings.py
+++ b/mimosapost/platform/settings.py
@@ -14,6 +14,10 @@
 
 # Time between the last sign of work and the platform's SIGKILL.
 _STOP_MARGIN_US = 600_000
+# Values where the file has none: those of the smallest deployment.
+_GRACE_SECONDS = 6.0
+# After a failure of the store its bounds hold again when it has been sound for this long.
+_HEAR_MS = 4_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +29,7 @@
     :param peer_address: where other instances connect; empty if there is none.
     :param seed_peers: peer addresses of some instances, which may be stale.
     :param store_address: the platform's store.
+    :param hear_ms: time within which a change in the store must be noticed after a failure.
     """
 
     place: Place
@@ -33,6 +38,7 @@
     peer_address: str
     seed_peers: tuple[str, ...]
     store_address: str
+    hear_ms: int
 
 
 def read_fields(text: str) -> dict[str, str]:
@@ -53,17 +59,18 @@
         for name, (expected, is_valid) in _REQUIRED.items()
         if not is_valid(fields.get(name, ""))
     ]
-    grace = fields.get("bounds.graceS", "6")
-    if not _is_positive(grace):
-        faults.append(create_fault(("bounds.graceS",), grace, "a number above 0"))
+    for name in ("bounds.graceS", "bounds.contactMs"):
+        if name in fields and not _is_positive(fields[name]):
+            faults.append(create_fault((name,), fields[name], "a number above 0"))
     if faults:
         return Failure(tuple(faults))
+    grace_seconds = float(fields.get("bounds.graceS", _GRACE_SECONDS))
     place = Place(
         fields["nodeName"],
         fields["zone"],
         fields["region"],
         _read_regions(fields),
-        stop_us=max(1_000_000, int(float(grace) * 1e6) - _STOP_MARGIN_US),
+        stop_us=max(_STOP_MARGIN_US, int(grace_seconds * 1e6) - _STOP_MARGIN_US),
     )
     seeds = tuple(seed for seed in fields.get("seeds", "").split(",") if _is_address(seed))
     return Success(
@@ -74,6 +81,7 @@
             fields.get("listenAddrs.control", ""),
             seeds,
             fields["platform.address"],
+            int(float(fields.get("bounds.contactMs", _HEAR_MS))),
         )
     )
 
--- a/mimosapost/platform/store.py
+++ b/mimosapost/platform/store.py
@@ -31,13 +31,17 @@
 _SERVERS = "servers/"
 _CONFIG = "op/config"
 _OUT = "op/evacuate/"
-# A watch that hears nothing answers after this time, which shows that its connection lives.
-# The shortest bound that depends on it is 3 s, for servers that leave.
-_WAIT_MS = 2_500
 # A slow store takes up to 250 ms an answer.
 _ANSWER_SECONDS = 0.7
-# Changes come in groups; a pause after one lets the next call bring several.
-_GROUP_SECONDS = 0.15
+# Time to notice a lost answer and to read the list again.
+_RELIST_MS = 1_200
+_LEAST_WAIT_MS = 200
+# Pauses after a watch that brought changes, so that the next brings several: the first is
+# short, because a single change should take effect at once; they double in a row of changes.
+_FIRST_PAUSE_SECONDS = 0.1
+_LONGEST_PAUSE_SECONDS = 1.0
+# A row of changes ends with a watch that took longer than this.
+_QUIET_US = 1_500_000
 # Waits between calls that fail; all calls are charged, refused ones too.
 _FIRST_BACKOFF_SECONDS = 0.1
 _LONGEST_BACKOFF_SECONDS = 0.4
@@ -74,6 +78,8 @@
     :param handle: takes events for the reducer.
     :param read_clock_us: monotonic clock in microseconds.
     :param logs: for entries that are left out.
+    :param hear_ms: time within which the reader notices that a connection is silent or an
+        answer was lost; a watch waits for a change for a little less.
     """
 
     def __init__(
@@ -82,16 +88,19 @@
         handle: Callable[[Event], None],
         read_clock_us: Callable[[], int],
         logs: Logs,
+        hear_ms: int,
     ) -> None:
         super().__init__()
         self._url = f"http://{address}"
         self._handle = handle
         self._read_clock_us = read_clock_us
         self._logs = logs
+        self._wait_ms = max(_LEAST_WAIT_MS, hear_ms - _RELIST_MS)
         self._session: aiohttp.ClientSession | None = None
         self._revisions: dict[str, int] = {}
         self._out: frozenset[str] = frozenset()
         self._lost = False
+        self._pause_seconds = _FIRST_PAUSE_SECONDS
 
     async def on_start(self) -> None:
         """Open the session and start reading."""
@@ -161,8 +170,9 @@
                 self._take_config(item)
 
     async def _watch(self, after: int) -> int:
-        fields = {"pathPrefix": "", "after": after, "waitMs": _WAIT_MS}
-        seconds = _WAIT_MS / 1_000 + _ANSWER_SECONDS
+        fields = {"pathPrefix": "", "after": after, "waitMs": self._wait_ms}
+        seconds = self._wait_ms / 1_000 + _ANSWER_SECONDS
+        started_us = self._read_clock_us()
         data = await self._call("/api/kv-watch", fields, seconds)
         found = msgspec.json.decode(data, type=_Events)
         for item in found.events:
@@ -170,7 +180,10 @@
                 self._revisions[item.key] = item.revision
                 self._take_change(item)
         if found.events:
-            await asyncio.sleep(_GROUP_SECONDS)
+            await asyncio.sleep(self._pause_seconds)
+        doubled = min(2 * self._pause_seconds, _LONGEST_PAUSE_SECONDS)
+        quiet = self._read_clock_us() - started_us > _QUIET_US
+        self._pause_seconds = _FIRST_PAUSE_SECONDS if quiet else doubled
         return max(after, found.asOf)
 
     def _take_change(self, item: _Item) -> None:
--- a/mimosapost/platform/tests/test_path.py
+++ b/mimosapost/platform/tests/test_path.py
@@ -87,7 +87,7 @@
             Place("n1", "a1", "north", {"a1": "north", "b1": "south"}),
             _Addresses(),
             PlatformCodec(),
-            lambda *context: StoreReader(address, *context),
+            lambda *context: StoreReader(address, *context, hear_ms=2_000),
             Logs(log),
         )
         await instance.start()
