Open connections by loop callbacks and prefer servers that are connected

Cause: at 33 instances one send in five opened a connection, by a task, a future and a transport each, and hedges went to servers without one.

--- a/mimosapost/edge/exchanges.py
+++ b/mimosapost/edge/exchanges.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from typing import Protocol
 
 import httptools
 
+from mimosapost.edge.channels import Channel
+from mimosapost.edge.logs import Logs
 from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.model.events import Event
 from mimosapost.relay.effects import AbandonSend, ForgetServer, StartSend
@@ -25,13 +26,13 @@
 
 # Largest answer of a server that is held in memory.
 _MAX_ANSWER_BYTES = 8 * 1024 * 1024
-# Time after which the kernel gives up bytes that the peer does not acknowledge.
-_USER_TIMEOUT_MS = 3_000
 # Time for which an idle connection is kept where the server states none.
 _IDLE_SECONDS = 4.0
-# Share of the stated idle time after which a connection is no longer used: the server may
-# close it while a request is on its way.
-_IDLE_SHARE = 0.6
+# Share of the stated idle time after which a connection is no longer used, because the server
+# may close it while the request is on its way: a request that may run only once is then lost.
+_IDLE_SHARE = 0.85
+_IDLE_SHARE_ONCE = 0.5
+_LEAST_CONNECT_SECONDS = 0.001
 
 
 class AnswerCodec(Protocol):
@@ -46,18 +47,23 @@
         """Return an answer and the request id that the server echoed."""
 
 
-class _Connection(asyncio.Protocol):
-    """One connection; it reports the end of each exchange to its owner."""
+class _Connection:
+    """One connection; it reports the end of each exchange to its owner.
 
-    def __init__(self, owner: ServerConnections, server_id: str) -> None:
+    :param first: the send that it is opened for.
+    """
+
+    def __init__(self, owner: ServerConnections, first: StartSend, seconds: float) -> None:
+        host, _, port = first.server.address.rpartition(":")
         self.owner = owner
-        self.server_id = server_id
-        self.transport: asyncio.Transport | None = None
-        self.send: StartSend | None = None
+        self.server_id = first.server.server_id
+        self.send: StartSend | None = first
+        self.is_connected = False
         self.idle_seconds = _IDLE_SECONDS
         self.idle_since = 0.0
         self.closer: asyncio.TimerHandle | None = None
         self._reset()
+        self.channel = Channel(self, host, int(port), seconds)
 
     def _reset(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
@@ -108,15 +114,14 @@
             return
         self._complete = True
 
-    # Callbacks of the transport.
+    # Callbacks of the channel.
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport
-        sock = transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+    def channel_opened(self) -> None:
+        self.is_connected = True
+        self.owner.opened += 1
+        self.start(self.send)
 
-    def data_received(self, data: bytes) -> None:
+    def channel_read(self, data: bytes) -> None:
         if self.send is None:
             # Bytes without a request in flight belong to no request.
             self.close()
@@ -133,39 +138,43 @@
         elif self._complete:
             self._finish()
 
-    def eof_received(self) -> None:
-        if self.send is not None and self._started and not self._framed:
+    def channel_ended(self, error: OSError | None) -> None:
+        if not self.is_connected:
+            self._fail(FailureKind.REFUSED)
+        elif self.send is None:
+            self.close()
+        elif error is None and self._started and not self._framed:
             # The answer had no length: it ends with its connection.
             self._extra = True
             self._finish()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.owner.forget(self)
-        if self.send is not None:
-            self._fail(FailureKind.RESET if exc is not None else FailureKind.CLOSED)
-        self._cancel_closer()
+        else:
+            self._fail(FailureKind.CLOSED if error is None else FailureKind.RESET)
 
     # Calls of the owner.
 
-    def start(self, send: StartSend, data: bytes) -> None:
+    def start(self, send: StartSend) -> None:
+        """Write a request; from now on it may have run."""
         self._reset()
         self.send = send
-        self.transport.write(data)
+        self.channel.write(self.owner.codec.encode_send(send, self.owner.read_clock_us()))
 
     def abandon(self, delay_seconds: float) -> None:
-        if self.closer is None:
+        """Give up the exchange, at once if nothing was written, else after a delay."""
+        if not self.is_connected:
+            self._fail(FailureKind.WITHDRAWN)
+        elif self.closer is None:
             loop = asyncio.get_running_loop()
             self.closer = loop.call_later(delay_seconds, self._fail, FailureKind.WITHDRAWN)
 
     def close(self) -> None:
+        """Close without a report."""
         self.owner.forget(self)
-        if self.transport is not None:
-            self.transport.abort()
+        self.channel.abort()
 
-    def is_usable(self, now: float) -> bool:
+    def is_usable(self, now: float, repeatable: bool) -> bool:
         """Return whether the connection may carry another request."""
-        fresh = now - self.idle_since < self.idle_seconds * _IDLE_SHARE
-        return fresh and self.transport is not None and not self.transport.is_closing()
+        share = _IDLE_SHARE if repeatable else _IDLE_SHARE_ONCE
+        return now - self.idle_since < self.idle_seconds * share and self.channel.is_open
 
     def _cancel_closer(self) -> None:
         if self.closer is not None:
@@ -177,14 +186,15 @@
         self._cancel_closer()
         self.close()
         if send is not None:
-            self.owner.report_failure(send.send_id, kind, RunState.UNKNOWN)
+            run = RunState.UNKNOWN if self.is_connected else RunState.NOT_RUN
+            self.owner.report_failure(send.send_id, kind, run)
 
     def _finish(self) -> None:
         send, self.send = self.send, None
         self._cancel_closer()
         # A server that answered before it read the whole body would take the rest of it for
         # the next request.
-        unsent = self.transport.get_write_buffer_size() > 0
+        unsent = self.channel.has_unsent
         body = b"".join(self._chunks)
         answer, echoed = self.owner.codec.decode_answer(self._status, self._headers, body)
         # Rejections need not carry the id; every answer of a server that ran a request does.
@@ -202,12 +212,10 @@
             self.owner.report_answer(send.send_id, answer)
 
     def _read_idle_time(self) -> None:
-        for name, value in self._headers:
-            if name == b"keep-alive":
-                _, _, seconds = value.partition(b"timeout=")
-                digits = seconds.split(b",")[0].strip()
-                if digits.isdigit():
-                    self.idle_seconds = float(digits)
+        stated = dict(self._headers).get(b"keep-alive", b"").partition(b"timeout=")[2]
+        seconds = stated.partition(b",")[0].strip()
+        if seconds.isdigit():
+            self.idle_seconds = float(seconds)
 
 
 class ServerConnections:
@@ -218,6 +226,7 @@
     :param handle: takes events for the reducer.
     :param read_clock_us: monotonic clock in microseconds.
     :param codec: translates requests and answers.
+    :param logs: for connections that the system refuses to open.
     """
 
     def __init__(
@@ -225,13 +234,14 @@
         handle: Callable[[Event], None],
         read_clock_us: Callable[[], int],
         codec: AnswerCodec,
+        logs: Logs,
     ) -> None:
+        self._logs = logs
         self._handle = handle
-        self._read_clock_us = read_clock_us
+        self.read_clock_us = read_clock_us
         self.codec = codec
         self._idle: dict[str, list[_Connection]] = {}
         self._busy: dict[int, _Connection] = {}
-        self._connecting: dict[int, asyncio.Task] = {}
         self._all: set[_Connection] = set()
         self._stack = AsyncExitStack()
         self.opened = 0
@@ -244,65 +254,39 @@
         await self._stack.aclose()
 
     def _close_all(self) -> None:
-        for task in list(self._connecting.values()):
-            task.cancel()
         for connection in list(self._all):
             connection.send = None
             connection.close()
 
     def start_send(self, effect: StartSend) -> None:
         """Execute a ``StartSend`` effect over an idle or a new connection."""
-        server_id = effect.server.server_id
         now = asyncio.get_running_loop().time()
-        idle = self._idle.get(server_id, [])
+        idle = self._idle.get(effect.server.server_id, ())
         while idle:
             connection = idle.pop()
-            if connection.is_usable(now):
-                self._write(connection, effect)
+            if connection.is_usable(now, effect.repeatable):
+                self._busy[effect.send_id] = connection
+                connection.start(effect)
                 return
             connection.close()
-        task = asyncio.get_running_loop().create_task(self._open(effect))
-        self._connecting[effect.send_id] = task
-
-    async def _open(self, effect: StartSend) -> None:
-        host, _, port = effect.server.address.rpartition(":")
-        seconds = max(0.001, (effect.connect_by_us - self._read_clock_us()) / 1e6)
-        loop = asyncio.get_running_loop()
-        kind = None
+        seconds = max(
+            _LEAST_CONNECT_SECONDS, (effect.connect_by_us - self.read_clock_us()) / 1e6
+        )
         try:
-            async with asyncio.timeout(seconds):
-                _, connection = await loop.create_connection(
-                    lambda: _Connection(self, effect.server.server_id), host, int(port)
-                )
-        except asyncio.CancelledError:
-            kind = FailureKind.WITHDRAWN
-        except (OSError, TimeoutError):
-            kind = FailureKind.REFUSED
-        self._connecting.pop(effect.send_id, None)
-        if kind is not None:
-            self.report_failure(effect.send_id, kind, RunState.NOT_RUN)
-            return
-        self.opened += 1
-        self._all.add(connection)
-        if connection.transport.is_closing():
+            connection = _Connection(self, effect, seconds)
+        except OSError as error:
+            # No descriptor is left, or the address is none: the request was not written.
+            self._logs.write("connection_not_opened", {"error": repr(error)})
             self.report_failure(effect.send_id, FailureKind.REFUSED, RunState.NOT_RUN)
             return
-        self._write(connection, effect)
-
-    def _write(self, connection: _Connection, effect: StartSend) -> None:
         self._busy[effect.send_id] = connection
-        connection.start(effect, self.codec.encode_send(effect, self._read_clock_us()))
+        self._all.add(connection)
 
     def abandon_send(self, effect: AbandonSend) -> None:
         """Execute an ``AbandonSend`` effect."""
-        task = self._connecting.get(effect.send_id)
-        if task is not None:
-            task.cancel()
-            return
         connection = self._busy.get(effect.send_id)
         if connection is not None:
-            delay_us = effect.until_us - self._read_clock_us()
-            connection.abandon(max(0, delay_us) / 1e6)
+            connection.abandon(max(0, effect.until_us - self.read_clock_us()) / 1e6)
 
     def forget_server(self, effect: ForgetServer) -> None:
         """Execute a ``ForgetServer`` effect."""
@@ -323,9 +307,9 @@
     def report_answer(self, send_id: int, answer: ServerAnswer) -> None:
         """Report a whole answer."""
         self._busy.pop(send_id, None)
-        self._handle(AnswerArrived(self._read_clock_us(), send_id, answer))
+        self._handle(AnswerArrived(self.read_clock_us(), send_id, answer))
 
     def report_failure(self, send_id: int, kind: FailureKind, run: RunState) -> None:
         """Report the end of a send without an answer."""
         self._busy.pop(send_id, None)
-        self._handle(ExchangeFailed(self._read_clock_us(), send_id, kind, run))
+        self._handle(ExchangeFailed(self.read_clock_us(), send_id, kind, run))
--- a/mimosapost/edge/relay_instance.py
+++ b/mimosapost/edge/relay_instance.py
@@ -82,7 +82,9 @@
     async def on_start(self) -> None:
         """Open everything in dependency order; the exit stack closes it in reverse."""
         enter = self.async_exit_stack.enter_async_context
-        servers = await enter(ServerConnections(self.handle, read_clock_us, self._codec))
+        servers = await enter(
+            ServerConnections(self.handle, read_clock_us, self._codec, self._logs)
+        )
         callers = RelayCallers(
             self._addresses.caller_address,
             self._codec,
--- a/mimosapost/edge/tests/test_exchanges.py
+++ b/mimosapost/edge/tests/test_exchanges.py
@@ -11,6 +11,7 @@
 
 from mimosapost.edge.clock import read_clock_us
 from mimosapost.edge.exchanges import ServerConnections
+from mimosapost.edge.logs import Logs
 from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.platform.wire import PlatformCodec
 from mimosapost.relay.effects import AbandonSend, StartSend
@@ -49,7 +50,7 @@
             send_id, "POST" if body else "GET", "/x", headers, body, now_us
         )
         deadline_us = now_us + 2_000_000
-        send = StartSend(send_id, self.server, request, deadline_us, deadline_us, 4)
+        send = StartSend(send_id, self.server, request, deadline_us, deadline_us, not body)
         self.connections.start_send(send)
 
     async def take(self):
@@ -73,7 +74,9 @@
     listener = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = listener.sockets[0].getsockname()[1]
     events: asyncio.Queue = asyncio.Queue()
-    async with ServerConnections(events.put_nowait, read_clock_us, CODEC) as connections:
+    async with ServerConnections(
+        events.put_nowait, read_clock_us, CODEC, Logs()
+    ) as connections:
         yield Exchange(connections, events, f"127.0.0.1:{port}")
     listener.close()
 
--- a/mimosapost/limits/budgets.py
+++ b/mimosapost/limits/budgets.py
@@ -48,6 +48,10 @@
         """
         self._tokens = min(self._capacity, self._tokens + n * self._earned)
 
+    def give_back(self) -> None:
+        """Return the token of an extra send that was withdrawn before it was made."""
+        self._tokens = min(self._capacity, self._tokens + _UNIT)
+
     def try_spend(self) -> bool:
         """Take the token of one extra send.
 
--- a/mimosapost/platform/wire.py
+++ b/mimosapost/platform/wire.py
@@ -48,6 +48,7 @@
 # The server's signature of its answer, not of the caller's request.
 _SIGNATURE = b"x-response-seal"
 _LOAD = b"x-server-load"
+_NOT_PASSED = _HOP_BY_HOP.union((_LOAD,))
 _MISDIRECTED = 421
 _DEFAULT_TIME_LEFT_MS = 10_000
 
@@ -114,11 +115,7 @@
         :param headers: pairs with names in lower case.
         """
         found = dict(headers)
-        passed = tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in headers
-            if name not in _HOP_BY_HOP and name != _LOAD
-        )
+        passed = tuple([pair for pair in headers if pair[0] not in _NOT_PASSED])
         misdirected = status == _MISDIRECTED
         answer = ServerAnswer(
             status,
@@ -141,7 +138,7 @@
         match reply:
             case PassedReply(answer=answer):
                 for name, value in answer.headers:
-                    headers.add(name, value)
+                    headers.add(name.decode("latin-1"), value.decode("latin-1"))
                 return answer.status, headers, answer.body
             case GatheredReply(signatures=signatures, missing=missing, body=body):
                 headers["X-Part-Stamps"] = ", ".join(signatures)
@@ -162,8 +159,10 @@
 
 
 def _decode_load(value: bytes | None) -> LoadReport | None:
-    fields = value.split(b",") if value else []
-    if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
+    if not value:
+        return None
+    try:
+        running, waiting, slots = map(int, value.split(b","))
+    except ValueError:
         return None
-    running, waiting, slots = (int(field) for field in fields)
     return LoadReport(running, waiting, slots)
--- a/mimosapost/relay/effects.py
+++ b/mimosapost/relay/effects.py
@@ -18,7 +18,7 @@
 
     :param deadline_us: monotonic time at which the server may stop working on it.
     :param connect_by_us: monotonic time by which a connection must stand.
-    :param connections: largest number of connections to this server.
+    :param repeatable: whether the request may run more than once.
     """
 
     send_id: int
@@ -26,7 +26,7 @@
     request: RelayRequest
     deadline_us: int
     connect_by_us: int
-    connections: int
+    repeatable: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/mimosapost/relay/exchanges.py
+++ b/mimosapost/relay/exchanges.py
@@ -75,6 +75,7 @@
 class ServerAnswer:
     """A whole answer of a server.
 
+    :param headers: headers that are passed to the caller, names in lower case.
     :param signature: the server's signature of this answer, empty if it has none.
     :param not_run: the server states that it did not run the request.
     :param misdirected: another server has the address now; the request did not run.
@@ -82,7 +83,7 @@
     """
 
     status: int
-    headers: tuple[tuple[str, str], ...]
+    headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     signature: str = ""
     not_run: bool = False
--- a/mimosapost/relay/latencies.py
+++ b/mimosapost/relay/latencies.py
@@ -57,5 +57,6 @@
             self.slow_us = ordered[int(len(ordered) * SLOW_QUANTILE)]
 
 
-# Share of the sends that are not waited for longer than ``slow_us``: 1 in 12 may be hedged.
-SLOW_QUANTILE = 0.92
+# Share of the sends that are not waited for longer than ``slow_us``: 1 in 10 may be hedged, well
+# below the budget for repeats.
+SLOW_QUANTILE = 0.9
--- a/mimosapost/relay/outcomes.py
+++ b/mimosapost/relay/outcomes.py
@@ -35,6 +35,8 @@
         send.part.rejections += 1
         _go_on(state, send, "rejected", now_us, effects)
         return
+    if not answer.closing:
+        record.linked_us = now_us
     record_time(record, send.pool, now_us - send.sent_us, now_us)
     if not send.abandoned_us:
         send.pool.record(now_us - send.sent_us)
@@ -77,6 +79,8 @@
     if event.run is RunState.NOT_RUN:
         send.part.runs -= 1
         send.part.rejections += 1
+        if send.repeats:
+            state.get_budget(send.part.service).give_back()
     silent = event.kind is FailureKind.WITHDRAWN
     if silent:
         record_time(send.record, send.pool, waited_us, now_us)
--- a/mimosapost/relay/placement.py
+++ b/mimosapost/relay/placement.py
@@ -24,6 +24,11 @@
 _REPORT_US = 100_000
 # A send that fails quickly costs a second one, and a part of the budget for it.
 _FAILURE_COST_US = 100_000
+# A server without a kept connection costs a round trip and its work on the handshake more, in
+# microseconds by distance.
+_CONNECT_COST_US = (7_000, 9_000, 24_000)
+# Servers close idle connections after about 10 s.
+_CONNECTION_KEPT_US = 8_000_000
 # Servers at one distance whose estimates differ less than this share are used alike.
 _SPREAD = 0.1
 # First wait after a server could not be reached, and its bounds.
@@ -38,6 +43,7 @@
     :param slowness: answer times relative to the median of its route at its distance.
     :param failure: smoothed share of failed sends.
     :param open_sends: time of each send without an answer, oldest first.
+    :param linked_us: time of the last answer, whose connection is kept for the next send.
     :param cold_until_us: time until which the server is cold; 0 if it is warm.
     """
 
@@ -47,6 +53,7 @@
     slowness: float = 1.0
     failure: float = 0.0
     observed_us: int = 0
+    linked_us: int = -_CONNECTION_KEPT_US
     open_sends: dict[int, int] = field(default_factory=dict)
     load: LoadReport | None = None
     load_us: int = 0
@@ -73,6 +80,8 @@
     if record.open_sends:
         # A send that has waited longer than usual says more than older answers.
         expected = max(expected, float(now_us - next(iter(record.open_sends.values()))))
+    if now_us - record.linked_us >= _CONNECTION_KEPT_US:
+        expected += _CONNECT_COST_US[record.distance]
     busy = len(record.open_sends)
     if record.load is not None and now_us - record.load_us < _REPORT_US:
         busy = max(busy, record.load.running + record.load.waiting)
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -73,7 +73,7 @@
     if record is None:
         _wait(state, opened, part)
         return Started.WAITING
-    _emit(state, opened, part, record, connections, now_us, effects)
+    _emit(state, opened, part, record, now_us, effects)
     return Started.SENT
 
 
@@ -97,13 +97,13 @@
     opened: OpenRequest,
     part: Part,
     record: ServerRecord,
-    connections: int,
     now_us: int,
     effects: Effects,
 ) -> None:
     send_id, state.next_send_id = state.next_send_id, state.next_send_id + 1
     pool = state.get_pools(opened.route)[record.distance]
-    if not part.tried:
+    repeats = bool(part.tried)
+    if not repeats:
         state.get_budget(part.service).earn()
     send = OpenSend(
         send_id,
@@ -113,6 +113,7 @@
         pool,
         now_us,
         opened.request.fingerprint,
+        repeats,
     )
     state.sends[send_id] = send
     record.open_sends[send_id] = now_us
@@ -127,7 +128,7 @@
             opened.request,
             opened.deadline_us,
             min(opened.deadline_us, now_us + _CONNECT_US),
-            connections,
+            opened.route.repeatable,
         )
     )
     if opened.route.repeatable and part.runs < opened.route.max_sends:
@@ -156,8 +157,7 @@
     record = choose_server(usable, state.get_pools(opened.route), now_us, state.rng)
     opened.hedges += 1
     effects.append(Count("mimosapost_relay_repeats_total", (("reason", "hedge"),)))
-    connections = _get_connections(state, part.service)
-    _emit(state, opened, part, record, connections, now_us, effects)
+    _emit(state, opened, part, record, now_us, effects)
 
 
 def abandon_sends(
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -80,6 +80,7 @@
 class OpenSend:
     """A send from its effect until the edge confirms its end.
 
+    :param repeats: whether it drew on the budget for repeats.
     :param abandoned_us: time since which its answer is no longer needed, or 0.
     """
 
@@ -90,6 +91,7 @@
     pool: LatencyPool
     sent_us: int
     fingerprint: int
+    repeats: bool
     abandoned_us: int = 0
 
 
