--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -11,7 +11,7 @@
 from aioprometheus.histogram import Histogram
 
 from mimosapost.core.counters import COUNTERS
-from mimosapost.model.effects import Count
+from mimosapost.model.effects import Count, Observe
 
 __all__ = ["METRICS", "Metric", "Metrics", "declare"]
 
@@ -43,6 +43,12 @@
     ),
     "mimosapost_open_queries_count": Metric("gauge", "Queries that wait for an answer."),
     "mimosapost_open_sends_count": Metric("gauge", "Sends without an outcome."),
+    "mimosapost_relay_request_seconds": Metric(
+        "histogram", "Time from the arrival of a request to its reply.", ("route",)
+    ),
+    "mimosapost_relay_send_seconds": Metric(
+        "histogram", "Time from a send to its answer, by distance of the server.", ("distance",)
+    ),
     _UNDECLARED: Metric("counter", "Counts under a name that no table declares.", ("name",)),
 }
 
@@ -102,6 +108,10 @@
         else:
             self._counts[effect.name, effect.labels] += effect.value
 
+    def observe(self, effect: Observe) -> None:
+        """Execute an ``Observe`` effect."""
+        self._observe(effect.name, effect.label, effect.elapsed_us)
+
     def observe_query(self, service: str, code: int, elapsed_us: int) -> None:
         """Record the answer to a query."""
         labels = (("service", service), ("code", str(code)))
@@ -150,8 +160,9 @@
             collectors[name] = collector
         for (name, labels), value in self._counts.items():
             collectors[name].set_value({k: _escape(v) for k, v in labels}, value)
-        for (name, service), histogram in self._histograms.items():
-            collectors[name].set_value({"service": _escape(service)}, histogram)
+        for (name, value), histogram in self._histograms.items():
+            (label,) = METRICS[name].labels
+            collectors[name].set_value({label: _escape(value)}, histogram)
         for name, read in self._gauges.items():
             collectors[name].set_value({}, read())
         return aioprometheus.render(registry, list(accept))
--- a/mimosapost/edge/relay_instance.py
+++ b/mimosapost/edge/relay_instance.py
@@ -17,7 +17,14 @@
 from mimosapost.edge.logs import Logs
 from mimosapost.edge.metrics import Metrics
 from mimosapost.edge.relay_callers import RelayCallers, RequestCodec, start_listener
-from mimosapost.model.effects import Count, Effect, StopServing, WakeAt, WriteLog
+from mimosapost.model.effects import (
+    Count,
+    Effect,
+    Observe,
+    StopServing,
+    WakeAt,
+    WriteLog,
+)
 from mimosapost.model.events import Event, StopRequested
 from mimosapost.relay.catalog import CallerLimits
 from mimosapost.relay.effects import AbandonSend, ForgetServer, SendReply, StartSend
@@ -33,11 +40,14 @@
 
 
 class Addresses(Protocol):
-    """Where an instance listens, each as ``ip:port``."""
+    """Where an instance listens, each as ``ip:port``.
+
+    :param operator_addresses: where metrics are served.
+    """
 
     caller_address: str
     ready_address: str
-    peer_address: str
+    operator_addresses: tuple[str, ...]
 
 
 class RelayInstance(mode.Service):
@@ -97,6 +107,7 @@
         self._executors = {
             AbandonSend: servers.abandon_send,
             Count: self.metrics.execute,
+            Observe: self.metrics.observe,
             ForgetServer: servers.forget_server,
             SendReply: callers.send_reply,
             StartSend: servers.start_send,
@@ -108,9 +119,8 @@
         self.caller_address = callers.address
         ready = web.Server(self._answer_ready, access_log=None)
         await start_listener(self.async_exit_stack, ready, self._addresses.ready_address)
-        if self._addresses.peer_address:
+        for address in self._addresses.operator_addresses:
             server = web.Server(self._answer_operator, access_log=None)
-            address = self._addresses.peer_address
             await start_listener(self.async_exit_stack, server, address)
         source = self._create_source(self.handle, read_clock_us, self._logs)
         await self.add_runtime_dependency(source)
--- a/mimosapost/model/effects.py
+++ b/mimosapost/model/effects.py
@@ -14,6 +14,7 @@
     "Count",
     "Effect",
     "EmitSend",
+    "Observe",
     "OpenProbe",
     "SendPeer",
     "StopServing",
@@ -117,6 +118,15 @@
     value: int = 1
 
 
+@dataclass(frozen=True, slots=True)
+class Observe(Effect):
+    """Add a time to a histogram metric; ``label`` is the value of its only label."""
+
+    name: str
+    label: str
+    elapsed_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class StopServing(Effect):
     """No request is in flight any more: the process may end."""
--- a/mimosapost/platform/__main__.py
+++ b/mimosapost/platform/__main__.py
@@ -37,11 +37,29 @@
             sys.stderr.write("".join(f"{path}: {fault}\n" for fault in faults))
             return 2
         case Success(settings):
-            asyncio.run(_run(settings))
+            asyncio.run(_run(Path(path), settings))
     return 0
 
 
-async def _run(settings: RelaySettings) -> None:
+def _check_again(path: Path, settings: RelaySettings, logs: Logs) -> None:
+    """Tell whether the settings file changed; what is in it takes a new process.
+
+    Nothing that may change while a process runs is used by it: addresses and place are those
+    of the machine, and limits come with the configuration.
+    """
+    try:
+        result = decode_settings(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        logs.write("settings_not_read", {"error": str(error)})
+        return
+    match result:
+        case Failure(faults):
+            logs.write("settings_refused", {"faults": "; ".join(map(str, faults))})
+        case Success(changed):
+            logs.write("settings_read_again", {"same": changed == settings})
+
+
+async def _run(path: Path, settings: RelaySettings) -> None:
     logs = Logs(LogStream(sys.stdout.fileno(), read_clock_us), instance=settings.place.name)
     instance = RelayInstance(
         settings.place,
@@ -54,7 +72,7 @@
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, instance.request_stop)
-    loop.add_signal_handler(signal.SIGHUP, lambda: logs.write("settings_reload_ignored"))
+    loop.add_signal_handler(signal.SIGHUP, lambda: _check_again(path, settings, logs))
     await instance.start()
     try:
         await instance.wait_until_served()
--- a/mimosapost/platform/settings.py
+++ b/mimosapost/platform/settings.py
@@ -10,8 +10,10 @@
 from mimosapost.relay.state import Place
 from mimosapost.settings.faults import Fault, create_fault
 
-__all__ = ["RelaySettings", "decode_settings", "read_fields"]
+__all__ = ["METRICS_PORT", "RelaySettings", "decode_settings", "read_fields"]
 
+#: Port of the metrics, as deploy/system.toml tells the platform.
+METRICS_PORT = 9464
 # Time between the last sign of work and the platform's SIGKILL.
 _STOP_MARGIN_US = 600_000
 # Values where the file has none: those of the smallest deployment.
@@ -26,8 +28,7 @@
 
     :param caller_address: where callers connect.
     :param ready_address: where the balancer asks whether the instance is ready.
-    :param peer_address: where other instances connect; empty if there is none.
-    :param seed_peers: peer addresses of some instances, which may be stale.
+    :param operator_addresses: where metrics are served.
     :param store_address: the platform's store.
     :param hear_ms: time within which a change in the store must be noticed after a failure.
     """
@@ -35,8 +36,7 @@
     place: Place
     caller_address: str
     ready_address: str
-    peer_address: str
-    seed_peers: tuple[str, ...]
+    operator_addresses: tuple[str, ...]
     store_address: str
     hear_ms: int
 
@@ -72,14 +72,15 @@
         _read_regions(fields),
         stop_us=max(_STOP_MARGIN_US, int(grace_seconds * 1e6) - _STOP_MARGIN_US),
     )
-    seeds = tuple(seed for seed in fields.get("seeds", "").split(",") if _is_address(seed))
+    control = fields.get("listenAddrs.control", "")
+    host = fields["listenAddrs.front"].rpartition(":")[0]
+    operator_addresses = (f"{host}:{METRICS_PORT}", *((control,) if control else ()))
     return Success(
         RelaySettings(
             place,
             fields["listenAddrs.front"],
             fields["listenAddrs.readyAddr"],
-            fields.get("listenAddrs.control", ""),
-            seeds,
+            operator_addresses,
             fields["platform.address"],
             int(float(fields.get("bounds.contactMs", _HEAR_MS))),
         )
--- a/mimosapost/platform/tests/test_path.py
+++ b/mimosapost/platform/tests/test_path.py
@@ -63,7 +63,7 @@
 class _Addresses:
     caller_address: str = "127.0.0.1:0"
     ready_address: str = "127.0.0.1:0"
-    peer_address: str = "127.0.0.1:0"
+    operator_addresses: tuple[str, ...] = ("127.0.0.1:0",)
 
 
 @asynccontextmanager
--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from mimosapost.model.codes import ResultCode
+from mimosapost.model.effects import WriteLog
 from mimosapost.relay.catalog import Route
 from mimosapost.relay.events import CallerLeft, RequestArrived
 from mimosapost.relay.exchanges import Refusal
@@ -106,5 +107,11 @@
     opened = state.requests.pop(event.number, None)
     if opened is None:
         return
+    fields = (
+        ("request", opened.request.request_id),
+        ("elapsed_ms", (event.now_us - opened.arrived_us) // 1_000),
+        ("answered", opened.answered),
+    )
+    effects.append(WriteLog("caller_left", fields))
     for part in opened.parts:
         abandon_sends(state, part, event.now_us, effects)
--- a/mimosapost/relay/directory.py
+++ b/mimosapost/relay/directory.py
@@ -129,7 +129,9 @@
 def _unlist(
     state: RelayState, server_id: str, reason: str, now_us: int, effects: Effects
 ) -> None:
-    due_us = state.source_regained_us + RELIST_US
+    # A list that was read while the source is lost is the first sign of its return.
+    regained_us = now_us if state.source_lost_us else state.source_regained_us
+    due_us = regained_us + RELIST_US
     away = state.source_lost_us or (state.source_regained_us and now_us < due_us)
     if not away or state.servers[server_id].server.draining:
         _drop(state, server_id, reason, effects)
@@ -137,7 +139,7 @@
     if server_id not in state.unlisting.values():
         key, state.next_key = state.next_key, state.next_key + 1
         state.unlisting[key] = server_id
-        state.timers.add(max(due_us, now_us), TimerKind.UNLIST, key)
+        state.timers.add(due_us, TimerKind.UNLIST, key)
 
 
 @fires(TimerKind.UNLIST)
--- a/mimosapost/relay/finish.py
+++ b/mimosapost/relay/finish.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from mimosapost.model.codes import ResultCode
-from mimosapost.model.effects import Count, WriteLog
+from mimosapost.model.effects import Count, Observe, WriteLog
 from mimosapost.relay.effects import SendReply
 from mimosapost.relay.exchanges import GatheredReply, PassedReply, Refusal, Reply
 from mimosapost.relay.gathering import merge_records
@@ -153,5 +153,7 @@
         ("missing", " ".join(_describe_part(part) for part in missing[:4])),
     )
     effects.append(WriteLog("request_ended", fields))
+    elapsed_us = now_us - opened.arrived_us
+    effects.append(Observe("mimosapost_relay_request_seconds", opened.route.name, elapsed_us))
     labels = (("code", str(int(reply.code))),)
     effects.append(Count("mimosapost_relay_replies_total", labels))
--- a/mimosapost/relay/outcomes.py
+++ b/mimosapost/relay/outcomes.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 from mimosapost.model.codes import FailureKind, RunState
-from mimosapost.model.effects import Count, WriteLog
+from mimosapost.model.effects import Count, Observe, WriteLog
 from mimosapost.relay.events import AnswerArrived, ExchangeFailed
 from mimosapost.relay.exchanges import ServerAnswer
 from mimosapost.relay.finish import check_progress, fail_part
-from mimosapost.relay.placement import record_failure, record_success, record_time
+from mimosapost.relay.placement import (
+    record_failure,
+    record_hang,
+    record_success,
+    record_time,
+)
 from mimosapost.relay.registry import Effects, TimerKind, fires, handles
 from mimosapost.relay.sends import Started, abandon_sends, hedge_stragglers, start_send
 from mimosapost.relay.state import OpenRequest, OpenSend, RelayState
@@ -17,6 +22,12 @@
 # A part that no server took is tried again after this time, a few times.
 _RETRY_US = 15_000
 _MOST_REJECTIONS = 4
+# A send that is given up after this time, and after so many times the usual one, shows that its
+# server hangs; pauses of healthy servers last up to 250 ms.
+_HANG_US = 350_000
+_HANG_MEDIANS = 4
+# A server that cannot be reached so soon after it broke a connection has crashed.
+_CRASH_US = 1_000_000
 
 
 @handles(AnswerArrived)
@@ -40,8 +51,11 @@
     record_time(record, send.pool, now_us - send.sent_us, now_us)
     if not send.abandoned_us:
         send.pool.record(now_us - send.sent_us)
+        distance = str(record.distance)
+        elapsed_us = now_us - send.sent_us
+        effects.append(Observe("mimosapost_relay_send_seconds", distance, elapsed_us))
     if not answer.signature or answer.status >= 500:
-        record_failure(record, now_us, unreachable=False)
+        record_failure(record, now_us)
         opened = state.requests.get(send.number)
         if opened is not None and answer.signature:
             opened.failure = answer
@@ -83,23 +97,41 @@
         send.part.rejections += 1
         if send.repeats:
             state.get_budget(send.part.service).give_back()
-    silent = event.kind is FailureKind.WITHDRAWN
-    if silent:
-        record_time(send.record, send.pool, waited_us, now_us)
-    # A send whose connection was closed by us after a long wait tells that the server hangs.
-    hangs = silent and waited_us > max(4 * send.pool.slow_us, _HANG_US)
-    unreachable = event.kind is FailureKind.REFUSED or hangs
-    if unreachable or not silent:
-        blocked = send.record.is_blocked(now_us)
-        record_failure(send.record, now_us, unreachable)
-        if unreachable and not blocked:
+    record = send.record
+    if event.kind is FailureKind.WITHDRAWN:
+        record_time(record, send.pool, waited_us, now_us)
+        if waited_us > max(_HANG_MEDIANS * send.pool.slow_us, _HANG_US):
+            if not record.is_hung(now_us):
+                _log_server(effects, "server_hung", send, waited_us // 1_000)
+            record_hang(record, now_us)
+    else:
+        unreachable = event.kind is FailureKind.REFUSED
+        if unreachable and not record.is_blocked(now_us):
             _log_server(effects, "server_blocked", send, event.kind.value)
+        record_failure(record, now_us, unreachable)
+        _note_crash(state, send, unreachable, event, effects)
     effects.append(Count("mimosapost_relay_send_failures_total", (("kind", event.kind.value),)))
     _go_on(state, send, event.kind.value, now_us, effects)
 
 
-# Pauses of healthy servers last up to 250 ms.
-_HANG_US = 350_000
+def _note_crash(
+    state: RelayState,
+    send: OpenSend,
+    unreachable: bool,
+    event: ExchangeFailed,
+    effects: Effects,
+) -> None:
+    """Suspect the requests whose connections broke just before their server went away."""
+    record, now_us = send.record, event.now_us
+    if not unreachable:
+        if event.kind in (FailureKind.RESET, FailureKind.CLOSED):
+            record.broken[send.fingerprint] = now_us
+        return
+    recent = [key for key, at_us in record.broken.items() if now_us - at_us < _CRASH_US]
+    record.broken.clear()
+    if recent:
+        state.suspects.record_crash(record.server.address, recent, now_us)
+        _log_server(effects, "server_crashed", send, f"{len(recent)} requests in flight")
 
 
 def _close_send(state: RelayState, send_id: int) -> OpenSend:
--- a/mimosapost/relay/placement.py
+++ b/mimosapost/relay/placement.py
@@ -14,7 +14,15 @@
 from mimosapost.relay.exchanges import BackendServer, LoadReport
 from mimosapost.relay.latencies import LatencyPool
 
-__all__ = ["ServerRecord", "choose_server", "estimate_us", "record_failure", "record_time"]
+__all__ = [
+    "ServerRecord",
+    "choose_server",
+    "estimate_us",
+    "record_failure",
+    "record_hang",
+    "record_success",
+    "record_time",
+]
 
 # An observation loses half of its weight in this time, so that a server that recovers is
 # tried again within seconds.
@@ -45,6 +53,7 @@
     :param open_sends: time of each send without an answer, oldest first.
     :param linked_us: time of the last answer, whose connection is kept for the next send.
     :param cold_until_us: time until which the server is cold; 0 if it is warm.
+    :param broken: fingerprints of requests whose connections broke, with the time.
     """
 
     server: BackendServer
@@ -58,14 +67,20 @@
     load: LoadReport | None = None
     load_us: int = 0
     blocked_until_us: int = 0
+    hung_until_us: int = 0
     block_us: int = 0
     cold_until_us: int = 0
+    broken: dict[int, int] = field(default_factory=dict)
     misdirected: bool = False
 
     def is_blocked(self, now_us: int) -> bool:
         """Return whether the server could not be reached a moment ago."""
         return now_us < self.blocked_until_us
 
+    def is_hung(self, now_us: int) -> bool:
+        """Return whether a send to the server was waited for in vain a moment ago."""
+        return now_us < self.hung_until_us
+
 
 def estimate_us(record: ServerRecord, pool: LatencyPool, now_us: int) -> float:
     """Return the time in which a send to a server is expected to be answered.
@@ -99,7 +114,8 @@
 ) -> ServerRecord | None:
     """Return the server that is expected to answer first.
 
-    Servers that could not be reached lately are used only if there is no other.
+    Servers that hung lately are used only if there is no other: they may be slow, and then
+    they are all the room that there is.
 
     :param records: eligible servers of one service.
     :param pools: answer times of the route by distance.
@@ -110,7 +126,7 @@
     for record in records:
         score = estimate_us(record, pools[record.distance], now_us)
         score *= 1 + _SPREAD * rng.random()
-        if record.is_blocked(now_us):
+        if record.is_hung(now_us):
             score += _LONGEST_BLOCK_US
         if best is None or score < best_score:
             best, best_score = record, score
@@ -129,13 +145,19 @@
     record.failure -= _SMOOTHING * record.failure
     record.block_us = 0
     record.blocked_until_us = 0
+    record.hung_until_us = 0
+
+
+def record_hang(record: ServerRecord, now_us: int) -> None:
+    """Record that a send was waited for in vain."""
+    record.hung_until_us = now_us + _BLOCK_US
 
 
-def record_failure(record: ServerRecord, now_us: int, unreachable: bool) -> None:
+def record_failure(record: ServerRecord, now_us: int, unreachable: bool = False) -> None:
     """Record a failed send.
 
-    :param unreachable: no connection could be opened, so the next sends go elsewhere for a
-        time that doubles up to a bound.
+    :param unreachable: no connection could be opened, so the server gets no sends for a time
+        that doubles up to a bound.
     """
     record.failure += _SMOOTHING * (1 - record.failure)
     record.observed_us = now_us
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -4,7 +4,7 @@
 
 from enum import Enum
 
-from mimosapost.model.effects import Count
+from mimosapost.model.effects import Count, WriteLog
 from mimosapost.relay.directory import is_usable
 from mimosapost.relay.effects import AbandonSend, StartSend
 from mimosapost.relay.placement import ServerRecord, choose_server
@@ -167,6 +167,15 @@
         return
     record = choose_server(usable, state.get_pools(opened.route), now_us, state.rng)
     opened.hedges += 1
+    fields = (
+        ("request", opened.request.request_id),
+        ("server", send.record.server.server_id),
+        ("next_server", record.server.server_id),
+        ("waited_ms", (now_us - send.sent_us) // 1_000),
+        ("usual_ms", send.pool.slow_us // 1_000),
+        ("budget", state.get_budget(part.service).available),
+    )
+    effects.append(WriteLog("send_hedged", fields))
     effects.append(Count("mimosapost_relay_repeats_total", (("reason", "hedge"),)))
     _emit(state, opened, part, record, now_us, effects)
 
--- /dev/null
+++ b/mimosapost/relay/tests/test_beliefs.py
@@ -0,0 +1,190 @@
+"""Guards what an instance believes of servers, configuration and crashing requests."""
+
+import pytest
+
+from mimosapost.model.codes import FailureKind, ResultCode, RunState
+from mimosapost.model.effects import WriteLog
+from mimosapost.relay.catalog import ServiceRules, create_catalog
+from mimosapost.relay.events import (
+    CatalogRead,
+    DomainsOut,
+    ExchangeFailed,
+    ServerListed,
+    ServersReplaced,
+    ServerUnlisted,
+    SourceLost,
+    SourceRegained,
+)
+from mimosapost.relay.tests.relays import (
+    MS,
+    Relay,
+    create_look,
+    create_route,
+    create_search,
+    create_servers,
+    create_single,
+)
+
+
+def list_events(relay, name):
+    return [e for e in relay.effects if isinstance(e, WriteLog) and e.event == name]
+
+
+def test_a_request_that_crashes_servers_is_refused_after_the_second():
+    relay = create_look(("a1", "b1", "c1"), repeatable=False)
+    for _ in range(2):
+        relay.request("/look/x", fingerprint=7)
+        (send,) = relay.take_sends()
+        relay.fail(send)
+        record = relay.state.servers[send.server.server_id]
+        relay.put(ExchangeFailed(relay.now_us, add_send(relay, record), *REFUSED))
+        relay.advance(1_500)
+        relay.take_sends()
+    number = relay.request("/look/x", fingerprint=7)
+    assert relay.take_sends() == []
+    assert relay.get_reply(number).code is ResultCode.REQUEST_REFUSED
+    other = relay.request("/look/x", fingerprint=8)
+    assert relay.get_reply(other) is None
+
+
+REFUSED = (FailureKind.REFUSED, RunState.NOT_RUN)
+
+
+def add_send(relay, record):
+    """Start a send of another request to one server; returns its number."""
+    others = [r for r in relay.state.servers.values() if r is not record]
+    for other in others:
+        other.misdirected = True
+    relay.request("/look/other", fingerprint=99)
+    for other in others:
+        other.misdirected = False
+    (send,) = relay.take_sends()
+    assert send.server == record.server
+    return send.send_id
+
+
+def test_lost_answers_of_a_living_server_make_no_suspect():
+    relay = create_look(repeatable=False)
+    for _ in range(5):
+        relay.request("/look/x", fingerprint=7)
+        relay.fail(relay.take_sends()[0])
+        relay.advance(100)
+    relay.request("/look/x", fingerprint=7)
+    assert len(relay.take_sends()) == 1
+
+
+def test_a_hung_server_is_used_only_if_there_is_no_other():
+    relay = create_look(("a1", "b1"), repeatable=False)
+    relay.request("/look/x", deadline_ms=500)
+    (hung,) = relay.take_sends()
+    relay.advance(500)
+    relay.fail(hung, FailureKind.WITHDRAWN)
+    assert list_events(relay, "server_hung")
+    relay.request("/look/x")
+    (send,) = relay.take_sends()
+    assert send.server != hung.server
+    relay.put(ServerUnlisted(relay.now_us, send.server.server_id, "removed"))
+    relay.request("/look/x")
+    assert relay.take_sends()[0].server == hung.server
+
+
+@pytest.mark.parametrize(
+    ("change", "usable"),
+    [
+        (lambda r, s: r.put(ServerListed(r.now_us, s)), True),
+        (lambda r, s: r.put(ServerUnlisted(r.now_us, s.server_id, "removed")), False),
+        (lambda r, s: r.put(DomainsOut(r.now_us, frozenset((s.domain,)))), False),
+        (lambda r, _: r.put(ServersReplaced(r.now_us, ())), False),
+        (lambda r, s: r.put(ServerListed(r.now_us, drain(s))), False),
+    ],
+)
+def test_every_send_checks_its_server_at_the_moment_of_sending(change, usable):
+    relay = create_look(("a1",))
+    (record,) = relay.state.servers.values()
+    change(relay, record.server)
+    number = relay.request("/look/x")
+    assert bool(relay.take_sends()) == usable
+    if not usable:
+        assert relay.get_reply(number).code is ResultCode.OVERLOADED
+        assert relay.get_reply(number).retry_after_us > 0
+
+
+def drain(server):
+    (drained,) = create_servers(server.service, (server.domain,), draining=True)
+    return drained
+
+
+def test_entries_that_lapse_while_the_store_is_away_are_kept_for_their_return():
+    relay = create_look(("a1", "b1"))
+    (first, second) = [record.server for record in relay.state.servers.values()]
+    relay.put(SourceLost(relay.now_us, "busy"))
+    relay.advance(4_000)
+    relay.put(ServersReplaced(relay.now_us, ()))
+    relay.put(SourceRegained(relay.now_us))
+    relay.advance(1_500)
+    assert len(relay.state.servers) == 2
+    relay.put(ServerListed(relay.now_us, first))
+    relay.advance(1_500)
+    assert list(relay.state.servers) == [first.server_id]
+    assert second.server_id not in relay.state.servers
+
+
+def test_a_server_that_restarts_under_its_id_is_known_anew():
+    relay = create_look(("a1",))
+    (record,) = relay.state.servers.values()
+    record.slowness = 9.0
+    (restarted,) = create_servers("one", ("a1",), born_ms=5, slots=2)
+    relay.put(ServerListed(relay.now_us, restarted))
+    (fresh,) = relay.state.servers.values()
+    assert fresh.slowness == 1.0
+
+
+def test_configuration_never_goes_back():
+    relay = create_search()
+    newer = create_catalog(5, [create_route(top=9)], [])
+    relay.put(CatalogRead(relay.now_us, newer))
+    relay.put(CatalogRead(relay.now_us, create_catalog(4, [], [])))
+    assert relay.state.catalog is newer
+
+
+def test_all_parts_come_from_the_shards_of_one_version():
+    relay = create_search()
+    number = relay.request()
+    sends = relay.take_sends()
+    servers = tuple(create_servers("t0"))
+    relay.put(ServersReplaced(relay.now_us, servers))
+    relay.put(CatalogRead(relay.now_us, create_catalog(2, [create_route(shards=("t0",))], [])))
+    for send in sends:
+        relay.answer(send)
+    assert len(relay.get_reply(number).signatures) == 4
+    relay.request()
+    assert [send.server.service for send in relay.take_sends()] == ["t0"]
+
+
+def test_only_servers_of_allowed_regions_are_used():
+    relay = create_look(("a1", "b1"), regions=frozenset(("south",)))
+    for _ in range(5):
+        relay.request("/look/x")
+    assert {send.server.domain for send in relay.take_sends()} == {"b1"}
+
+
+def test_a_cold_server_gets_little_from_one_instance():
+    rules = [ServiceRules("one", 100, cold_per_second=8.0)]
+    servers = create_servers("one", ("a1",), cold_for_us=3_000 * MS)
+    relay = Relay([create_single()], servers, rules)
+    for _ in range(20):
+        relay.request("/look/x")
+        relay.advance(10)
+    assert len(relay.take_sends()) == 1
+    relay.advance(900)
+    relay.request("/look/x")
+    relay.put(ServerListed(relay.now_us, servers[0]))
+    assert len(relay.take_sends()) <= 1
+
+
+def test_a_new_instance_is_ready_only_with_a_catalog_and_servers():
+    relay = create_search()
+    relay.state.listed = False
+    assert not relay.state.is_ready()
+    relay.put(ServersReplaced(relay.now_us, ()))
+    assert relay.state.is_ready()
--- a/mimosapost/relay/tests/test_load_patterns.py
+++ b/mimosapost/relay/tests/test_load_patterns.py
@@ -82,7 +82,7 @@
     near, far = create_records((0, 2))
     for _ in range(4):
         record_time(near, pools[0], MS, 0)
-        record_failure(near, 0, unreachable=False)
+        record_failure(near, 0)
     assert choose_server([near, far], pools, 0, random.Random(1)) is far
 
 
