--- a/mimosapost/bench/tests/test_load.py
+++ b/mimosapost/bench/tests/test_load.py
@@ -1,5 +1,6 @@
 """Guards against a load whose warm-up, losses or repeated queries reach the wrong figure."""
 
+import socket
 import time
 
 from aiohttp import web
@@ -13,8 +14,16 @@
 from mimosapost.standins.behaviour import Behaviour
 
 
+def find_free_port() -> int:
+    """Return a port that nothing uses, so that two runs of the tests do not meet."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
 async def test_naive_tier_and_load_agree():
-    teams = create_deployment("sunbrook", 9171).teams[2:3]
+    teams = create_deployment("sunbrook", find_free_port()).teams[2:3]
+    tier_port = find_free_port()
     kinds = choose_kinds(find_scenario("steady"), teams)
     service = kinds[0].service
     names = [slot.server for leaf in service.leafs for slot in leaf.slots]
@@ -23,9 +32,9 @@
         Backends(
             {name: Behaviour() for name in names}, addresses={name: name for name in names}
         ) as backends,
-        NaiveTier({service.name: service}, "127.60.9.1", 8171, 1),
+        NaiveTier({service.name: service}, "127.60.9.1", tier_port, 1),
     ):
-        result = await run_load(plan, ["127.60.9.1:8171"], time.monotonic)
+        result = await run_load(plan, [f"127.60.9.1:{tier_port}"], time.monotonic)
         sends = sum(server.requests for server in backends.servers.values())
     assert result.wrong == []
     assert result.repeated == {1000: 5}
