--- /dev/null
+++ b/mimosapost/relay/tests/test_layers.py
@@ -0,0 +1,55 @@
+"""Guards the picture of the two paths in docs/design.md against the imports."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).parents[2]
+SHARED = {"model", "limits", "suspects", "relay"}
+EDGE = {"channels", "clock", "exchanges", "log_stream", "logs", "metrics"}
+
+
+def list_imports(folder: str) -> set[tuple[str, str]]:
+    """Return the modules of this project that a package imports, as package and module."""
+    found = set()
+    for path in (PACKAGE / folder).glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom) and (node.module or "").startswith(
+                "mimosapost."
+            ):
+                parts = node.module.split(".")[1:]
+                names = [alias.name for alias in node.names] if len(parts) == 1 else [parts[1]]
+                found |= {(parts[0], name) for name in names}
+    return found
+
+
+def test_the_relay_decides_without_input_or_output():
+    others = {(p, m) for p, m in list_imports("relay") if p not in SHARED}
+    assert others == {("core", "timers")}
+
+
+def test_the_platform_folder_uses_the_relay_and_its_edge_only():
+    others = (
+        {p for p, _ in list_imports("platform")} - SHARED - {"platform", "edge", "settings"}
+    )
+    assert others == set()
+    modules = {m for p, m in list_imports("platform") if p == "settings"}
+    assert modules == {"faults"}
+
+
+@pytest.mark.parametrize("package", ["core", "model", "limits", "suspects", "edge", "relay"])
+def test_nothing_but_commands_imports_the_platform_folder(package):
+    assert "platform" not in {p for p, _ in list_imports(package)}
+
+
+def test_the_platform_folder_is_a_small_part_of_the_code():
+    lines = {}
+    for path in PACKAGE.rglob("*.py"):
+        if "tests" not in path.parts:
+            top = path.relative_to(PACKAGE).parts[0]
+            count = sum(1 for line in path.read_text().splitlines() if line.strip())
+            lines[top] = lines.get(top, 0) + count
+    assert lines["platform"] < sum(lines.values()) / 10
