Use cold servers like others where the operator sets no limit for them

Cause: a limit of 0 requests a second was read as one request a second and instance, so a shard whose servers all came back cold went missing for 3 s.

--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -75,12 +75,13 @@
         return Started.NO_SERVER
     connections = _get_connections(state, part.service)
     pools = state.get_pools(opened.route)
-    warm = [record for record in usable if record.cold_until_us <= now_us]
+    limit = _get_cold_limit(state, part.service)
+    warm = [record for record in usable if not limit or record.cold_until_us <= now_us]
     free = [record for record in warm if len(record.open_sends) < connections]
     record = choose_server(free, pools, now_us, state.rng)
-    if record is None:
+    if record is None and limit:
         cold = [record for record in usable if record.cold_until_us > now_us]
-        record = _choose_cold(state, cold, now_us)
+        record = _choose_cold(state, cold, limit, now_us)
     if record is None:
         _wait(state, opened, part)
         return Started.WAITING
@@ -89,20 +90,24 @@
 
 
 def _choose_cold(
-    state: RelayState, records: list[ServerRecord], now_us: int
+    state: RelayState, records: list[ServerRecord], limit: float, now_us: int
 ) -> ServerRecord | None:
     for record in records:
         server_id = record.server.server_id
-        rules = state.catalog.services.get(record.server.service) if state.catalog else None
         allowance = state.cold.get(server_id)
         if allowance is None:
-            allowance = ColdAllowance(rules.cold_per_second if rules else 0.0)
-            state.cold[server_id] = allowance
+            allowance = state.cold[server_id] = ColdAllowance(limit)
         if allowance.try_take(now_us):
             return record
     return None
 
 
+def _get_cold_limit(state: RelayState, service: str) -> float:
+    """Return the requests a second that a cold server of a service bears, 0 for any number."""
+    rules = state.catalog.services.get(service) if state.catalog is not None else None
+    return rules.cold_per_second if rules is not None else 0.0
+
+
 def _emit(
     state: RelayState,
     opened: OpenRequest,
@@ -157,10 +162,11 @@
     part = send.part
     if len(part.sends) > 1 or part.runs >= opened.route.max_sends or opened.past_goal:
         return
+    limit = _get_cold_limit(state, part.service)
     usable = [
         record
         for record in list_usable(state, opened, part, now_us)
-        if record.cold_until_us <= now_us
+        if (not limit or record.cold_until_us <= now_us)
         and len(record.open_sends) < _get_connections(state, part.service)
     ]
     if not usable or not state.get_budget(part.service).try_spend():
--- a/mimosapost/relay/tests/test_beliefs.py
+++ b/mimosapost/relay/tests/test_beliefs.py
@@ -182,6 +182,14 @@
     assert len(relay.take_sends()) <= 1
 
 
+def test_cold_servers_without_a_limit_are_used_like_others():
+    servers = create_servers("one", ("a1",), cold_for_us=3_000 * MS)
+    relay = Relay([create_single()], servers, [ServiceRules("one", 100, cold_per_second=0.0)])
+    for _ in range(5):
+        relay.request("/look/x")
+    assert len(relay.take_sends()) == 5
+
+
 def test_a_new_instance_is_ready_only_with_a_catalog_and_servers():
     relay = create_search()
     relay.state.listed = False
