--- a/mimosapost/edge/instance.py
+++ b/mimosapost/edge/instance.py
@@ -5,8 +5,6 @@
 import asyncio
 import itertools
 import secrets
-from collections import deque
-from collections.abc import Callable
 from dataclasses import replace
 from random import Random
 
@@ -25,6 +23,7 @@
 from mimosapost.edge.operators import OperatorServer
 from mimosapost.edge.peers import PeerLinks
 from mimosapost.edge.platform import HttpConfigSource, HttpInstanceSource, PlatformReader
+from mimosapost.edge.reduction import Reduction
 from mimosapost.edge.spans import ForwardSpans
 from mimosapost.edge.traces import Traces, open_trace_stream
 from mimosapost.merging import list_merges
@@ -92,23 +91,25 @@
             ceiling=max(4, settings.seat + 1),
             seed_peers=settings.seed_peers,
         )
-        self._events: deque[Event] = deque()
-        self._reducing = False
         self._timer = None
         self._served = asyncio.Event()
-        self.failed_events = 0
         self.metrics = Metrics()
         self._logs = Logs()
+        self._reduction = Reduction(self._reduce, self._logs)
         stream = open_trace_stream(settings.trace_export)
         self._traces = Traces(stream, _TRACE_RATIO if stream else 0.0)
         self._spans = ForwardSpans(self._traces)
-        self._executors: dict[type[Effect], Callable] = {}
 
     @property
     def state(self) -> State:
         """State of the reducer; for the status page and tests."""
         return self._state
 
+    @property
+    def failed_events(self) -> int:
+        """Number of events that raised an exception."""
+        return self._reduction.failed
+
     async def on_start(self) -> None:
         """Open everything in dependency order; the exit stack closes it in reverse."""
         enter = self.async_exit_stack.enter_async_context
@@ -128,7 +129,7 @@
         platform = await self._start_platform()
         callers = await enter(self._create_caller_server())
         await enter(self._create_operator_server(peers, platform))
-        self._executors = {
+        self._reduction.executors = {
             AnswerCaller: callers.execute,
             CancelSend: backends.execute,
             CloseConnections: backends.execute,
@@ -145,7 +146,7 @@
             "mimosapost_open_queries_count", lambda: len(self._state.queries)
         )
         self.metrics.set_gauge("mimosapost_open_sends_count", lambda: len(self._state.sends))
-        self._execute(start(self._state))
+        self._reduction.execute(start(self._state))
 
     async def _start_platform(self) -> PlatformReader:
         settings = self._settings
@@ -233,38 +234,16 @@
         if found is not None:
             self.add_future(self._handle_checked(event, *found))
             return
-        self._add_event(event)
+        self._reduction.handle(event)
 
     async def _handle_checked(self, event: Event, team: str, text: bytes) -> None:
         await self._checker.prepare(team, text)
         # The time of the event is that of its reduction; time must not go back.
-        self._add_event(replace(event, now_us=read_clock_us()))
+        self._reduction.handle(replace(event, now_us=read_clock_us()))
 
-    def _add_event(self, event: Event) -> None:
-        self._events.append(event)
-        if self._reducing:
-            return
-        self._reducing = True
-        try:
-            while self._events:
-                self._handle_one(self._events.popleft())
-        finally:
-            self._reducing = False
-
-    def _handle_one(self, event: Event) -> None:
+    def _reduce(self, event: Event) -> list[Effect]:
         self._spans.record_event(event)
-        try:
-            self._execute(reduce(self._state, event))
-        except Exception as error:
-            # One event that fails must not end the service of all callers.
-            self.failed_events += 1
-            self._logs.write(
-                "event_failed", {"event_type": type(event).__name__, "error": repr(error)}
-            )
-
-    def _execute(self, effects: list[Effect]) -> None:
-        for effect in effects:
-            self._executors[type(effect)](effect)
+        return reduce(self._state, event)
 
     def _send_peer(self, peers: PeerLinks, effect: SendPeer) -> None:
         self._spans.record_effect(effect)
--- a/mimosapost/edge/relay_instance.py
+++ b/mimosapost/edge/relay_instance.py
@@ -5,7 +5,6 @@
 import asyncio
 import gc
 import secrets
-from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
@@ -16,16 +15,16 @@
 from mimosapost.edge.exchanges import AnswerCodec, ServerConnections
 from mimosapost.edge.logs import Logs
 from mimosapost.edge.metrics import Metrics
+from mimosapost.edge.reduction import Reduction
 from mimosapost.edge.relay_callers import RelayCallers, RequestCodec, start_listener
 from mimosapost.model.effects import (
     Count,
-    Effect,
     Observe,
     StopServing,
     WakeAt,
     WriteLog,
 )
-from mimosapost.model.events import Event, StopRequested
+from mimosapost.model.events import StopRequested
 from mimosapost.relay.catalog import CallerLimits
 from mimosapost.relay.effects import AbandonSend, ForgetServer, SendReply, StartSend
 from mimosapost.relay.events import TimerFired
@@ -75,11 +74,11 @@
         self._create_source = create_source
         self._logs = logs
         self._state = create_relay_state(place, secrets.randbits(63))
-        self._events: deque[Event] = deque()
-        self._reducing = False
+        self._reduction = Reduction(lambda event: reduce(self._state, event), logs)
+        #: Takes events for the reducer.
+        self.handle = self._reduction.handle
         self._timer: asyncio.TimerHandle | None = None
         self._served = asyncio.Event()
-        self._executors: dict[type[Effect], Callable] = {}
         self.metrics = Metrics()
         #: Where callers connect, known once the service has started.
         self.caller_address = ""
@@ -104,7 +103,7 @@
             lambda: bool(self._state.stop_requested_us),
             self._logs,
         )
-        self._executors = {
+        self._reduction.executors = {
             AbandonSend: servers.abandon_send,
             Count: self.metrics.execute,
             Observe: self.metrics.observe,
@@ -129,7 +128,7 @@
         place = self._state.place
         self._logs.write(
             "instance_started",
-            {"domain": place.domain, "region": place.region, "listens": len(self._executors)},
+            {"domain": place.domain, "region": place.region, "caller_address": callers.address},
         )
 
     def _get_limits(self) -> CallerLimits:
@@ -145,30 +144,6 @@
         body, headers = self.metrics.render(request.headers.getall("Accept", []))
         return web.Response(body=body, headers=headers)
 
-    def handle(self, event: Event) -> None:
-        """Reduce an event and execute its effects; events that arrive meanwhile follow."""
-        self._events.append(event)
-        if self._reducing:
-            return
-        self._reducing = True
-        try:
-            while self._events:
-                self._handle_one(self._events.popleft())
-        finally:
-            self._reducing = False
-
-    def _handle_one(self, event: Event) -> None:
-        try:
-            effects = reduce(self._state, event)
-        except Exception as error:
-            # One event that fails must not end the service of all callers.
-            self._logs.write(
-                "event_failed", {"event_type": type(event).__name__, "error": repr(error)}
-            )
-            return
-        for effect in effects:
-            self._executors[type(effect)](effect)
-
     def _wake_at(self, effect: WakeAt) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/mimosapost/bench/relay_sends.py
+++ b/mimosapost/platform/measurement.py
@@ -1,8 +1,8 @@
 """Processor time of one part of a gathered query, by layer.
 
-``python -m mimosapost.bench.relay_sends --parts 90`` prints microseconds a part: decisions (the
-relay's reducer), translation of headers, and sends over kept and over new connections. The
-servers answer from another thread, whose time is not counted.
+``python -m mimosapost.platform.measurement --parts 90`` prints microseconds a part: decisions
+(the relay's reducer), translation of headers, and sends over kept and over new connections.
+The servers answer from another thread, whose time is not counted.
 """
 
 from __future__ import annotations
--- a/mimosapost/relay/latencies.py
+++ b/mimosapost/relay/latencies.py
@@ -32,10 +32,10 @@
     :param distance: index into :data:`DISTANCES`.
 
     >>> pool = LatencyPool(0)
-    >>> for elapsed_us in range(1_000, 17_000, 1_000):
+    >>> for elapsed_us in range(1_000, 21_000, 1_000):
     ...     pool.record(elapsed_us)
     >>> pool.median_us, pool.slow_us
-    (9000, 16000)
+    (11000, 19000)
     """
 
     __slots__ = ("_new", "_samples", "median_us", "slow_us")
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -11,7 +11,7 @@
 from mimosapost.relay.registry import Effects, TimerKind, fires
 from mimosapost.relay.repeats import get_hedge_delay_us
 from mimosapost.relay.state import OpenRequest, OpenSend, Part, RelayState
-from mimosapost.relay.warmup import ASSUMED_INSTANCES, ColdAllowance
+from mimosapost.relay.warmup import ColdAllowance
 
 __all__ = [
     "Started",
@@ -22,7 +22,9 @@
     "start_send",
 ]
 
-# Connections to one server for requests at the same time, whatever its limit is.
+# Instances that a server's connections are divided by, and the least that each may have. An
+# instance rarely has more than two sends open at one server, so far more instances fit.
+_SHARING_INSTANCES = 8
 _LEAST_CONNECTIONS = 2
 _DEFAULT_CONNECTIONS = 16
 # A connection that does not stand after this time is given up: one round trip between regions
@@ -96,7 +98,7 @@
         server_id = record.server.server_id
         allowance = state.cold.get(server_id)
         if allowance is None:
-            allowance = state.cold[server_id] = ColdAllowance(limit)
+            allowance = state.cold[server_id] = ColdAllowance(limit, now_us, state.rng)
         if allowance.try_take(now_us):
             return record
     return None
@@ -218,7 +220,7 @@
     rules = state.catalog.services.get(service) if state.catalog is not None else None
     if rules is None:
         return _DEFAULT_CONNECTIONS
-    return max(_LEAST_CONNECTIONS, rules.connections // ASSUMED_INSTANCES)
+    return max(_LEAST_CONNECTIONS, rules.connections // _SHARING_INSTANCES)
 
 
 def _wait(state: RelayState, opened: OpenRequest, part: Part) -> None:
--- a/mimosapost/relay/warmup.py
+++ b/mimosapost/relay/warmup.py
@@ -6,34 +6,40 @@
 
 from __future__ import annotations
 
-__all__ = ["ColdAllowance"]
+import random
 
-_SECOND_US = 1_000_000
-# Instances that may use a cold server at the same time without knowing of each other.
-ASSUMED_INSTANCES = 8
+__all__ = ["ASSUMED_INSTANCES", "ColdAllowance"]
+
+#: Instances that may use a cold server without knowing of each other; the largest known
+#: deployment has 33 and 6 more that may be added.
+ASSUMED_INSTANCES = 40
 
 
 class ColdAllowance:
-    """Sends of this instance to one cold server, at most ``per_second`` in any second.
+    """Sends of this instance to one cold server.
+
+    Each instance sends once in the time in which the server bears one request of every
+    instance. The first send comes at a random moment of that time, because all instances learn
+    of the server at once.
 
-    :param per_second: requests a second that the server bears from all instances.
-    :param instances: instances that share it.
+    :param per_second: requests a second that the server bears from all instances, above 0.
+    :param now_us: monotonic time in microseconds.
+    :param rng: chooses the moment of the first send.
 
-    >>> allowance = ColdAllowance(8.0, instances=4)
-    >>> [allowance.try_take(now_us) for now_us in (0, 1, 2, 1_000_001)]
-    [True, True, False, True]
+    >>> allowance = ColdAllowance(20.0, 0, random.Random(1))
+    >>> [allowance.try_take(now_us) for now_us in (0, 1_900_000, 2_000_000, 4_000_000)]
+    [False, True, False, True]
     """
 
-    __slots__ = ("_limit", "_sent_us")
+    __slots__ = ("_interval_us", "_next_us")
 
-    def __init__(self, per_second: float, instances: int = ASSUMED_INSTANCES) -> None:
-        self._limit = max(1, int(per_second / instances))
-        self._sent_us: list[int] = []
+    def __init__(self, per_second: float, now_us: int, rng: random.Random) -> None:
+        self._interval_us = int(ASSUMED_INSTANCES / per_second * 1e6)
+        self._next_us = now_us + int(self._interval_us * rng.random())
 
     def try_take(self, now_us: int) -> bool:
-        """Take one send, if the last second leaves room for it."""
-        self._sent_us = [at_us for at_us in self._sent_us if now_us - at_us < _SECOND_US]
-        if len(self._sent_us) >= self._limit:
+        """Take one send, if its time has come."""
+        if now_us < self._next_us:
             return False
-        self._sent_us.append(now_us)
+        self._next_us = now_us + self._interval_us
         return True
