--- a/Makefile
+++ b/Makefile
@@ -20,9 +20,11 @@
 test: $(BIN)/.installed
 	$(BIN)/python tools/known_red.py
 
-# Runs both example deployments on loopback addresses 127.10 to 127.30 and checks promises.
+# Runs both example deployments on loopback addresses 127.10 to 127.30 and checks promises, then
+# three instances of the users' platform between stand-ins, under faults for some seconds.
 demo: $(BIN)/.installed
 	PYTHON=$(BIN)/python tools/demo.sh
+	$(BIN)/python -m mimosapost.platform.tests.soak --seeds 1 --seconds 6
 
 lint: $(BIN)/.installed
 	$(BIN)/ruff format --no-cache --check .
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -46,7 +46,9 @@
     NO_SERVER = "no_server"
 
 
-def list_usable(state: RelayState, opened: OpenRequest, part: Part, now_us: int) -> list:
+def list_usable(
+    state: RelayState, opened: OpenRequest, part: Part, now_us: int
+) -> list[ServerRecord]:
     """Return the servers that the next send of a part may use, whatever their load is.
 
     Servers that the part was not sent to come first; if there are none, those that it was
