Take callers while a process starts, and let them wait for its first configuration

Change: the socket listens before the slow modules are loaded; requests wait up to 0.2 s for the first configuration unless its source is known to have failed (relay/starting.py); a connection to the store is tried again after 0.15 s.

Ruled out: callers that left meanwhile cost no sends (a test shows it without further code); the outage itself, in which no process runs, holds the rest.

--- a/mimosapost/edge/relay_callers.py
+++ b/mimosapost/edge/relay_callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import socket
 from collections.abc import Callable, Iterable
 from contextlib import AsyncExitStack
 from typing import Protocol
@@ -78,7 +79,7 @@
 class RelayCallers:
     """Takes requests of callers; use it as an asynchronous context manager.
 
-    :param address: ``ip:port`` to listen on.
+    :param listener: ``ip:port`` to listen on, or a socket that listens.
     :param codec: translates requests and replies.
     :param handle: takes events for the reducer.
     :param read_clock_us: monotonic clock in microseconds.
@@ -88,7 +89,7 @@
 
     def __init__(
         self,
-        address: str,
+        listener: str | socket.socket,
         codec: RequestCodec,
         handle: Callable[[Event], None],
         read_clock_us: Callable[[], int],
@@ -96,8 +97,9 @@
         is_stopping: Callable[[], bool],
         logs: Logs,
     ) -> None:
-        self._address = address
-        self.address = address
+        self._listener = listener
+        #: Where callers connect, known once it is entered.
+        self.address = ""
         self._codec = codec
         self._handle = handle
         self._read_clock_us = read_clock_us
@@ -110,7 +112,7 @@
 
     async def __aenter__(self) -> RelayCallers:
         server = _LimitedServer(self._answer, self._get_limits)
-        self.address = await start_listener(self._stack, server, self._address)
+        self.address = await start_listener(self._stack, server, self._listener)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -179,14 +181,23 @@
             future.set_result(effect.reply)
 
 
-async def start_listener(stack: AsyncExitStack, server: web.Server, address: str) -> str:
-    """Listen on an address until the stack closes.
+async def start_listener(
+    stack: AsyncExitStack, server: web.Server, listener: str | socket.socket
+) -> str:
+    """Serve an address, or a socket that listens, until the stack closes.
 
+    :param listener: ``ip:port`` or a socket.
     :returns: the address, with the port that the system chose where the given one is 0.
     """
-    host, _, port = address.rpartition(":")
     runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.5)
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
-    await web.TCPSite(runner, host, int(port), backlog=_BACKLOG).start()
-    return f"{host}:{runner.addresses[0][1]}"
+    if isinstance(listener, str):
+        host, _, port = listener.rpartition(":")
+        site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
+    else:
+        # Without the backlog asyncio would listen again with its own, shorter one.
+        site = web.SockSite(runner, listener, backlog=_BACKLOG)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    return f"{host}:{port}"
--- a/mimosapost/edge/relay_instance.py
+++ b/mimosapost/edge/relay_instance.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import secrets
+import socket
 from collections.abc import Callable
 from typing import Protocol
 
@@ -58,6 +59,8 @@
     :param create_source: creates the reader of configuration and servers from the function
         that takes its events, the clock and the log.
     :param logs: log of the process.
+    :param listener: socket that callers connect to, if it is open already; it is closed with
+        the service.
     """
 
     def __init__(
@@ -67,8 +70,10 @@
         codec: Codec,
         create_source: Callable[..., mode.Service],
         logs: Logs,
+        listener: socket.socket | None = None,
     ) -> None:
         super().__init__()
+        self._listener = listener
         self._addresses = addresses
         self._codec = codec
         self._create_source = create_source
@@ -95,7 +100,7 @@
             ServerConnections(self.handle, read_clock_us, self._codec, self._logs)
         )
         callers = RelayCallers(
-            self._addresses.caller_address,
+            self._listener or self._addresses.caller_address,
             self._codec,
             self.handle,
             read_clock_us,
--- a/mimosapost/platform/program.py
+++ b/mimosapost/platform/program.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
+import socket
 import sys
 from pathlib import Path
 
@@ -14,33 +14,22 @@
 from mimosapost.edge.log_stream import LogStream
 from mimosapost.edge.logs import Logs
 from mimosapost.edge.relay_instance import RelayInstance
-from mimosapost.platform.settings import RelaySettings, decode_settings
+from mimosapost.platform.settings import RelaySettings
+from mimosapost.platform.start import read_settings
 from mimosapost.platform.store import StoreReader
 from mimosapost.platform.wire import PlatformCodec
 
-__all__ = ["main"]
+__all__ = ["run"]
 
-_SETTINGS_VARIABLE = "MIMOSAPOST_CONFIG"
 
-
-def main() -> int:
+def run(path: Path, settings: RelaySettings, listener: socket.socket) -> None:
     """Run one instance until SIGTERM, then stop gracefully.
 
-    :returns: 0 after a graceful stop, 2 for settings that cannot be used.
+    :param path: settings file, read again at SIGHUP.
+    :param settings: what it held at the start.
+    :param listener: socket that callers connect to.
     """
-    path = os.environ.get(_SETTINGS_VARIABLE, "")
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        sys.stderr.write(f"{_SETTINGS_VARIABLE}={path}: {error}\n")
-        return 2
-    match decode_settings(text):
-        case Failure(faults):
-            sys.stderr.write("".join(f"{path}: {fault}\n" for fault in faults))
-            return 2
-        case Success(settings):
-            asyncio.run(_run(Path(path), settings))
-    return 0
+    asyncio.run(_run(path, settings, listener))
 
 
 def _check_again(path: Path, settings: RelaySettings, logs: Logs) -> None:
@@ -49,19 +38,14 @@
     Nothing that may change while a process runs is used by it: addresses and place are those
     of the machine, and limits come with the configuration.
     """
-    try:
-        result = decode_settings(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError) as error:
-        logs.write("settings_not_read", {"error": str(error)})
-        return
-    match result:
+    match read_settings(path):
         case Failure(faults):
-            logs.write("settings_refused", {"faults": "; ".join(map(str, faults))})
+            logs.write("settings_refused", {"faults": "; ".join(faults)})
         case Success(changed):
             logs.write("settings_read_again", {"same": changed == settings})
 
 
-async def _run(path: Path, settings: RelaySettings) -> None:
+async def _run(path: Path, settings: RelaySettings, listener: socket.socket) -> None:
     logs = Logs(LogStream(sys.stdout.fileno(), read_clock_us), instance=settings.place.name)
     instance = RelayInstance(
         settings.place,
@@ -71,6 +55,7 @@
             settings.store_address, *context, hear_ms=settings.hear_ms
         ),
         logs,
+        listener,
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, instance.request_stop)
--- a/mimosapost/platform/store.py
+++ b/mimosapost/platform/store.py
@@ -33,6 +33,9 @@
 _OUT = "op/evacuate/"
 # A slow store takes up to 250 ms an answer.
 _ANSWER_SECONDS = 0.7
+# A round trip takes up to 26 ms; a lost packet that opens a connection is sent again only after
+# a second.
+_CONNECT_SECONDS = 0.15
 # Time to notice a lost answer and to read the list again.
 _RELIST_MS = 1_200
 _LEAST_WAIT_MS = 200
@@ -129,7 +132,7 @@
             self._report_regained()
 
     async def _call(self, path: str, fields: dict[str, Any], seconds: float) -> bytes:
-        timeout = aiohttp.ClientTimeout(total=seconds)
+        timeout = aiohttp.ClientTimeout(total=seconds, sock_connect=_CONNECT_SECONDS)
         url = f"{self._url}{path}?{urlencode(fields)}"
         async with self._session.get(url, timeout=timeout) as response:
             if response.status == 410:
@@ -159,15 +162,16 @@
 
     def _replace(self, items: list[_Item]) -> None:
         self._revisions = {item.key: item.revision for item in items}
+        for item in items:
+            if item.key == _CONFIG:
+                self._take_config(item)
+        out = (item.key.removeprefix(_OUT) for item in items if item.key.startswith(_OUT))
+        self._set_out(frozenset(out))
+        # The list of servers comes last: with it requests that wait for a start begin.
         entries = [item for item in items if item.key.startswith(_SERVERS)]
         servers = [self._decode_server(item) for item in entries]
         kept = tuple(server for server in servers if server is not None)
         self._handle(ServersReplaced(self._read_clock_us(), kept))
-        out = (item.key.removeprefix(_OUT) for item in items if item.key.startswith(_OUT))
-        self._set_out(frozenset(out))
-        for item in items:
-            if item.key == _CONFIG:
-                self._take_config(item)
 
     async def _watch(self, after: int) -> int:
         fields = {"pathPrefix": "", "after": after, "waitMs": self._wait_ms}
--- a/mimosapost/platform/tests/test_path.py
+++ b/mimosapost/platform/tests/test_path.py
@@ -67,7 +67,7 @@
 
 
 @asynccontextmanager
-async def open_path(prepare=None):
+async def open_path(prepare=None, listener=None):
     async with AsyncExitStack() as stack:
         store = StandinStore()
         address = await store.start(stack)
@@ -89,6 +89,7 @@
             PlatformCodec(),
             lambda *context: StoreReader(address, *context, hear_ms=2_000),
             Logs(log),
+            listener,
         )
         await instance.start()
         stack.push_async_callback(instance.stop)
--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -4,18 +4,19 @@
 
 from mimosapost.model.codes import ResultCode
 from mimosapost.model.effects import WriteLog
-from mimosapost.relay.catalog import Route
+from mimosapost.relay.catalog import Catalog, Route
 from mimosapost.relay.events import CallerLeft, RequestArrived
-from mimosapost.relay.exchanges import Refusal
+from mimosapost.relay.exchanges import Refusal, RelayRequest
 from mimosapost.relay.finish import check_progress, end_request, fail_part, refuse
-from mimosapost.relay.refusals import NOT_CONFIGURED_RETRY_US, get_retry_after_us
+from mimosapost.relay.refusals import get_retry_after_us
 from mimosapost.relay.registry import Effects, TimerKind, fires, handles
 from mimosapost.relay.sends import Started, abandon_sends, list_usable, start_send
 from mimosapost.relay.splits import WeightedTurns
+from mimosapost.relay.starting import hold_early, refuse_early
 from mimosapost.relay.state import OpenRequest, Part, RelayState
 from mimosapost.suspects.book import Standing
 
-__all__: list[str] = []
+__all__ = ["admit_early"]
 
 # Time in which a reply is written and reaches the caller.
 _REPLY_US = 12_000
@@ -29,12 +30,37 @@
 @handles(RequestArrived)
 def admit(state: RelayState, event: RequestArrived, effects: Effects) -> None:
     """Start a request, or refuse it where it is known that it cannot be served."""
-    request, now_us = event.request, event.now_us
+    if state.catalog is None or not state.listed:
+        hold_early(state, event.request, event.now_us, effects)
+        return
+    _admit(state, state.catalog, event.request, event.now_us, effects)
+
+
+def admit_early(state: RelayState, now_us: int, effects: Effects) -> None:
+    """Start the requests that waited for the first configuration, the most urgent first.
+
+    They are refused where the source of the configuration has failed or has none.
+    """
     catalog = state.catalog
+    if not state.early or not (state.listed or state.source_lost_us):
+        return
+    early, state.early = list(state.early.values()), {}
     if catalog is None or not state.listed:
-        refusal = Refusal(ResultCode.NOT_CONFIGURED, NOT_CONFIGURED_RETRY_US, "no catalog")
-        refuse(state, request.number, request.request_id, refusal, effects)
+        for request in early:
+            refuse_early(state, request, effects)
         return
+
+    def get_rank(request: RelayRequest) -> int:
+        route = catalog.find_route(request.host, request.target)
+        return route.rank if route is not None else 0
+
+    for request in sorted(early, key=get_rank):
+        _admit(state, catalog, request, now_us, effects)
+
+
+def _admit(
+    state: RelayState, catalog: Catalog, request: RelayRequest, now_us: int, effects: Effects
+) -> None:
     route = catalog.find_route(request.host, request.target)
     if route is None:
         refusal = Refusal(ResultCode.UNKNOWN_SERVICE, 0, f"no route for {request.host}")
@@ -104,6 +130,7 @@
 @handles(CallerLeft)
 def forget_caller(state: RelayState, event: CallerLeft, effects: Effects) -> None:
     """Stop the work for a caller that has gone."""
+    state.early.pop(event.number, None)
     opened = state.requests.pop(event.number, None)
     if opened is None:
         return
--- a/mimosapost/relay/reducer.py
+++ b/mimosapost/relay/reducer.py
@@ -31,6 +31,7 @@
     """
     effects: list[Effect] = []
     find_handler(type(event))(state, event, effects)
+    admission.admit_early(state, event.now_us, effects)
     sends.pump_waiting(state, event.now_us, effects)
     due_us = state.timers.get_next_due_us()
     if due_us is not None and due_us != state.timers.armed_us:
--- a/mimosapost/relay/registry.py
+++ b/mimosapost/relay/registry.py
@@ -32,6 +32,7 @@
     RETRY = 4
     UNLIST = 5
     STOP = 6
+    EARLY = 7
 
 
 _HANDLERS: dict[type[Event], Callable[..., None]] = {}
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -100,7 +100,10 @@
 
 @dataclass(slots=True)
 class RelayState:
-    """Everything the relay knows. Only handlers change it."""
+    """Everything the relay knows. Only handlers change it.
+
+    :param early: requests that wait for the first configuration.
+    """
 
     place: Place
     rng: random.Random
@@ -110,6 +113,7 @@
     servers: dict[str, ServerRecord] = field(default_factory=dict)
     by_service: dict[str, list[ServerRecord]] = field(default_factory=dict)
     domains_out: frozenset[str] = frozenset()
+    early: dict[int, RelayRequest] = field(default_factory=dict)
     requests: dict[int, OpenRequest] = field(default_factory=dict)
     sends: dict[int, OpenSend] = field(default_factory=dict)
     pools: dict[str, tuple[LatencyPool, ...]] = field(default_factory=dict)
