Take a single slow answer of a server for a pause

Cause: a pause of 120 ms made a server look 3.8 times slower for seconds (half of the weight lost in 3 s), and servers pause each 3 s, so instances near it sent to another region for much of the time. Servers near them were idle meanwhile.

Change: a single slow answer, or several of sends that were open together, says nothing of the next one; a second in a row counts for both.

--- a/mimosapost/relay/placement.py
+++ b/mimosapost/relay/placement.py
@@ -28,6 +28,9 @@
 # tried again within seconds.
 _MEMORY_US = 3_000_000
 _SMOOTHING = 0.4
+# Answers that took this many times the median are slow: pauses of 120 to 250 ms are 8 times
+# the usual time, servers that turn slow 4 to 10 times.
+_SLOW_RATIO = 2.5
 # A reported queue is about as old as the work in it after this time.
 _REPORT_US = 100_000
 # A send that fails quickly costs a second one, and a part of the budget for it.
@@ -49,6 +52,9 @@
     """What this instance knows of one server.
 
     :param slowness: answer times relative to the median of its route at its distance.
+    :param slow_answers: slow answers in a row; those of sends that were open together count
+        as one, because one pause of the server delays all of them.
+    :param slow_us: time of the last slow answer that was counted.
     :param failure: smoothed share of failed sends.
     :param open_sends: time of each send without an answer, oldest first.
     :param linked_us: time of the last answer, whose connection is kept for the next send.
@@ -60,6 +66,8 @@
     distance: int
     region: str
     slowness: float = 1.0
+    slow_answers: int = 0
+    slow_us: int = 0
     failure: float = 0.0
     observed_us: int = 0
     linked_us: int = -_CONNECTION_KEPT_US
@@ -134,9 +142,24 @@
 
 
 def record_time(record: ServerRecord, pool: LatencyPool, elapsed_us: int, now_us: int) -> None:
-    """Record the time of an answer, or the time that a send was waited for in vain."""
+    """Record the time of an answer, or the time that a send was waited for in vain.
+
+    A single slow answer says nothing of the next one: the server may have paused, and is as
+    quick as before. A second one in a row shows that it is slow.
+    """
     ratio = elapsed_us / max(1, pool.median_us)
-    record.slowness += _SMOOTHING * (ratio - record.slowness)
+    times = 1
+    if ratio < _SLOW_RATIO:
+        record.slow_answers = 0
+    elif now_us - elapsed_us >= record.slow_us:
+        record.slow_answers += 1
+        record.slow_us = now_us
+        # The second slow answer counts for the first as well.
+        times = 2 if record.slow_answers == 2 else 1
+    if record.slow_answers == 1:
+        return
+    for _ in range(times):
+        record.slowness += _SMOOTHING * (ratio - record.slowness)
     record.observed_us = now_us
 
 
