Part sending from receiving messages of peers, so that core has no import circle

configuration, failures and peering imported each other: failures told peers of suspects, and the receipt of messages applies configuration. No behaviour changes.

--- a/mimosapost/core/failures.py
+++ b/mimosapost/core/failures.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from mimosapost.core import counters, finish, parts, peering, retries, slots
+from mimosapost.core import broadcasts, counters, finish, parts, retries, slots
 from mimosapost.core.registry import Effects, handles
 from mimosapost.core.state import OpenQuery, OpenSend, ServerState, State
 from mimosapost.core.timers import TimerKind
@@ -178,7 +178,7 @@
     ran_alone, server.crash_ran_alone = server.crash_ran_alone, False
     server.crash_fingerprints.clear()
     state.suspects.record_crash(server.address, fingerprints, now_us, ran_alone)
-    peering.tell_suspects(state, now_us, effects)
+    broadcasts.tell_suspects(state, now_us, effects)
     effects.append(Count(counters.SERVER_CRASHES))
     effects.append(
         WriteLog(
--- a/mimosapost/core/schedule.py
+++ b/mimosapost/core/schedule.py
@@ -6,11 +6,11 @@
 
 from mimosapost.core import (
     admission,
+    broadcasts,
     failures,
     fanout,
     finish,
     forwarding,
-    peering,
     slots,
     stopping,
 )
@@ -97,14 +97,14 @@
 @fires(TimerKind.HEARTBEAT)
 def beat(state: State, key: int, now_us: int, effects: Effects) -> None:
     """Ask the witnesses to acknowledge this instance's lease."""
-    peering.send_heartbeats(state, now_us, effects)
+    broadcasts.send_heartbeats(state, now_us, effects)
     state.timers.add(now_us + state.policy.heartbeat_us, TimerKind.HEARTBEAT)
 
 
 @fires(TimerKind.GOSSIP)
 def exchange(state: State, key: int, now_us: int, effects: Effects) -> None:
     """Exchange versions and suspects with some peers."""
-    peering.send_gossip(state, now_us, effects)
+    broadcasts.send_gossip(state, now_us, effects)
     state.timers.add(now_us + state.policy.heartbeat_us, TimerKind.GOSSIP)
 
 
@@ -112,7 +112,7 @@
 def keep_house(state: State, key: int, now_us: int, effects: Effects) -> None:
     """Probe, detect silence, and look at queues whose limits may have changed."""
     state.timers.add(now_us + state.policy.housekeeping_us, TimerKind.HOUSEKEEPING)
-    peering.finish_join(state, now_us, effects)
+    broadcasts.finish_join(state, now_us, effects)
     for server in list(state.servers.values()):
         if failures.forget_unused(state, server):
             continue
