Part connections and the meaning of responses from the client of backend servers

Records are now edge/sends.py; judge_response in edge/answers.py is a function of its own with a table of what each failure proves.

--- a/mimosapost/edge/answers.py
+++ b/mimosapost/edge/answers.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 
+from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.model.queries import SubAnswer, SubRequest
 
-__all__ = ["Rejection", "parse_answer", "parse_rejection"]
+__all__ = ["Judgement", "Rejection", "judge_response", "parse_answer", "parse_rejection"]
+
+# Status with which a server answers a request that was cancelled.
+_CANCELLED_STATUS = 499
 
 _BootId = Annotated[str, msgspec.Meta(max_length=128)]
 
@@ -87,3 +91,47 @@
     if rejection.request_id not in ("", request_id):
         return None
     return rejection
+
+
+class Judgement(NamedTuple):
+    """What a response means.
+
+    :param outcome: the answer, a rejection that names what the server holds, or a failure.
+    :param run: what the response proves of the execution.
+    :param boot_id: incarnation of the server, where the response names it.
+    """
+
+    outcome: SubAnswer | Rejection | FailureKind
+    run: RunState
+    boot_id: str = ""
+
+
+def judge_response(
+    status: int, raw: bytes | None, request: SubRequest, proven: bool, cancelled: bool
+) -> Judgement:
+    """Return what a response to a sub-request means.
+
+    :param status: status of the response.
+    :param raw: its body; ``None`` if it exceeds the limit.
+    :param request: the sub-request.
+    :param proven: the response states that the server did not run the request.
+    :param cancelled: the server was told to cancel the request.
+    """
+    if raw is None:
+        return Judgement(FailureKind.TOO_LARGE, RunState.UNKNOWN)
+    if status == 200:
+        answer = parse_answer(raw, request)
+        return Judgement(answer or FailureKind.MALFORMED, RunState.UNKNOWN)
+    if status == _CANCELLED_STATUS and cancelled:
+        return Judgement(FailureKind.WITHDRAWN, RunState.UNKNOWN)
+    rejection = parse_rejection(raw, request.request_id)
+    if rejection is None:
+        return Judgement(FailureKind.MALFORMED, RunState.UNKNOWN)
+    if status == 409:
+        if rejection.held_index_version > 0:
+            return Judgement(rejection, RunState.NOT_RUN)
+        return Judgement(FailureKind.MALFORMED, RunState.NOT_RUN, rejection.boot_id)
+    if status == 503:
+        run = RunState.NOT_RUN if proven else RunState.UNKNOWN
+        return Judgement(FailureKind.SHED, run, rejection.boot_id)
+    return Judgement(FailureKind.MALFORMED, RunState.UNKNOWN, rejection.boot_id)
--- a/mimosapost/edge/backends.py
+++ b/mimosapost/edge/backends.py
@@ -15,19 +15,18 @@
 import errno
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
-from typing import Any, NamedTuple
+from typing import Any
 
 import aiohttp
-import msgspec
 from aiohttp.http_exceptions import HttpProcessingError
-from yarl import URL
 
-from mimosapost.edge.answers import Rejection, parse_answer, parse_rejection
+from mimosapost.edge.answers import Judgement, Rejection, judge_response, parse_rejection
 from mimosapost.edge.connectors import ServerConnector
 from mimosapost.edge.logs import Logs
 from mimosapost.edge.metrics import Metrics
-from mimosapost.edge.requests import SubRequestBody, SubRequestPost
-from mimosapost.edge.traces import Span, Traces
+from mimosapost.edge.requests import SubRequestBody
+from mimosapost.edge.sends import Cancellation, OpenSend, ServerPool, encode_body
+from mimosapost.edge.traces import Traces
 from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.model.effects import CancelSend, CloseConnections, Effect, EmitSend, OpenProbe
 from mimosapost.model.events import (
@@ -42,8 +41,6 @@
 
 __all__ = ["BackendClient"]
 
-_ENCODE = msgspec.json.Encoder().encode
-_JSON = {"Content-Type": "application/json"}
 _REFUSALS = {
     errno.ECONNREFUSED,
     errno.ECONNRESET,
@@ -53,67 +50,9 @@
     errno.ETIMEDOUT,
 }
 _REJECTION_BYTES = 4_096
-# Status with which a server answers a request that was cancelled.
-_CANCELLED_STATUS = 499
 _PROBE_BYTES = 4_096
 
 
-class _Server:
-    """Connections to one backend server."""
-
-    __slots__ = ("cancel_url", "connector", "lingering", "search_url", "session", "used_us")
-
-    def __init__(self, address: str, connections: int, local_host: str | None) -> None:
-        base = URL(f"http://{address}")
-        self.search_url = base / "v1/search"
-        self.cancel_url = base / "v1/cancel"
-        self.connector = ServerConnector(connections, local_host)
-        self.session = aiohttp.ClientSession(
-            connector=self.connector,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=None),
-            headers=_JSON,
-            request_class=SubRequestPost,
-            auto_decompress=False,
-        )
-        self.lingering: set[_Send] = set()
-        self.used_us = 0
-
-
-class _Send:
-    """One open send."""
-
-    __slots__ = (
-        "body",
-        "cancellation",
-        "effect",
-        "reported",
-        "server",
-        "span",
-        "started_us",
-        "task",
-        "timer",
-    )
-
-    def __init__(self, effect: EmitSend, server: _Server) -> None:
-        self.effect = effect
-        self.server = server
-        self.started_us = server.used_us
-        self.span: Span | None = None
-        self.body = SubRequestBody(_ENCODE(effect.request))
-        self.reported = False
-        self.cancellation: _Cancellation | None = None
-        self.task: asyncio.Task[None] | None = None
-        self.timer: asyncio.TimerHandle | None = None
-
-
-class _Cancellation(NamedTuple):
-    """Notice to a server that the answer to a send is no longer needed."""
-
-    body: SubRequestBody
-    task: asyncio.Task[None]
-
-
 class BackendClient:
     """Executes the effects that concern backend servers.
 
@@ -151,8 +90,8 @@
         self._idle_us = idle_us
         self._probe_timeout = aiohttp.ClientTimeout(total=probe_timeout_us / 1e6)
         self._local_host = local_host
-        self._servers: dict[str, _Server] = {}
-        self._sends: dict[int, _Send] = {}
+        self._servers: dict[str, ServerPool] = {}
+        self._sends: dict[int, OpenSend] = {}
         self._probing: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -205,7 +144,7 @@
         now_us = self._clock_us()
         server = self._get_server(effect.server, effect.connections)
         server.used_us = now_us
-        send = _Send(effect, server)
+        send = OpenSend(effect, server)
         self._sends[effect.send_id] = send
         if effect.traceparent:
             send.span = self._traces.start(
@@ -236,13 +175,13 @@
             send.body.blocked = True
             self._stop(send)
             return
-        body = SubRequestBody(_ENCODE({"request_id": send.effect.request.request_id}))
+        body = encode_body({"request_id": send.effect.request.request_id})
         task = self._start(self._tell_cancel(send, body))
         if effect.close:
             self._loop.call_soon(self._fail, send, FailureKind.WITHDRAWN)
             self._stop(send)
         else:
-            send.cancellation = _Cancellation(body, task)
+            send.cancellation = Cancellation(body, task)
             send.server.lingering.add(send)
 
     def probe(self, effect: OpenProbe) -> None:
@@ -267,28 +206,28 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    def _get_server(self, address: str, connections: int) -> _Server:
+    def _get_server(self, address: str, connections: int) -> ServerPool:
         server = self._servers.get(address)
         if server is None:
-            server = self._servers[address] = _Server(address, connections, self._local_host)
+            server = self._servers[address] = ServerPool(address, connections, self._local_host)
         elif server.connector.limit != connections:
             server.connector.set_limit(connections)
         return server
 
-    def _stop(self, send: _Send) -> None:
+    def _stop(self, send: OpenSend) -> None:
         if send.timer is not None:
             send.timer.cancel()
         send.server.lingering.discard(send)
         if send.task is not None:
             send.task.cancel()
 
-    def _expire(self, send: _Send) -> None:
+    def _expire(self, send: OpenSend) -> None:
         self._fail(send, FailureKind.CLOSED)
         self._stop(send)
 
     def _fail(
         self,
-        send: _Send,
+        send: OpenSend,
         kind: FailureKind,
         run: RunState | None = None,
         boot_id: str = "",
@@ -301,7 +240,7 @@
         now_us = self._clock_us()
         self._report(send, SendFailed(now_us, send.effect.send_id, kind, run, boot_id))
 
-    def _report(self, send: _Send, event: Event) -> None:
+    def _report(self, send: OpenSend, event: Event) -> None:
         if send.reported:
             return
         send.reported = True
@@ -316,7 +255,7 @@
             send.span.end(outcome=outcome)
         self._handle(event)
 
-    async def _run(self, send: _Send) -> None:
+    async def _run(self, send: OpenSend) -> None:
         outcome: SubAnswer | Rejection | FailureKind
         run: RunState | None = None
         boot_id = ""
@@ -357,9 +296,7 @@
         else:
             self._fail(send, outcome, run, boot_id)
 
-    async def _exchange(
-        self, send: _Send
-    ) -> tuple[SubAnswer | Rejection | FailureKind, RunState | None, str]:
+    async def _exchange(self, send: OpenSend) -> Judgement:
         effect = send.effect
         traceparent = send.span.traceparent if send.span else effect.traceparent
         trace = {"traceparent": traceparent} if traceparent else None
@@ -373,27 +310,11 @@
         finally:
             # Closes the connection unless the answer was read to its end.
             response.close()
-        if raw is None:
-            return FailureKind.TOO_LARGE, RunState.UNKNOWN, ""
-        if status == 200:
-            answer = parse_answer(raw, effect.request)
-            return answer or FailureKind.MALFORMED, RunState.UNKNOWN, ""
-        if status == _CANCELLED_STATUS and send.cancellation is not None:
-            return FailureKind.WITHDRAWN, RunState.UNKNOWN, ""
-        rejection = parse_rejection(raw, effect.request.request_id)
-        if rejection is None:
-            return FailureKind.MALFORMED, RunState.UNKNOWN, ""
-        if status == 409:
-            if rejection.held_index_version > 0:
-                return rejection, RunState.NOT_RUN, ""
-            return FailureKind.MALFORMED, RunState.NOT_RUN, rejection.boot_id
-        if status == 503:
-            proven = response.headers.get("X-Run-State") == "not-run"
-            run = RunState.NOT_RUN if proven else RunState.UNKNOWN
-            return FailureKind.SHED, run, rejection.boot_id
-        return FailureKind.MALFORMED, RunState.UNKNOWN, rejection.boot_id
-
-    async def _tell_cancel(self, send: _Send, body: SubRequestBody) -> None:
+        proven = response.headers.get("X-Run-State") == "not-run"
+        cancelled = send.cancellation is not None
+        return judge_response(status, raw, effect.request, proven, cancelled)
+
+    async def _tell_cancel(self, send: OpenSend, body: SubRequestBody) -> None:
         """Tell a server to cancel; waits for a connection until the send's deadline."""
         remaining_us = max(1_000, send.effect.deadline_us - self._clock_us())
         with suppress(aiohttp.ClientError, OSError, TimeoutError):
--- /dev/null
+++ b/mimosapost/edge/sends.py
@@ -0,0 +1,91 @@
+"""Connections to one backend server, and the sends that are open there."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, NamedTuple
+
+import aiohttp
+import msgspec
+from yarl import URL
+
+from mimosapost.edge.connectors import ServerConnector
+from mimosapost.edge.requests import SubRequestBody, SubRequestPost
+from mimosapost.edge.traces import Span
+from mimosapost.model.effects import EmitSend
+
+__all__ = ["Cancellation", "OpenSend", "ServerPool", "encode_body"]
+
+_ENCODE = msgspec.json.Encoder().encode
+_JSON = {"Content-Type": "application/json"}
+
+
+def encode_body(content: Any) -> SubRequestBody:
+    """Return the JSON body of a message to a server."""
+    return SubRequestBody(_ENCODE(content))
+
+
+class ServerPool:
+    """Connections to one backend server.
+
+    :param address: ``ip:port`` of the server.
+    :param connections: largest number of connections.
+    :param local_host: IP number that connections come from.
+    """
+
+    __slots__ = ("cancel_url", "connector", "lingering", "search_url", "session", "used_us")
+
+    def __init__(self, address: str, connections: int, local_host: str | None) -> None:
+        base = URL(f"http://{address}")
+        self.search_url = base / "v1/search"
+        self.cancel_url = base / "v1/cancel"
+        self.connector = ServerConnector(connections, local_host)
+        self.session = aiohttp.ClientSession(
+            connector=self.connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=None),
+            headers=_JSON,
+            request_class=SubRequestPost,
+            auto_decompress=False,
+        )
+        #: Sends whose answers are awaited only to use their connections again.
+        self.lingering: set[OpenSend] = set()
+        self.used_us = 0
+
+
+class OpenSend:
+    """One send from its effect to its event.
+
+    :param effect: what is sent.
+    :param server: the server's connections.
+    """
+
+    __slots__ = (
+        "body",
+        "cancellation",
+        "effect",
+        "reported",
+        "server",
+        "span",
+        "started_us",
+        "task",
+        "timer",
+    )
+
+    def __init__(self, effect: EmitSend, server: ServerPool) -> None:
+        self.effect = effect
+        self.server = server
+        self.started_us = server.used_us
+        self.span: Span | None = None
+        self.body = encode_body(effect.request)
+        self.reported = False
+        self.cancellation: Cancellation | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Cancellation(NamedTuple):
+    """Notice to a server that the answer to a send is no longer needed."""
+
+    body: SubRequestBody
+    task: asyncio.Task[None]
