Leave half of the ticket book to the other callers

One caller that sent writes far above the usual rate filled the book, and every other caller's writes were refused with 3008 for up to 120 s. A caller now holds at most half of it. The earlier test of a full book names its share, since it is about the whole book, and asserts that both of its tickets began.

--- a/mimosapost/once/tests/test_tickets.py
+++ b/mimosapost/once/tests/test_tickets.py
@@ -88,9 +88,10 @@
 
 def test_full_book_refuses_and_recovers():
     """Guards against forgetting a used ticket to make room for another."""
-    book = create_book(capacity=2)
+    book = create_book(capacity=2, caller_share=1.0)
     texts = [book.issue("desk", now_us) for now_us in (0, 0, 500)]
     numbers = [book.begin(text, "desk", 5, 0).number for text in texts[:2]]
+    assert all(numbers)
     assert book.begin(texts[2], "desk", 5, 0).state is TicketState.FULL
     for number in numbers:
         book.finish(number, RAN)
@@ -129,3 +130,37 @@
     book.release(7)
     assert len(book) == 0
     assert parse_ticket("i0~ff~1~2~mac").incarnation == 255
+
+
+@pytest.mark.parametrize(
+    ("caller_share", "flooding", "others"), [(0.5, 5, 5), (0.8, 8, 2), (1.0, 10, 0)]
+)
+def test_one_caller_cannot_fill_the_book(caller_share, flooding, others):
+    """Guards the other callers' writes while one sends far more than the book holds."""
+    book = create_book(capacity=10, caller_share=caller_share)
+    tickets = {name: [book.issue(name, 0) for _ in range(20)] for name in ("flood", "desk")}
+    began = {
+        name: sum(
+            book.begin(text, name, number, 1).state is TicketState.BEGAN
+            for number, text in enumerate(tickets[name])
+        )
+        for name in ("flood", "desk")
+    }
+    assert began == {"flood": flooding, "desk": others}
+
+
+def test_room_of_a_caller_returns_with_its_tickets():
+    book = create_book(capacity=4, caller_share=0.5)
+    numbers = []
+    for number in range(2):
+        numbers.append(book.begin(book.issue("flood", 0), "flood", number, 1).number)
+    assert book.issue("flood", 1) is None
+    assert book.issue("desk", 1) is not None
+    book.release(numbers[0])
+    assert book.issue("flood", 1) is not None
+    book.release(numbers[0])
+    for number in numbers[1:]:
+        book.finish(number, RAN)
+    assert book.begin(book.issue("flood", 1), "flood", 9, 2).state is TicketState.BEGAN
+    assert book.issue("flood", 2) is None
+    assert book.issue("flood", LIFETIME_US + 3) is not None
--- a/mimosapost/once/tickets.py
+++ b/mimosapost/once/tickets.py
@@ -8,7 +8,7 @@
 
 import hashlib
 import hmac
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass
 from enum import Enum
 
@@ -113,6 +113,8 @@
     :param secret: random key of this incarnation.
     :param lifetime_us: lifetime of a ticket in microseconds.
     :param capacity: largest number of used tickets kept.
+    :param caller_share: largest share of them that belongs to one caller, from 0 to 1; the
+        others find room while one sends far more than usual.
     :param result_capacity_bytes: largest size of all stored results, as JSON.
 
     >>> book = TicketBook("front-1", 1, b"k" * 32, lifetime_us=1_000_000)
@@ -131,6 +133,7 @@
         lifetime_us: int = 120_000_000,
         capacity: int = 20_000,
         result_capacity_bytes: int = 16 * 2**20,
+        caller_share: float = 0.5,
     ) -> None:
         self._issuer = issuer
         self._incarnation = incarnation
@@ -138,6 +141,8 @@
         self._lifetime_us = lifetime_us
         self._capacity = capacity
         self._result_capacity_bytes = result_capacity_bytes
+        self._caller_capacity = max(1, int(capacity * caller_share))
+        self._used_by: Counter[str] = Counter()
         self._next_number = 1
         self._entries: OrderedDict[int, _Entry] = OrderedDict()
         self._result_bytes = 0
@@ -151,10 +156,10 @@
 
         :param caller: identity of the caller; no other caller can use the ticket.
         :param now_us: monotonic time in microseconds.
-        :returns: the ticket, or ``None`` when the table of used tickets is full.
+        :returns: the ticket, or ``None`` when the table has no room for the caller.
         """
         self._drop_expired(now_us)
-        if len(self._entries) >= self._capacity:
+        if not self._has_room(caller):
             return None
         number = self._next_number
         self._next_number += 1
@@ -189,8 +194,9 @@
         if ticket.expires_us <= now_us:
             return TicketDecision(TicketState.EXPIRED)
         self._drop_expired(now_us)
-        if len(self._entries) >= self._capacity:
+        if not self._has_room(caller):
             return TicketDecision(TicketState.FULL)
+        self._used_by[caller] += 1
         self._entries[ticket.number] = _Entry(
             caller, fingerprint, ticket.expires_us, running=True, answer=None, result_bytes=0
         )
@@ -218,8 +224,16 @@
         :param number: number of the ticket that began.
         """
         entry = self._entries.pop(number, None)
-        if entry is not None:
-            self._result_bytes -= entry.result_bytes
+        if entry is None:
+            return
+        self._result_bytes -= entry.result_bytes
+        self._used_by[entry.caller] -= 1
+        if not self._used_by[entry.caller]:
+            del self._used_by[entry.caller]
+
+    def _has_room(self, caller: str) -> bool:
+        within_share = self._used_by[caller] < self._caller_capacity
+        return within_share and len(self._entries) < self._capacity
 
     def _decide_used(self, number: int, entry: _Entry, fingerprint: int) -> TicketDecision:
         if entry.fingerprint != fingerprint:
