--- a/mimosapost/edge/tests/test_instance.py
+++ b/mimosapost/edge/tests/test_instance.py
@@ -1,6 +1,7 @@
 """Instances with real sockets against the stand-ins: the paths that no unit test joins."""
 
 import asyncio
+import os
 from contextlib import asynccontextmanager
 from hashlib import sha256
 
@@ -29,6 +30,8 @@
 POLICY = Policy(
     max_deadline_us=1_500_000, join_us=300_000, drain_us=300_000, heartbeat_us=100_000
 )
+# Loopback addresses of this process, because another run of the tests may use the port too.
+NETWORK = f"127.{70 + os.getpid() // 250 % 130}.{os.getpid() % 250}"
 PORT = 9471
 
 
@@ -58,7 +61,7 @@
         fleet = FleetTree(1, ("desk",), {d: d for d in DOMAINS}, instance_ceiling=4)
         platform.publish("fleet", 1, msgspec.json.encode(fleet))
         platform.publish("desk", 1, msgspec.json.encode(create_team(backends)))
-        hosts = [f"127.70.0.{n + 1}" for n in range(count)]
+        hosts = [f"{NETWORK}.{n + 1}" for n in range(count)]
         instances = []
         for seat, host in enumerate(hosts):
             settings = LocalSettings(
@@ -91,7 +94,7 @@
 async def ask(session, seat=0, **fields):
     """Send one query and return status and answer."""
     body = {"request": {"term": "tutu"}, "deadline_ms": 1_000, "repeatable": True} | fields
-    url = f"http://127.70.0.{seat + 1}:{PORT}/v1/services/fitting/query"
+    url = f"http://{NETWORK}.{seat + 1}:{PORT}/v1/services/fitting/query"
     async with session.post(url, headers=HEADERS, data=msgspec.json.encode(body)) as response:
         return response.status, msgspec.json.decode(await response.read())
 
