Bound the bytes of each exchange with servers, callers and the store

Cause: only bodies were bounded (8 MB). A caller's endless chunked body was read and discarded for 10 s, and a chunk extension for ever.

Change: one bound on the bytes of an exchange, whatever they are; one on the bytes outside its body; one on all unfinished answers, a quarter of the machine's memory limit, which fails the largest first. Parts of a gathered request keep only the records that can be used. Bodies of callers have the published time limit.

Ruled out: a 200 with a short or empty body. (An answer without a length that is closed within its body can't be told from a whole one; the platform says so.)

--- a/mimosapost/edge/relay_callers.py
+++ b/mimosapost/edge/relay_callers.py
@@ -28,6 +28,12 @@
 # Callers' connections are closed this long after the published idle limit, so that a caller
 # that respects the limit never sends a request on a connection that is being closed.
 _IDLE_MARGIN_SECONDS = 5.0
+# After a refusal the rest of the request is discarded for this time, so that the caller can read
+# the refusal before the connection is reset.
+_LINGER_SECONDS = 0.3
+# When the server closes, requests whose bodies are still arriving get this time to be answered.
+# It fits into the time between the graceful stop and the platform's SIGKILL.
+_CLOSE_WAIT_SECONDS = 0.4
 _READ_BYTES = 64 * 1024
 # Connections that may wait to be accepted. A burst of callers opens some hundreds at once;
 # the kernel may drop connections beyond the backlog.
@@ -75,6 +81,7 @@
             max_line_size=limits.header_bytes,
             access_log=None,
             tcp_keepalive=True,
+            lingering_time=_LINGER_SECONDS,
             auto_decompress=False,
         )
 
@@ -119,21 +126,44 @@
         self._logs = logs
         self._request_numbers = itertools.count(1)
         self._reply_futures: dict[int, asyncio.Future[Reply]] = {}
+        self._handler_count = 0
+        self._handlers_done = asyncio.Event()
+        self._handlers_done.set()
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> RelayCallerServer:
         server = _LimitedServer(self._handle_request, self._get_limits)
         self.address = await start_listener(self._stack, server, self._listener)
+        self._stack.push_async_callback(self._wait_for_handlers)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         await self._stack.aclose()
 
+    async def _wait_for_handlers(self) -> None:
+        try:
+            async with asyncio.timeout(_CLOSE_WAIT_SECONDS):
+                await self._handlers_done.wait()
+        except TimeoutError:
+            self._logs.write("requests_cut", {"count": self._handler_count})
+
     async def _handle_request(self, http_request: web.BaseRequest) -> web.StreamResponse:
+        self._handler_count += 1
+        self._handlers_done.clear()
+        try:
+            return await self._answer_request(http_request)
+        finally:
+            self._handler_count -= 1
+            if not self._handler_count:
+                self._handlers_done.set()
+
+    async def _answer_request(self, http_request: web.BaseRequest) -> web.StreamResponse:
         try:
             body = await self._read_body(http_request)
         except _BodyTooLarge:
             return self._refuse(413, "the request body exceeds the published limit")
+        except TimeoutError:
+            return self._refuse(408, "the request body takes longer than the published limit")
         request_number = next(self._request_numbers)
         try:
             request = self._codec.decode_request(
@@ -172,11 +202,12 @@
         if (http_request.content_length or 0) > max_body_bytes:
             raise _BodyTooLarge
         chunks, size = [], 0
-        async for chunk in http_request.content.iter_chunked(_READ_BYTES):
-            size += len(chunk)
-            if size > max_body_bytes:
-                raise _BodyTooLarge
-            chunks.append(chunk)
+        async with asyncio.timeout(self._get_limits().header_timeout_us / 1e6):
+            async for chunk in http_request.content.iter_chunked(_READ_BYTES):
+                size += len(chunk)
+                if size > max_body_bytes:
+                    raise _BodyTooLarge
+                chunks.append(chunk)
         return b"".join(chunks)
 
     def _refuse(self, status: int, reason: str) -> web.StreamResponse:
--- a/mimosapost/edge/relay_connections.py
+++ b/mimosapost/edge/relay_connections.py
@@ -23,10 +23,17 @@
 from mimosapost.relay.events import AnswerArrived, ExchangeFailed
 from mimosapost.relay.messages import ServerAnswer
 
-__all__ = ["AnswerCodec", "ServerConnections"]
+__all__ = ["DEFAULT_HELD_BYTES", "AnswerCodec", "ServerConnections"]
 
-# Maximum size of an answer's body; a larger answer fails its send with ``TOO_LARGE``.
+# Maximum number of bytes of one exchange, whatever they are; more of them fail the send with
+# ``TOO_LARGE``.
 _MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# Maximum number of bytes outside the body: heads of interim and final answers, chunk sizes and
+# trailers. A chunk of one byte takes five further bytes.
+_MAX_HEAD_BYTES = 64 * 1024
+_MAX_FRAMING_RATIO = 8
+#: Default for the bytes of all unfinished answers together.
+DEFAULT_HELD_BYTES = 64 * 1024 * 1024
 # Assumed idle timeout of a server that does not state one in a ``Keep-Alive`` header.
 _DEFAULT_IDLE_SECONDS = 4.0
 # Shares of the server's idle timeout after which an idle connection is no longer used: the
@@ -75,6 +82,8 @@
         self.idle_seconds = _DEFAULT_IDLE_SECONDS
         self.idle_since = 0.0
         self.close_timer: asyncio.TimerHandle | None = None
+        #: Number of bytes received in the current exchange.
+        self.received = 0
         self._reset_response()
         self.channel = Channel(self, host, int(port), connect_seconds)
 
@@ -139,6 +148,13 @@
             # No request is in flight, so these bytes belong to no exchange.
             self.close()
             return
+        if self.received + len(data) > _MAX_ANSWER_BYTES:
+            self.fail_too_large("answer", _MAX_ANSWER_BYTES)
+            return
+        self.owner.count_received(self, len(data))
+        if self.send is None:
+            # All unfinished answers together were too large, and this was the largest.
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -146,10 +162,10 @@
                 self._fail(FailureKind.MALFORMED)
                 return
             self._has_extra_bytes = True
-        if self._size > _MAX_ANSWER_BYTES:
-            self._fail(FailureKind.TOO_LARGE)
-        elif self._is_complete:
+        if self._is_complete:
             self._finish()
+        elif self.received - self._size > _MAX_HEAD_BYTES + _MAX_FRAMING_RATIO * self._size:
+            self.fail_too_large("bytes outside the body", _MAX_HEAD_BYTES)
 
     def channel_ended(self, error: OSError | None) -> None:
         if not self.is_connected:
@@ -180,8 +196,18 @@
             loop = asyncio.get_running_loop()
             self.close_timer = loop.call_later(delay_seconds, self._fail, FailureKind.WITHDRAWN)
 
+    def fail_too_large(self, what: str, limit: int) -> None:
+        """Fail the exchange because of the size of its answer.
+
+        :param what: part of the answer that is too large, for the log.
+        :param limit: limit in bytes that was exceeded.
+        """
+        self.owner.log_too_large(self, what, limit)
+        self._fail(FailureKind.TOO_LARGE)
+
     def close(self) -> None:
         """Close the connection without reporting an event."""
+        self.owner.release_received(self)
         self.owner.drop_connection(self)
         self.channel.abort()
 
@@ -230,6 +256,7 @@
         ):
             self.close()
         else:
+            self.owner.release_received(self)
             self._read_idle_time()
             self.idle_since = asyncio.get_running_loop().time()
             self.owner.add_idle_connection(self)
@@ -254,7 +281,9 @@
     :param handle: receives the events for the reducer.
     :param read_clock_us: returns the time of a monotonic clock in microseconds.
     :param codec: encodes requests and decodes answers.
-    :param logs: receives the errors of connections that could not be created.
+    :param logs: receives the errors of connections that could not be created, and answers that
+        are too large.
+    :param max_held_bytes: maximum number of bytes of all unfinished answers together.
     """
 
     def __init__(
@@ -263,8 +292,12 @@
         read_clock_us: Callable[[], int],
         codec: AnswerCodec,
         logs: Logs,
+        max_held_bytes: int = DEFAULT_HELD_BYTES,
     ) -> None:
         self._logs = logs
+        self.max_held_bytes = max_held_bytes
+        #: Number of bytes of all unfinished answers.
+        self.held_bytes = 0
         self._handle = handle
         self.read_clock_us = read_clock_us
         self.codec = codec
@@ -333,6 +366,31 @@
         if idle and connection in idle:
             idle.remove(connection)
 
+    def count_received(self, connection: _Connection, size: int) -> None:
+        """Count received bytes; if all answers together are too large, fail the largest."""
+        connection.received += size
+        self.held_bytes += size
+        if self.held_bytes > self.max_held_bytes:
+            largest = max(self._connections, key=lambda other: other.received)
+            largest.fail_too_large("all unfinished answers", self.max_held_bytes)
+
+    def release_received(self, connection: _Connection) -> None:
+        """Stop counting the bytes of an exchange that has ended."""
+        self.held_bytes -= connection.received
+        connection.received = 0
+
+    def log_too_large(self, connection: _Connection, what: str, limit: int) -> None:
+        """Log that an answer is too large."""
+        fields = {
+            "request": connection.send.request.request_id if connection.send else "",
+            "server": connection.server_id,
+            "what": what,
+            "limit_bytes": limit,
+            "received_bytes": connection.received,
+            "held_bytes": self.held_bytes,
+        }
+        self._logs.write("answer_too_large", fields)
+
     def report_answer(self, send_id: int, answer: ServerAnswer) -> None:
         """Report a complete answer to a send."""
         self._connections_by_send.pop(send_id, None)
--- a/mimosapost/edge/relay_instance.py
+++ b/mimosapost/edge/relay_instance.py
@@ -17,7 +17,11 @@
 from mimosapost.edge.metrics import Metrics
 from mimosapost.edge.reducer_runner import ReducerRunner
 from mimosapost.edge.relay_callers import RelayCallerServer, RequestCodec, start_listener
-from mimosapost.edge.relay_connections import AnswerCodec, ServerConnections
+from mimosapost.edge.relay_connections import (
+    DEFAULT_HELD_BYTES,
+    AnswerCodec,
+    ServerConnections,
+)
 from mimosapost.model.effects import (
     IncrementCounter,
     ObserveDuration,
@@ -63,6 +67,7 @@
     :param logs: log of the process.
     :param listener: socket that callers connect to, if it is already open; the service closes
         it when it stops.
+    :param max_held_bytes: maximum number of bytes of all unfinished answers of servers.
     """
 
     def __init__(
@@ -73,8 +78,10 @@
         create_source: Callable[..., mode.Service],
         logs: Logs,
         listener: socket.socket | None = None,
+        max_held_bytes: int = DEFAULT_HELD_BYTES,
     ) -> None:
         super().__init__()
+        self._max_held_bytes = max_held_bytes
         self._listener = listener
         self._addresses = addresses
         self._codec = codec
@@ -99,7 +106,9 @@
         """Start all parts in dependency order; the exit stack closes them in reverse."""
         enter = self.async_exit_stack.enter_async_context
         servers = await enter(
-            ServerConnections(self.handle, read_clock_us, self._codec, self._logs)
+            ServerConnections(
+                self.handle, read_clock_us, self._codec, self._logs, self._max_held_bytes
+            )
         )
         callers = RelayCallerServer(
             self._listener or self._addresses.caller_address,
--- a/mimosapost/edge/tests/test_relay_connections.py
+++ b/mimosapost/edge/tests/test_relay_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 import struct
 from contextlib import asynccontextmanager
@@ -64,7 +65,7 @@
 
     :param script: coroutine function of reader, writer and number of the connection.
     """
-    numbers = iter(range(100))
+    numbers = itertools.count()
 
     async def serve(reader, writer):
         try:
--- a/mimosapost/platform/instance_runner.py
+++ b/mimosapost/platform/instance_runner.py
@@ -62,6 +62,7 @@
         ),
         logs,
         listener,
+        settings.max_held_bytes,
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, instance.request_stop)
--- a/mimosapost/platform/settings.py
+++ b/mimosapost/platform/settings.py
@@ -17,11 +17,16 @@
 # Time between the end of the graceful stop and the platform's SIGKILL at the end of the grace
 # period.
 _STOP_MARGIN_US = 600_000
+# Share of the memory limit that unfinished answers of servers may take. Requests, replies and
+# the program itself need the rest.
+_ANSWER_MEMORY_SHARE = 0.25
+_BYTES_PER_MB = 1024 * 1024
 # Defaults for fields that the file lacks, taken from the smallest deployment.
 _DEFAULT_GRACE_SECONDS = 6.0
 # Changes must be detected again once the store has worked for this long after a failure.
 _DEFAULT_DETECTION_MS = 4_000
 _DEFAULT_APPLY_MS = 3_000
+_DEFAULT_MEMORY_MB = 256
 # Time limits in milliseconds for applying a change of the configuration, draining a server and
 # taking a failure domain out of service.
 _APPLY_LIMIT_FIELDS = ("bounds.configApplyMs", "bounds.drainMs", "bounds.evacMs")
@@ -40,6 +45,7 @@
         which changes must be detected again.
     :param apply_limit_ms: time in milliseconds within which a change in the store must take
         effect.
+    :param max_held_bytes: maximum number of bytes of all unfinished answers of servers.
     """
 
     instance_settings: InstanceSettings
@@ -49,6 +55,7 @@
     store_address: str
     detection_limit_ms: int
     apply_limit_ms: int
+    max_held_bytes: int
 
 
 def read_fields(text: str) -> dict[str, str]:
@@ -72,11 +79,12 @@
         for name, (expected, is_valid) in _REQUIRED_FIELDS.items()
         if not is_valid(fields.get(name, ""))
     ]
-    for name in ("bounds.graceS", "bounds.contactMs", *_APPLY_LIMIT_FIELDS):
+    for name in ("bounds.graceS", "bounds.contactMs", "limits.memoryMb", *_APPLY_LIMIT_FIELDS):
         if name in fields and not _is_positive_number(fields[name]):
             faults.append(create_fault((name,), fields[name], "a number above 0"))
     if faults:
         return Failure(tuple(faults))
+    memory_mb = float(fields.get("limits.memoryMb", _DEFAULT_MEMORY_MB))
     grace_seconds = float(fields.get("bounds.graceS", _DEFAULT_GRACE_SECONDS))
     instance_settings = InstanceSettings(
         fields["nodeName"],
@@ -102,6 +110,7 @@
             min(
                 int(float(fields.get(name, _DEFAULT_APPLY_MS))) for name in _APPLY_LIMIT_FIELDS
             ),
+            int(memory_mb * _BYTES_PER_MB * _ANSWER_MEMORY_SHARE),
         )
     )
 
--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -53,6 +53,9 @@
 _MAX_PAUSE_SHARE = 1 / 3
 # A watch that takes longer than this ends a burst of changes.
 _BURST_GAP_US = 1_500_000
+# Maximum size of an answer. A page holds about 1 MB; the changes of the whole history are
+# several times as large.
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Delays after failed calls. The platform charges for every call, including refused ones.
 _FIRST_BACKOFF_SECONDS = 0.1
 _MAX_BACKOFF_SECONDS = 0.4
@@ -82,6 +85,10 @@
     """The store has discarded changes made after the last revision that was read."""
 
 
+class _AnswerTooLarge(aiohttp.ClientError):
+    """The store sent more bytes in one answer than it may."""
+
+
 def get_next_pause(pause_seconds: float, watch_us: int, max_pause_seconds: float) -> float:
     """Return the pause after the next watch that returns changes, in seconds.
 
@@ -153,6 +160,12 @@
                 self._logs.write("store_history_lost", {"after": last_revision})
                 last_revision = None
                 continue
+            except _AnswerTooLarge as error:
+                # A watch over fewer changes could be as large, so the whole list is read.
+                self._report_source_lost(error)
+                last_revision = None
+                await asyncio.sleep(_MAX_BACKOFF_SECONDS)
+                continue
             except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
                 self._report_source_lost(error)
                 await asyncio.sleep(backoff)
@@ -172,7 +185,13 @@
             if response.status == 410:
                 raise _HistoryLost
             response.raise_for_status()
-            return await response.read()
+            chunks, size = [], 0
+            async for chunk in response.content.iter_any():
+                size += len(chunk)
+                if size > _MAX_ANSWER_BYTES:
+                    raise _AnswerTooLarge(f"answer to {path} exceeds {_MAX_ANSWER_BYTES} bytes")
+                chunks.append(chunk)
+            return b"".join(chunks)
 
     async def _read_all(self) -> int:
         """Read all items, page by page, and pass them to the reducer.
--- a/mimosapost/platform/tests/standins.py
+++ b/mimosapost/platform/tests/standins.py
@@ -17,8 +17,10 @@
     """A store that can be read and watched; ``put`` and ``remove`` change it.
 
     :ivar mode: ``serve`` (normal answers), ``busy`` (status 503), ``silent`` (no answer),
-        ``congested`` (a list takes more than a second from its first byte to its last) or
+        ``congested`` (a list takes more than a second from its first byte to its last),
+        ``endless`` (an answer of bytes without end) or
         ``compacted`` (status 410 for the next watch).
+    :ivar endless_bytes: number of bytes written in mode ``endless``.
     :ivar page_size: largest number of items in one page of a list.
     :ivar requested_paths: paths of all requests, in order.
     """
@@ -28,6 +30,7 @@
         self.items: dict[str, dict] = {}
         self.events: list[dict] = []
         self.mode = "serve"
+        self.endless_bytes = 0
         self.page_size = 500
         self.requested_paths: list[str] = []
         self.change_condition = asyncio.Condition()
@@ -67,6 +70,8 @@
             return web.Response(status=503)
         if self.mode == "silent":
             await asyncio.sleep(30)
+        if self.mode == "endless":
+            return await self._send_endlessly(request)
         query = request.query
         prefix = query["pathPrefix"]
         if request.path == "/api/kv-range":
@@ -89,6 +94,14 @@
         await response.write_eof()
         return response
 
+    async def _send_endlessly(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Type": "application/json"})
+        await response.prepare(request)
+        while self.mode == "endless":
+            await response.write(b" " * 65_536)
+            self.endless_bytes += 65_536
+        return response
+
     def _list(self, prefix: str, after: str) -> dict:
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
         items = [self.items[key] for key in keys[: self.page_size]]
--- a/mimosapost/relay/send_outcomes.py
+++ b/mimosapost/relay/send_outcomes.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.model.effects import IncrementCounter, ObserveDuration, WriteLog
+from mimosapost.relay.catalog import Route
 from mimosapost.relay.completion import check_progress, fail_part
 from mimosapost.relay.events import AnswerArrived, ExchangeFailed
 from mimosapost.relay.messages import ServerAnswer
+from mimosapost.relay.record_merge import RECORD_BYTES, merge_records
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
 from mimosapost.relay.sends import StartResult, abandon_sends, hedge_stragglers, start_send
 from mimosapost.relay.server_selection import (
@@ -27,6 +31,9 @@
 # 0.9 quantile of the answer times. Pauses of healthy servers last up to 250 ms.
 _MIN_HANG_US = 350_000
 _HANG_RATIO = 4
+# A part of a gathered request is cut to the records that can be used if it has this many times
+# as many. Cutting smaller parts would cost more time than the memory is worth.
+_SURPLUS_RATIO = 4
 # A server that refuses connections within this time after it broke one counts as crashed.
 _CRASH_WINDOW_US = 1_000_000
 
@@ -81,7 +88,7 @@
     if open_request.route.shards and not 200 <= answer.status < 300:
         _retry_or_fail(state, send, "server_failed", now_us, effects)
         return
-    part.answer = answer
+    part.answer = _discard_surplus_records(open_request.route, answer)
     part.answered_us = now_us
     part.done = True
     open_request.answered += 1
@@ -91,6 +98,16 @@
     hedge_stragglers(state, open_request, now_us)
 
 
+def _discard_surplus_records(route: Route, answer: ServerAnswer) -> ServerAnswer:
+    """Return a part that holds no more records than the merged reply can use."""
+    if (
+        not route.shards
+        or len(answer.body) <= _SURPLUS_RATIO * route.max_records * RECORD_BYTES
+    ):
+        return answer
+    return replace(answer, body=merge_records((answer.body,), route.max_records))
+
+
 @handles(ExchangeFailed)
 def handle_failure(state: RelayState, event: ExchangeFailed, effects: Effects) -> None:
     """Apply a send that ended without an answer to its part and to the record of its server."""
--- a/mimosapost/relay/tests/test_replies.py
+++ b/mimosapost/relay/tests/test_replies.py
@@ -62,6 +62,29 @@
     assert relay.get_reply(request_number).missing == 1
 
 
+def test_stragglers_of_a_route_that_may_run_once_are_not_hedged():
+    relay = create_gathered_relay(repeatable=False)
+    relay.request()
+    for send in relay.pop_sends()[:3]:
+        relay.answer(send)
+    relay.advance(400)
+    assert not relay.pop_sends()
+
+
+def test_large_parts_are_cut_to_the_records_that_can_be_used():
+    """Parts are kept until the reply, so their size must not depend on the server."""
+    relay = create_gathered_relay(max_records=3)
+    request_number = relay.request()
+    records = [bytes([value]) * 16 for value in range(1, 101)]
+    first, *rest = relay.pop_sends()
+    relay.answer(first, body=b"".join(records) + b"remainder")
+    (part,) = [p for p in relay.state.requests[request_number].parts if p.answer is not None]
+    assert len(part.answer.body) == 3 * 16
+    for send in rest:
+        relay.answer(send, body=b"")
+    assert relay.get_reply(request_number).body == b"".join(records[:-4:-1])
+
+
 def test_a_late_part_reaches_no_other_request():
     relay = create_gathered_relay()
     first = relay.request()
