Answer every request around a planned stop

Cause: admission never asked whether the instance was stopping, so a request taken just before the end was sent and then cut by StopServing without an answer, also one that may run only once; and aiohttp drops the rest of a body as soon as the server begins to close.

Also: stragglers of a route that may run only once are no longer hedged (test_replies.py).

--- a/mimosapost/platform/tests/test_end_to_end.py
+++ b/mimosapost/platform/tests/test_end_to_end.py
@@ -69,11 +69,12 @@
 
 
 @asynccontextmanager
-async def run_relay(prepare=None, listener=None):
+async def run_relay(prepare=None, listener=None, settings=None):
     """Run an instance with two servers for each service until the context ends.
 
     :param prepare: coroutine function of the store and the servers, called before the start.
     :param listener: listening socket for callers, if it is open already.
+    :param settings: settings of the instance; by default those of instance ``n1`` in the north.
     """
     async with AsyncExitStack() as stack:
         store = StandinStore()
@@ -91,7 +92,7 @@
             await prepare(store, servers)
         log = io.StringIO()
         instance = RelayInstance(
-            InstanceSettings("n1", "a1", "north", {"a1": "north", "b1": "south"}),
+            settings or InstanceSettings("n1", "a1", "north", {"a1": "north", "b1": "south"}),
             _Addresses(),
             PlatformCodec(),
             lambda *context: StoreReader(
@@ -297,3 +298,122 @@
         await relay.wait_until(lambda state: state.sends)
         request_task.cancel()
         await relay.wait_until(lambda state: not state.requests and not state.sends, seconds=1)
+
+
+async def test_an_answer_of_the_store_without_end_is_bounded():
+    async with run_relay() as relay:
+        relay.store.mode = "endless"
+        await relay.store.put("servers/x", b"")
+        await relay.wait_until(lambda state: state.source_lost_us > 0)
+        relay.store.mode = "serve"
+        assert "exceeds" in relay.log.getvalue()
+        assert relay.store.endless_bytes < 64 * 1024 * 1024
+        assert (await relay.send_request("/search/x")).status == 200
+        await relay.wait_until(lambda state: state.source_lost_us == 0)
+
+
+class StoppingCaller:
+    """A caller that keeps one connection open and sends on it during a stop."""
+
+    def __init__(self, relay: RunningRelay, reader, writer) -> None:
+        self.relay = relay
+        self.reader = reader
+        self.writer = writer
+
+    async def send(self, target: str, body_parts: tuple[bytes, ...] = (), pause=0.0) -> int:
+        """Send a request, its body in parts with pauses, and return the status."""
+        length = sum(map(len, body_parts))
+        head = (
+            f"POST {target} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: i{target}\r\n"
+            f"X-Deadline-Ms: 20000\r\nContent-Length: {length}\r\n\r\n"
+        )
+        self.writer.write(head.encode())
+        for part in body_parts:
+            await asyncio.sleep(pause)
+            self.writer.write(part)
+        answer_head = await self.reader.readuntil(b"\r\n\r\n")
+        return int(answer_head.split()[1])
+
+
+@asynccontextmanager
+async def open_stopping_caller(relay: RunningRelay):
+    host, _, port = relay.instance.caller_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    yield StoppingCaller(relay, reader, writer)
+    writer.close()
+
+
+# A short stop for these tests; callers are served for the first half of it.
+SHORT_STOP = InstanceSettings(
+    "n1", "a1", "north", {"a1": "north", "b1": "south"}, drain_us=600_000, stop_us=1_200_000
+)
+
+
+async def allow_long_requests(store, _servers):
+    """Let requests last longer than the stop."""
+    config = create_config(4, SERVICES)
+    for route in config["routes"]:
+        route["timeoutMs"] = 20_000
+    await store.put("op/config", config)
+
+
+@pytest.mark.parametrize(
+    ("after_s", "body_parts", "statuses"),
+    [
+        pytest.param(0.0, (), {200}, id="at the begin"),
+        pytest.param(0.4, (), {200}, id="within the drain time"),
+        pytest.param(0.85, (), {503}, id="too late to be answered"),
+        pytest.param(1.0, (b"x" * 100,), {503}, id="near the end"),
+        pytest.param(0.5, (b"x" * 100, b"y" * 100, b"z" * 100), {200, 503}, id="body in parts"),
+    ],
+)
+async def test_each_request_during_a_stop_is_answered(after_s, body_parts, statuses):
+    """One request hangs, so the stop takes all of its time; the others must be answered."""
+
+    async def respond(request):
+        if request.path == "/order/hang":
+            await asyncio.sleep(5)
+        return web.Response(body=b"done", headers={"X-Response-Seal": "s"})
+
+    async with (
+        run_relay(allow_long_requests, settings=SHORT_STOP) as relay,
+        AsyncExitStack() as stack,
+    ):
+        for server in relay.servers.values():
+            server.respond = respond
+        hanging = await stack.enter_async_context(open_stopping_caller(relay))
+        hang_task = asyncio.create_task(hanging.send("/order/hang"))
+        await relay.wait_until(lambda state: state.sends)
+        caller = await stack.enter_async_context(open_stopping_caller(relay))
+        relay.instance.request_stop()
+
+        async def stop_when_drained():
+            await relay.instance.wait_until_drained()
+            await relay.instance.stop()
+
+        stop_task = asyncio.create_task(stop_when_drained())
+        await asyncio.sleep(after_s)
+        before = sum(len(server.requests) for server in relay.servers.values())
+        status = await caller.send("/order/x", body_parts, pause=0.1)
+        after = sum(len(server.requests) for server in relay.servers.values())
+        assert status in statuses
+        assert (after > before) is (status == 200)
+        assert await hang_task == 504
+        await stop_task
+
+
+async def test_a_body_that_arrives_while_the_process_ends_is_answered():
+    """The request is not open for the reducer until its body is complete."""
+    async with run_relay(settings=SHORT_STOP) as relay, AsyncExitStack() as stack:
+        caller = await stack.enter_async_context(open_stopping_caller(relay))
+        relay.instance.request_stop()
+
+        async def stop_when_drained():
+            await relay.instance.wait_until_drained()
+            await relay.instance.stop()
+
+        stop_task = asyncio.create_task(stop_when_drained())
+        await asyncio.sleep(0.45)
+        status = await caller.send("/order/x", (b"x" * 100,) * 3, pause=0.1)
+        assert status in (200, 503)
+        await stop_task
--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -11,6 +11,7 @@
 from mimosapost.relay.catalog import Catalog, Route
 from mimosapost.relay.completion import check_progress, end_request, fail_part, refuse_request
 from mimosapost.relay.events import CallerLeft, RequestArrived
+from mimosapost.relay.graceful_stop import STOP_RETRY_US, can_finish, get_last_reply_us
 from mimosapost.relay.messages import Refusal, RelayRequest
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
 from mimosapost.relay.retry_after import get_retry_after_us
@@ -76,6 +77,13 @@
         refuse_request(state, request.request_number, request.request_id, refusal, effects)
         return
     deadline_us = min(request.deadline_us, now_us + route.timeout_us) - _REPLY_MARGIN_US
+    if state.stop_requested_us:
+        last_reply_us = get_last_reply_us(state.instance_settings, state.stop_requested_us)
+        deadline_us = min(deadline_us, last_reply_us)
+        if not can_finish(last_reply_us, route.goal_us, now_us):
+            refusal = Refusal(ResultCode.STOPPING, STOP_RETRY_US, "the instance is stopping")
+            refuse_request(state, request.request_number, request.request_id, refusal, effects)
+            return
     services = route.shards or (_choose_service(state, route),)
     parts = [Part(service) for service in services]
     open_request = OpenRequest(request, route, catalog.version, now_us, deadline_us, parts)
--- a/mimosapost/relay/completion.py
+++ b/mimosapost/relay/completion.py
@@ -93,6 +93,8 @@
         code = ResultCode.DEADLINE_EXCEEDED if expired else ResultCode.OUTCOME_UNKNOWN
         return Refusal(code, 0, _join_missing_reasons(open_request))
     code = ResultCode.DEADLINE_TOO_SHORT if expired else ResultCode.OVERLOADED
+    if expired and state.stop_requested_us:
+        code = ResultCode.STOPPING
     return Refusal(
         code,
         get_retry_after_us(state, open_request, now_us),
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -172,7 +172,8 @@
         return
     part = send.part
     if (
-        len(part.sends) > 1
+        not open_request.route.repeatable
+        or len(part.sends) > 1
         or part.possible_runs >= open_request.route.max_sends
         or open_request.past_goal
     ):
