--- a/mimosapost/edge/relay_callers.py
+++ b/mimosapost/edge/relay_callers.py
@@ -28,8 +28,8 @@
 # Callers' connections are closed this long after the published idle limit, so that a caller
 # that respects the limit never sends a request on a connection that is being closed.
 _IDLE_MARGIN_SECONDS = 5.0
-# After a refusal the rest of the request is discarded for this time, so that the caller can read
-# the refusal before the connection is reset.
+# After a refusal the rest of the request is discarded for this time, so that the caller can
+# read the refusal before the connection is reset.
 _LINGER_SECONDS = 0.3
 # When the server closes, requests whose bodies are still arriving get this time to be answered.
 # It fits into the time between the graceful stop and the platform's SIGKILL.
