--- a/mimosapost/edge/instance.py
+++ b/mimosapost/edge/instance.py
@@ -213,7 +213,10 @@
         """Return whether the load balancer may send queries to this instance."""
         return self._state.is_ready(read_clock_us())
 
-    def _is_known_peer(self, name_or_address: str) -> bool:
+    def _is_known_peer(self, identity: InstanceIdentity) -> bool:
+        return self._is_known_name(identity.name) or self._is_known_name(identity.peer_address)
+
+    def _is_known_name(self, name_or_address: str) -> bool:
         settings = self._settings
         host = name_or_address.rpartition(":")[0]
         if settings.known_peers is not None:
--- a/mimosapost/edge/logs.py
+++ b/mimosapost/edge/logs.py
@@ -77,17 +77,18 @@
 _LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
-def configure_logs(level: str, **common: str | int) -> None:
+def configure_logs(level: str, stream: TextIO | None = None, **common: str | int) -> None:
     """Configure structlog so that all loggers of the process write lines of this format.
 
     :param level: lowest level that is logged: debug, info, warning or error.
+    :param stream: output of the lines; standard output by default.
     :param common: fields of every line, for example the instance's name.
     """
     structlog.contextvars.bind_contextvars(**common)
     structlog.configure(
         processors=_PROCESSORS,
         wrapper_class=structlog.make_filtering_bound_logger(_LEVELS[level]),
-        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stdout),
         cache_logger_on_first_use=False,
     )
 
--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -63,6 +63,11 @@
     "mimosapost_relay_send_seconds": Metric(
         "histogram", "Time from a send to its answer, by distance of the server.", ("distance",)
     ),
+    "mimosapost_relay_gather_seconds": Metric(
+        "histogram",
+        "Time from a gather to its last answer, by distance of the other instance.",
+        ("distance",),
+    ),
     _UNDECLARED_COUNTER: Metric(
         "counter", "Counts under a name that no table declares.", ("name",)
     ),
@@ -99,6 +104,14 @@
 declare_counter(
     "mimosapost_relay_send_failures_total", "Sends without an answer by kind.", ("kind",)
 )
+declare_counter(
+    "mimosapost_relay_gathers_total", "Gathers at other instances by outcome.", ("outcome",)
+)
+declare_counter(
+    "mimosapost_relay_served_gathers_total",
+    "Gathers for other instances by outcome.",
+    ("outcome",),
+)
 declare_counter(
     "mimosapost_relay_server_changes_total", "Changes of the server list.", ("change",)
 )
--- a/mimosapost/edge/peer_links.py
+++ b/mimosapost/edge/peer_links.py
@@ -48,9 +48,11 @@
     :param identity: identity of this instance, whose ``peer_address`` is the listen address.
     :param handle: handles events; never called from within :meth:`send`.
     :param read_clock_us: monotonic clock in microseconds.
-    :param is_known: returns whether a name or a peer address belongs to the fleet.
+    :param is_known: returns whether an identity belongs to the fleet.
     :param heartbeat_us: heartbeat interval in microseconds.
     :param rng: random numbers for the jitter of the backoff.
+    :param stop_wait_s: time in seconds for which the end waits for acknowledgements; 3
+        heartbeats by default.
     """
 
     def __init__(
@@ -58,10 +60,11 @@
         identity: InstanceIdentity,
         handle: Callable[[Event], None],
         read_clock_us: Callable[[], int],
-        is_known: Callable[[str], bool],
+        is_known: Callable[[InstanceIdentity], bool],
         *,
         heartbeat_us: int = 500_000,
         rng: Random | None = None,
+        stop_wait_s: float | None = None,
     ) -> None:
         super().__init__()
         self._identity = identity
@@ -71,6 +74,7 @@
         self._heartbeat_s = heartbeat_us / 1e6
         self._silence_timeout_s = SILENCE_TIMEOUT_HEARTBEATS * self._heartbeat_s
         self._rng = rng or Random()
+        self._stop_wait_s = self._silence_timeout_s if stop_wait_s is None else stop_wait_s
         self._links: dict[str, OutgoingLink] = {}
         self._tasks_by_link: dict[OutgoingLink, asyncio.Future[None]] = {}
         self._incoming_links = 0
@@ -86,7 +90,7 @@
         self.async_exit_stack.callback(server.close)
 
     async def on_stop(self) -> None:
-        """Wait until peers acknowledged all queued messages, for at most 3 heartbeats.
+        """Wait until peers acknowledged all queued messages, for a limited time.
 
         The queues may hold the last answers to forwarded queries.
         """
@@ -94,7 +98,7 @@
         for _ in range(steps):
             if all(link.is_acknowledged() for link in self._links.values()):
                 break
-            await asyncio.sleep(self._silence_timeout_s / steps)
+            await asyncio.sleep(self._stop_wait_s / steps)
 
     def send(self, effect: SendPeer) -> None:
         """Send a message to another instance.
@@ -194,7 +198,7 @@
         identity = hello.identity
         if identity.name == self._identity.name:
             raise LinkError("peer states the name of this instance")
-        if not (self._is_known(identity.name) or self._is_known(identity.peer_address)):
+        if not self._is_known(identity):
             raise LinkError(f"peer {identity.name!a} is not a known instance of the fleet")
         # Answers are sent to the address in the Hello, so the peer must connect from that host.
         if split_address(identity.peer_address)[0] != _get_host(writer):
--- a/mimosapost/edge/relay_instance.py
+++ b/mimosapost/edge/relay_instance.py
@@ -15,6 +15,7 @@
 from mimosapost.edge.clock import read_clock_us
 from mimosapost.edge.logs import Logs
 from mimosapost.edge.metrics import Metrics
+from mimosapost.edge.peer_links import PeerLinks
 from mimosapost.edge.reducer_runner import ReducerRunner
 from mimosapost.edge.relay_callers import RelayCallerServer, RequestCodec, start_listener
 from mimosapost.edge.relay_connections import (
@@ -25,6 +26,7 @@
 from mimosapost.model.effects import (
     IncrementCounter,
     ObserveDuration,
+    SendPeer,
     SetTimer,
     StopServing,
     WriteLog,
@@ -32,12 +34,16 @@
 from mimosapost.model.events import StopRequested
 from mimosapost.relay.catalog import CallerLimits
 from mimosapost.relay.effects import AbandonSend, ForgetServer, SendReply, StartSend
-from mimosapost.relay.events import TimerFired
+from mimosapost.relay.events import InstanceStarted, TimerFired
 from mimosapost.relay.reducer import reduce
 from mimosapost.relay.state import InstanceSettings, RelayState, create_relay_state
 
 __all__ = ["ListenAddresses", "Codec", "RelayInstance"]
 
+# Wait for the acknowledgement of the last answers to other instances. It fits into the time
+# between the graceful stop and the platform's SIGKILL, in which callers are answered too.
+_LINK_CLOSE_WAIT_SECONDS = 0.1
+
 
 class Codec(AnswerCodec, RequestCodec, Protocol):
     """Translation between the formats of callers and of servers, in both directions."""
@@ -94,6 +100,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._drained = asyncio.Event()
         self.metrics = Metrics()
+        #: Links to other instances, or ``None`` for an instance that works alone.
+        self.links: PeerLinks | None = None
         #: Address that callers connect to, set when the service has started.
         self.caller_address = ""
 
@@ -130,6 +138,7 @@
             SetTimer: self._set_timer,
             WriteLog: self._logs.execute,
         }
+        await self._start_links()
         await enter(callers)
         self.caller_address = callers.address
         ready = web.Server(self._answer_ready, access_log=None)
@@ -139,6 +148,7 @@
             await start_listener(self.async_exit_stack, server, address)
         source = self._create_source(self.handle, read_clock_us, self._logs)
         await self.add_runtime_dependency(source)
+        self.handle(InstanceStarted(read_clock_us()))
         # Modules and tables live as long as the process, so garbage collection can skip them.
         gc.freeze()
         instance_settings = self._state.instance_settings
@@ -151,6 +161,20 @@
             },
         )
 
+    async def _start_links(self) -> None:
+        peers = self._state.peers
+        if peers is None:
+            return
+        self.links = PeerLinks(
+            peers.own,
+            self.handle,
+            read_clock_us,
+            peers.belongs,
+            stop_wait_s=_LINK_CLOSE_WAIT_SECONDS,
+        )
+        self._runner.executors = {**self._runner.executors, SendPeer: self.links.send}
+        await self.add_runtime_dependency(self.links)
+
     def _get_limits(self) -> CallerLimits:
         catalog = self._state.catalog
         return catalog.limits if catalog is not None else CallerLimits()
--- a/mimosapost/edge/tests/test_peer_links.py
+++ b/mimosapost/edge/tests/test_peer_links.py
@@ -47,7 +47,7 @@
 async def run_links(name="near", is_known=lambda _: True, heartbeat_us=500_000):
     """Run the peer links of one instance; yield them, their events and the identity.
 
-    ``is_known`` decides from a name or an address whether a peer may connect.
+    ``is_known`` decides from an identity whether a peer may connect.
     """
     events = asyncio.Queue()
     links = PeerLinks(
@@ -348,7 +348,10 @@
 
     Otherwise an unknown sender could reach the reducer or hold a connection open.
     """
-    is_known = {"k", "near"}.__contains__
+
+    def is_known(identity):
+        return identity.name in {"k", "near"}
+
     async with run_links(is_known=is_known, heartbeat_us=SHORT_HEARTBEAT_US) as (
         links,
         events,
@@ -364,7 +367,9 @@
 
 async def test_peer_known_by_address():
     peer = create_identity("other")
-    async with run_links(is_known=peer.peer_address.__eq__) as (_, events, identity):
+    async with run_links(
+        is_known=lambda identity: identity.peer_address == peer.peer_address
+    ) as (_, events, identity):
         _, writer = await connect(identity.peer_address)
         writer.write(encode_frame(Hello(1, peer)))
         assert (await events.get()).peer == "other"
--- a/mimosapost/membership/codec.py
+++ b/mimosapost/membership/codec.py
@@ -11,14 +11,18 @@
 
 import capnp
 
-from mimosapost.model.identities import InstanceIdentity
+from mimosapost.model.identities import NO_SEAT, InstanceIdentity
 from mimosapost.model.peer_messages import (
     Forward,
     ForwardAnswer,
+    Gather,
+    GatherAnswer,
+    GatherCancel,
     Gossip,
     Heartbeat,
     HeartbeatAnswer,
     Hello,
+    MemberReport,
     PeerMessage,
     SubtreeReply,
     SubtreeRequest,
@@ -46,6 +50,10 @@
 _MAX_SUSPECTS = 1_000
 _MAX_SEATS = 10_000
 _MAX_WARMUPS = 1_000
+_MAX_REPORTED_MEMBERS = 64
+# Largest number of shards of a route, which bounds the bitmaps of a gather.
+_MAX_SHARDS = 4_096
+_MAX_REFUSAL_BYTES = 200
 # Largest version allowed in the published settings. A subtree with a higher version could
 # never be superseded.
 _MAX_VERSION = 2**53
@@ -172,7 +180,7 @@
     name = _check_name(reader.name, "name")
     if not name:
         raise CodecError("name of an identity is empty; at least 1 byte expected")
-    if reader.seat >= _MAX_SEATS:
+    if reader.seat >= _MAX_SEATS and reader.seat != NO_SEAT:
         raise CodecError(f"seat {reader.seat} is too large; it must be below {_MAX_SEATS}")
     return InstanceIdentity(
         name=name,
@@ -265,6 +273,14 @@
             }
             for note in _check_length(message.warmups, _MAX_WARMUPS, "warmups")
         ],
+        "members": [
+            {
+                "identity": _write_identity(report.identity),
+                "leaving": report.leaving,
+                "silentUs": report.silent_us,
+            }
+            for report in _check_length(message.members, _MAX_REPORTED_MEMBERS, "members")
+        ],
     }
 
 
@@ -293,6 +309,10 @@
             )
             for note in _check_length(reader.warmups, _MAX_WARMUPS, "warmups")
         ),
+        members=tuple(
+            MemberReport(_read_identity(report.identity), report.leaving, report.silentUs)
+            for report in _check_length(reader.members, _MAX_REPORTED_MEMBERS, "members")
+        ),
     )
 
 
@@ -354,3 +374,95 @@
 def _read_forward_answer(reader: Any) -> ForwardAnswer:
     answer = bytes(_check_length(reader.answer, _MAX_BODY_BYTES, "answer"))
     return ForwardAnswer(reader.forwardId, answer)
+
+
+def _write_bitmap(indexes: tuple[int, ...], field: str) -> bytes:
+    if not indexes:
+        return b""
+    if not 0 <= min(indexes) <= max(indexes) < _MAX_SHARDS:
+        raise CodecError(f"{field} holds a shard outside 0 to {_MAX_SHARDS - 1}")
+    bits = sum(1 << index for index in set(indexes))
+    return bits.to_bytes(max(indexes) // 8 + 1, "little")
+
+
+def _read_bitmap(data: bytes, field: str) -> tuple[int, ...]:
+    bits = int.from_bytes(_check_length(data, _MAX_SHARDS // 8, field), "little")
+    return tuple(index for index in range(bits.bit_length()) if bits >> index & 1)
+
+
+@_register_writer(Gather, "gather")
+def _write_gather(message: Gather) -> dict[str, Any]:
+    return {
+        "gatherId": message.gather_id,
+        "version": _check_version(message.version),
+        "route": _check_name(message.route, "route"),
+        "requestId": message.request_id,
+        "head": _check_length(message.head, _MAX_BODY_BYTES, "head"),
+        "body": _check_length(message.body, _MAX_BODY_BYTES, "body"),
+        "fingerprint": message.fingerprint,
+        "remainingUs": message.remaining_us,
+        "shards": _write_bitmap(message.shards, "shards"),
+    }
+
+
+@_register_reader("gather")
+def _read_gather(reader: Any) -> Gather:
+    return Gather(
+        gather_id=reader.gatherId,
+        version=_check_version(reader.version),
+        route=_check_name(reader.route, "route"),
+        request_id=reader.requestId,
+        head=bytes(reader.head),
+        body=bytes(reader.body),
+        fingerprint=reader.fingerprint,
+        remaining_us=reader.remainingUs,
+        shards=_read_bitmap(reader.shards, "shards"),
+    )
+
+
+@_register_writer(GatherAnswer, "gatherAnswer")
+def _write_gather_answer(message: GatherAnswer) -> dict[str, Any]:
+    if any("," in signature or not signature for signature in message.signatures):
+        raise CodecError("a signature is empty or contains a comma")
+    return {
+        "gatherId": message.gather_id,
+        "shards": _write_bitmap(message.shards, "shards"),
+        "signatures": ",".join(message.signatures),
+        "records": _check_length(message.records, _MAX_BODY_BYTES, "records"),
+        "failed": _write_bitmap(message.failed, "failed"),
+        "notRun": _write_bitmap(message.not_run, "notRun"),
+        "last": message.last,
+        "refusal": message.refusal,
+    }
+
+
+@_register_reader("gatherAnswer")
+def _read_gather_answer(reader: Any) -> GatherAnswer:
+    text = reader.signatures
+    answer = GatherAnswer(
+        gather_id=reader.gatherId,
+        shards=_read_bitmap(reader.shards, "shards"),
+        signatures=tuple(text.split(",")) if text else (),
+        records=bytes(reader.records),
+        failed=_read_bitmap(reader.failed, "failed"),
+        not_run=_read_bitmap(reader.notRun, "notRun"),
+        last=reader.last,
+        refusal=_check_length(reader.refusal, _MAX_REFUSAL_BYTES, "refusal"),
+    )
+    if len(answer.signatures) != len(answer.shards) or "" in answer.signatures:
+        raise CodecError(
+            f"answer has {len(answer.signatures)} signatures for {len(answer.shards)} shards"
+        )
+    if set(answer.shards) & set(answer.failed) or not set(answer.not_run) <= set(answer.failed):
+        raise CodecError("answer lists a shard as both answered and failed")
+    return answer
+
+
+@_register_writer(GatherCancel, "gatherCancel")
+def _write_gather_cancel(message: GatherCancel) -> dict[str, Any]:
+    return {"gatherId": message.gather_id}
+
+
+@_register_reader("gatherCancel")
+def _read_gather_cancel(reader: Any) -> GatherCancel:
+    return GatherCancel(reader.gatherId)
--- a/mimosapost/membership/members.py
+++ b/mimosapost/membership/members.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from mimosapost.model.events import InstanceEntry
-from mimosapost.model.identities import InstanceIdentity
-from mimosapost.model.peer_messages import Gossip
+from mimosapost.model.identities import NO_SEAT, InstanceIdentity
+from mimosapost.model.peer_messages import Gossip, MemberReport
 
 __all__ = ["DuplicateSeat", "Member", "MemberTable"]
 
@@ -92,13 +92,21 @@
             known = previous.get(name)
             if entry.leaving and not (known and known.leaving):
                 self._mark_oldest_leaving(name)
+        self._cached_members = None
+        self.delete_silent(now_us)
+
+    def delete_silent(self, now_us: int) -> None:
+        """Delete the members that were not heard from for a minute and are not listed.
+
+        :param now_us: monotonic time in microseconds.
+        """
         current = self._find_current_records()
         for key, record in list(self._peers.items()):
             is_current = key[0] in self._listed and record is current[key[0]]
             if not is_current and now_us - record.last_heard_us > MEMBER_RETENTION_US:
                 del self._peers[key]
+                self._cached_members = None
         self._now_us = max(self._now_us, now_us)
-        self._cached_members = None
 
     def record_hello(self, identity: InstanceIdentity, now_us: int) -> DuplicateSeat | None:
         """Record the identity from the ``Hello`` message of a peer.
@@ -118,6 +126,36 @@
         """
         return self._record_peer(gossip.identity, gossip.leaving, now_us)
 
+    def record_report(self, report: MemberReport, now_us: int) -> None:
+        """Record what a peer reported of another instance.
+
+        :param report: report from a gossip message.
+        :param now_us: monotonic time in microseconds.
+        """
+        if report.silent_us > MEMBER_RETENTION_US:
+            return
+        heard_us = now_us - report.silent_us
+        self._record_peer(report.identity, report.leaving, now_us, heard_us)
+
+    def choose_reports(self, rng: Random, limit: int, now_us: int) -> tuple[MemberReport, ...]:
+        """Choose random members to report to a peer.
+
+        :param rng: seeded random numbers.
+        :param limit: largest number of reports.
+        :param now_us: monotonic time in microseconds.
+        """
+        records = list(self._find_current_records().values())
+        return tuple(
+            MemberReport(record.identity, record.leaving, max(0, now_us - record.last_heard_us))
+            for record in rng.sample(records, min(limit, len(records)))
+        )
+
+    def list_members(self) -> list[Member]:
+        """Return all members, ordered by name."""
+        if self._cached_members is None:
+            self._cached_members = self._list_members()
+        return self._cached_members
+
     def choose_targets(self, rng: Random, fanout: int) -> list[Member]:
         """Choose random members for one gossip round.
 
@@ -125,12 +163,11 @@
         :param fanout: largest number of members.
         :returns: distinct members; leaving ones are included only if there are too few others.
         """
-        if self._cached_members is None:
-            self._cached_members = self._list_members()
-        staying = [member for member in self._cached_members if not member.leaving]
+        members = self.list_members()
+        staying = [member for member in members if not member.leaving]
         chosen = rng.sample(staying, min(fanout, len(staying)))
         if len(chosen) < fanout:
-            leaving = [member for member in self._cached_members if member.leaving]
+            leaving = [member for member in members if member.leaving]
             chosen += rng.sample(leaving, min(fanout - len(chosen), len(leaving)))
         return chosen
 
@@ -201,20 +238,25 @@
         return {"members": members, "duplicate_seats": duplicates}
 
     def _record_peer(
-        self, identity: InstanceIdentity, leaving: bool, now_us: int
+        self,
+        identity: InstanceIdentity,
+        leaving: bool,
+        now_us: int,
+        heard_us: int | None = None,
     ) -> DuplicateSeat | None:
         key = (identity.name, identity.incarnation)
         if key == (self._own.name, self._own.incarnation):
             return None
         self._now_us = max(self._now_us, now_us)
+        heard_us = now_us if heard_us is None else heard_us
         record = self._peers.get(key)
         if record is None:
             if len(self._peers) >= _MAX_MEMBERS:
                 oldest = min(self._peers, key=lambda other: self._peers[other].last_heard_us)
                 del self._peers[oldest]
-            record = self._peers[key] = _PeerRecord(identity, now_us, now_us)
+            record = self._peers[key] = _PeerRecord(identity, heard_us, heard_us)
             self._cached_members = None
-        record.last_heard_us = max(record.last_heard_us, now_us)
+        record.last_heard_us = max(record.last_heard_us, heard_us)
         if leaving and not record.leaving:
             record.leaving = True
             self._cached_members = None
@@ -224,6 +266,8 @@
         self, key: tuple[str, int], record: _PeerRecord, now_us: int
     ) -> DuplicateSeat | None:
         seat = record.identity.seat
+        if seat == NO_SEAT:
+            return None
         other_holder = None
         if (
             seat == self._own.seat
--- a/mimosapost/membership/peer.capnp
+++ b/mimosapost/membership/peer.capnp
@@ -53,6 +53,13 @@
   suspects @3 :List(SuspectNote);
   replyWanted @4 :Bool;
   warmups @5 :List(WarmupNote);
+  members @6 :List(MemberReport);
+}
+
+struct MemberReport {
+  identity @0 :Identity;
+  leaving @1 :Bool;
+  silentUs @2 :UInt64;
 }
 
 struct WarmupNote {
@@ -84,6 +91,36 @@
   answer @1 :Data;
 }
 
+# A set of shards is a bitmap: bit n % 8 of byte n / 8 stands for shard n of the route.
+
+struct Gather {
+  gatherId @0 :UInt64;
+  version @1 :UInt64;
+  route @2 :Text;
+  requestId @3 :Text;
+  head @4 :Data;
+  body @5 :Data;
+  fingerprint @6 :UInt64;
+  remainingUs @7 :UInt64;
+  shards @8 :Data;
+}
+
+# The signatures follow the order of the shards and are separated by commas.
+struct GatherAnswer {
+  gatherId @0 :UInt64;
+  shards @1 :Data;
+  signatures @2 :Text;
+  records @3 :Data;
+  failed @4 :Data;
+  notRun @5 :Data;
+  last @6 :Bool;
+  refusal @7 :Text;
+}
+
+struct GatherCancel {
+  gatherId @0 :UInt64;
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -94,6 +131,9 @@
     subtreeReply @5 :SubtreeReply;
     forward @6 :Forward;
     forwardAnswer @7 :ForwardAnswer;
+    gather @8 :Gather;
+    gatherAnswer @9 :GatherAnswer;
+    gatherCancel @10 :GatherCancel;
   }
 }
 
--- a/mimosapost/membership/tests/test_codec.py
+++ b/mimosapost/membership/tests/test_codec.py
@@ -18,10 +18,14 @@
 from mimosapost.model.peer_messages import (
     Forward,
     ForwardAnswer,
+    Gather,
+    GatherAnswer,
+    GatherCancel,
     Gossip,
     Heartbeat,
     HeartbeatAnswer,
     Hello,
+    MemberReport,
     SubtreeReply,
     SubtreeRequest,
     SuspectNote,
@@ -42,6 +46,11 @@
     SubtreeReply("desk", 9, bytes(range(256))),
     Forward(1, 2, b"{}", 3),
     ForwardAnswer(1, b""),
+    Gossip(OWN_IDENTITY, False, (), (), True, (), (MemberReport(OWN_IDENTITY, True, 7),)),
+    Gather(2**64 - 1, 2**53, "r-search", "9c41", b"GET /", b"body", 2**64 - 1, 5, (0, 8, 128)),
+    GatherAnswer(1, (0, 9), ("s.1", "s.2"), b"r" * 32, (1, 3), (3,), False),
+    GatherAnswer(1, refusal="stopping"),
+    GatherCancel(2),
 ]
 
 
@@ -116,6 +125,8 @@
         pytest.param(SubtreeRequest(("t" * 65,)), id="long team name"),
         pytest.param(SubtreeReply("t", 1, b"x" * (2**20 + 1)), id="text too long"),
         pytest.param(ForwardAnswer(1, b"x" * codec.MAX_FRAME_BYTES), id="answer too long"),
+        pytest.param(GatherAnswer(1, (4_096,), ("s",)), id="shard out of range"),
+        pytest.param(GatherAnswer(1, (0,), ("a,b",)), id="comma in a signature"),
     ],
 )
 def test_out_of_bounds_messages_are_not_encoded(message):
@@ -125,13 +136,32 @@
         encode_message(message)
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        pytest.param({"shards": b"\x03", "signatures": "one"}, id="signature missing"),
+        pytest.param({"shards": b"\x01", "signatures": "one,two"}, id="signature too many"),
+        pytest.param({"shards": b"\x03", "signatures": "one,"}, id="signature empty"),
+        pytest.param({"signatures": "one"}, id="signature without a shard"),
+        pytest.param({"shards": b"\x01", "signatures": "s", "failed": b"\x01"}, id="both"),
+        pytest.param({"failed": b"\x01", "notRun": b"\x02"}, id="not run but not failed"),
+        pytest.param({"shards": b"\x01" * 513}, id="bitmap too long"),
+        pytest.param({"refusal": "r" * 201}, id="refusal too long"),
+    ],
+)
+def test_inconsistent_gather_answers_are_refused(fields):
+    with pytest.raises(CodecError):
+        decode_message(frame(gatherAnswer={"gatherId": 1, **fields}))
+
+
 def test_messages_of_the_next_protocol_version(tmp_path):
     # While a newer release is rolled out, its instances may send message kinds and fields that
     # this release does not know. These must not break the link.
     text = Path(codec.__file__).with_name("peer.capnp").read_text()
     text = text.replace("@0xc1b6f0a93d5e7284", "@0xc1b6f0a93d5e7285")
-    last = "forwardAnswer @7 :ForwardAnswer;"
-    text = text.replace(last, last + " novel @8 :Hello;")
+    last = "gatherCancel @10 :GatherCancel;"
+    assert last in text
+    text = text.replace(last, last + " novel @11 :Hello;")
     text = text.replace("number @2 :UInt64;\n}", "number @2 :UInt64;\n extra @3 :Text;\n}")
     path = tmp_path / "next.capnp"
     path.write_text(text)
--- a/mimosapost/model/identities.py
+++ b/mimosapost/model/identities.py
@@ -5,7 +5,10 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-__all__ = ["InstanceIdentity", "SlotId", "Snapshot"]
+__all__ = ["NO_SEAT", "InstanceIdentity", "SlotId", "Snapshot"]
+
+#: Seat of an instance on a platform that assigns none.
+NO_SEAT = 2**32 - 1
 
 
 class SlotId(NamedTuple):
@@ -32,7 +35,8 @@
 
     :param name: name of the instance, unique in the deployment.
     :param incarnation: random 64-bit number drawn at process start.
-    :param seat: fixed number assigned to the instance, from 0 to ``instance_ceiling - 1``.
+    :param seat: fixed number assigned to the instance, from 0 to ``instance_ceiling - 1``,
+        or :data:`NO_SEAT`.
     :param domain: failure domain that the instance runs in.
     :param region: region of that domain.
     :param peer_address: ``ip:port`` on which the instance accepts peer links.
--- a/mimosapost/model/peer_messages.py
+++ b/mimosapost/model/peer_messages.py
@@ -9,10 +9,14 @@
 __all__ = [
     "Forward",
     "ForwardAnswer",
+    "Gather",
+    "GatherAnswer",
+    "GatherCancel",
     "Gossip",
     "Heartbeat",
     "HeartbeatAnswer",
     "Hello",
+    "MemberReport",
     "PeerMessage",
     "SubtreeReply",
     "SubtreeRequest",
@@ -104,12 +108,26 @@
     limit: int
 
 
+@dataclass(frozen=True, slots=True)
+class MemberReport:
+    """What one instance knows of another.
+
+    :param silent_us: time in microseconds since that instance was last heard from.
+    """
+
+    identity: InstanceIdentity
+    leaving: bool
+    silent_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class Gossip:
-    """Periodic announcement of subtree versions, suspects and cold starts.
+    """Periodic announcement of members, subtree versions, suspects and cold starts.
 
     :param leaving: whether the sender is leaving the fleet.
-    :param reply_wanted: whether the receiver is to announce versions that the sender lacks.
+    :param reply_wanted: whether the receiver is to answer: with versions that the sender
+        lacks, or on the users' platform with a gossip message of its own.
+    :param members: some of the other instances that the sender knows.
     """
 
     identity: InstanceIdentity
@@ -118,6 +136,7 @@
     suspects: tuple[SuspectNote, ...]
     reply_wanted: bool
     warmups: tuple[WarmupNote, ...] = ()
+    members: tuple[MemberReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,6 +182,65 @@
     answer: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Gather:
+    """Request to send a query to some of its shards and to return the merged answers.
+
+    The receiver sends to each shard once. Hedges and retries are left to the sender.
+
+    :param gather_id: number chosen by the sender, echoed in the answers.
+    :param version: version of the configuration that names the shards.
+    :param route: name of the route in that version.
+    :param request_id: id that the caller gave this attempt.
+    :param head: request line and headers for backend servers.
+    :param fingerprint: hash of method, target and body.
+    :param remaining_us: time left until the deadline, in microseconds.
+    :param shards: indexes of the shards within the route, ascending.
+    """
+
+    gather_id: int
+    version: int
+    route: str
+    request_id: str
+    head: bytes
+    body: bytes
+    fingerprint: int
+    remaining_us: int
+    shards: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GatherAnswer:
+    """Outcome of some shards of a :class:`Gather`; several answers may follow one request.
+
+    Each shard of the request is in at most one of them, as answered or as failed.
+
+    :param shards: indexes of the shards that answered, ascending.
+    :param signatures: signature of each of these answers, in the same order.
+    :param records: greatest records of these answers, merged.
+    :param failed: indexes of the shards without an answer, ascending.
+    :param not_run: those of the failed shards at which the request certainly did not run.
+    :param last: whether no further answer follows.
+    :param refusal: why the request was refused before anything was sent, or an empty string.
+    """
+
+    gather_id: int
+    shards: tuple[int, ...] = ()
+    signatures: tuple[str, ...] = ()
+    records: bytes = b""
+    failed: tuple[int, ...] = ()
+    not_run: tuple[int, ...] = ()
+    last: bool = True
+    refusal: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class GatherCancel:
+    """Notice that the answers to a :class:`Gather` are no longer needed."""
+
+    gather_id: int
+
+
 PeerMessage = (
     Hello
     | Heartbeat
@@ -172,4 +250,7 @@
     | SubtreeReply
     | Forward
     | ForwardAnswer
+    | Gather
+    | GatherAnswer
+    | GatherCancel
 )
--- a/mimosapost/platform/instance_runner.py
+++ b/mimosapost/platform/instance_runner.py
@@ -12,7 +12,7 @@
 
 from mimosapost.edge.clock import read_clock_us
 from mimosapost.edge.log_stream import LogStream
-from mimosapost.edge.logs import Logs
+from mimosapost.edge.logs import Logs, configure_logs
 from mimosapost.edge.relay_instance import RelayInstance
 from mimosapost.platform.http_codec import PlatformCodec
 from mimosapost.platform.settings import RelaySettings
@@ -47,9 +47,10 @@
 
 
 async def _run(path: Path, settings: RelaySettings, listener: socket.socket) -> None:
-    logs = Logs(
-        LogStream(sys.stdout.fileno(), read_clock_us), instance=settings.instance_settings.name
-    )
+    stream = LogStream(sys.stdout.fileno(), read_clock_us)
+    name = settings.instance_settings.name
+    logs = Logs(stream, instance=name)
+    configure_logs("info", stream, instance=name)
     instance = RelayInstance(
         settings.instance_settings,
         settings,
--- a/mimosapost/platform/settings.py
+++ b/mimosapost/platform/settings.py
@@ -82,19 +82,27 @@
     for name in ("bounds.graceS", "bounds.contactMs", "limits.memoryMb", *_APPLY_LIMIT_FIELDS):
         if name in fields and not _is_positive_number(fields[name]):
             faults.append(create_fault((name,), fields[name], "a number above 0"))
+    if "portRange" in fields and not _is_port_range(fields["portRange"]):
+        faults.append(create_fault(("portRange",), fields["portRange"], "two ports"))
+    seeds = [seed.strip() for seed in fields.get("seeds", "").split(",") if seed.strip()]
+    if not all(_is_address(seed) for seed in seeds):
+        faults.append(create_fault(("seeds",), fields["seeds"], "a list of ip:port"))
     if faults:
         return Failure(tuple(faults))
     memory_mb = float(fields.get("limits.memoryMb", _DEFAULT_MEMORY_MB))
     grace_seconds = float(fields.get("bounds.graceS", _DEFAULT_GRACE_SECONDS))
+    control_address = fields.get("listenAddrs.control", "")
+    host = fields["listenAddrs.front"].rpartition(":")[0]
+    peer_port = fields.get("portRange", "").partition(",")[0]
     instance_settings = InstanceSettings(
         fields["nodeName"],
         fields["zone"],
         fields["region"],
         _extract_regions(fields),
         stop_us=max(_STOP_MARGIN_US, int(grace_seconds * 1e6) - _STOP_MARGIN_US),
+        peer_address=f"{host}:{peer_port}" if peer_port else "",
+        seed_addresses=_extract_seeds(fields, peer_port),
     )
-    control_address = fields.get("listenAddrs.control", "")
-    host = fields["listenAddrs.front"].rpartition(":")[0]
     operator_addresses = (
         f"{host}:{METRICS_PORT}",
         *((control_address,) if control_address else ()),
@@ -122,6 +130,19 @@
     return regions
 
 
+def _extract_seeds(fields: Mapping[str, str], peer_port: str) -> tuple[str, ...]:
+    # The field lists operators' addresses. All instances use the same port for peer links.
+    if not peer_port:
+        return ()
+    addresses = [seed.strip() for seed in fields.get("seeds", "").split(",")]
+    return tuple(f"{a.rpartition(':')[0]}:{peer_port}" for a in addresses if a)
+
+
+def _is_port_range(value: str) -> bool:
+    ports = value.split(",")
+    return len(ports) == 2 and all(port.isdigit() and 0 < int(port) < 65_536 for port in ports)
+
+
 def _is_address(value: str) -> bool:
     host, _, port = value.rpartition(":")
     return bool(host) and port.isdigit() and 0 < int(port) < 65_536
--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -11,11 +11,19 @@
 from mimosapost.relay.catalog import Catalog, Route
 from mimosapost.relay.completion import check_progress, end_request, fail_part, refuse_request
 from mimosapost.relay.events import CallerLeft, RequestArrived
+from mimosapost.relay.gathers import list_gathered_domains, start_gather
 from mimosapost.relay.graceful_stop import STOP_RETRY_US, can_finish, get_last_reply_us
 from mimosapost.relay.messages import Refusal, RelayRequest
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
 from mimosapost.relay.retry_after import get_retry_after_us
-from mimosapost.relay.sends import StartResult, abandon_sends, list_usable, start_send
+from mimosapost.relay.sends import (
+    StartResult,
+    abandon_request,
+    choose_warm_server,
+    emit_send,
+    list_usable,
+    start_send,
+)
 from mimosapost.relay.startup_hold import hold_request, refuse_not_configured
 from mimosapost.relay.state import OpenRequest, Part, RelayState
 from mimosapost.relay.weighted_round_robin import WeightedRoundRobin
@@ -111,13 +119,38 @@
 def _start_parts(
     state: RelayState, open_request: OpenRequest, now_us: int, effects: Effects
 ) -> None:
-    for part in open_request.parts:
+    for part in _start_planned(state, open_request, now_us, effects):
         if start_send(state, open_request, part, now_us, effects) is StartResult.NO_SERVER:
             fail_part(state, open_request, part, "no_server", now_us, effects)
             if open_request.request.request_number not in state.requests:
                 return
 
 
+def _start_planned(
+    state: RelayState, open_request: OpenRequest, now_us: int, effects: Effects
+) -> list[Part]:
+    """Start the parts that have a warm server, here or at another instance.
+
+    :returns: the other parts.
+    """
+    if state.peers is None or not open_request.route.shards:
+        return open_request.parts
+    rest, planned = [], []
+    for index, part in enumerate(open_request.parts):
+        record = choose_warm_server(state, open_request, part, now_us)
+        if record is None:
+            rest.append(part)
+        else:
+            planned.append((index, part, record))
+    domains = list_gathered_domains(state.instance_settings.domain, planned)
+    for domain, entries in domains.items():
+        start_gather(state, open_request, domain, entries, now_us, effects)
+    for _, part, record in planned:
+        if not part.gather_id:
+            emit_send(state, open_request, part, record, now_us, effects)
+    return rest
+
+
 def _choose_service(state: RelayState, route: Route) -> str:
     if len(route.split) == 1:
         return route.split[0][0]
@@ -157,5 +190,4 @@
         ("answered", open_request.answered),
     )
     effects.append(WriteLog("caller_left", fields))
-    for part in open_request.parts:
-        abandon_sends(state, part, event.now_us, effects)
+    abandon_request(state, open_request, event.now_us, effects)
--- a/mimosapost/relay/completion.py
+++ b/mimosapost/relay/completion.py
@@ -7,16 +7,28 @@
 from __future__ import annotations
 
 from mimosapost.model.codes import ResultCode
-from mimosapost.model.effects import IncrementCounter, ObserveDuration, WriteLog
+from mimosapost.model.effects import IncrementCounter, ObserveDuration, SendPeer, WriteLog
+from mimosapost.model.peer_messages import GatherAnswer
 from mimosapost.relay.effects import SendReply
 from mimosapost.relay.messages import ForwardedReply, GatheredReply, Refusal, Reply
 from mimosapost.relay.record_merge import merge_records
-from mimosapost.relay.registry import Effects
+from mimosapost.relay.registry import Effects, TimerKind
 from mimosapost.relay.retry_after import get_retry_after_us
-from mimosapost.relay.sends import abandon_sends
+from mimosapost.relay.sends import abandon_request, abandon_sends
 from mimosapost.relay.state import OpenRequest, Part, RelayState
 
-__all__ = ["check_progress", "end_request", "fail_part", "is_sufficient", "refuse_request"]
+__all__ = [
+    "check_progress",
+    "end_request",
+    "fail_part",
+    "is_sufficient",
+    "refuse_request",
+    "report_outcomes",
+]
+
+# Outcomes of a gather that follow each other within this time are reported together, because
+# several servers often fail at once.
+_REPORT_DELAY_US = 4_000
 
 
 def is_sufficient(open_request: OpenRequest) -> bool:
@@ -39,6 +51,8 @@
     part.reason = reason
     open_request.open_parts -= 1
     abandon_sends(state, part, now_us, effects)
+    if open_request.served is not None:
+        _schedule_report(state, open_request, now_us)
     check_progress(state, open_request, now_us, effects)
 
 
@@ -49,6 +63,12 @@
 
     A gathered request past its latency goal ends as soon as its parts are sufficient.
     """
+    if open_request.served is not None:
+        if not open_request.open_parts:
+            end_request(state, open_request, now_us, effects)
+        elif open_request.served.is_reported:
+            _schedule_report(state, open_request, now_us)
+        return
     route = open_request.route
     if not route.shards:
         if not open_request.open_parts:
@@ -65,24 +85,95 @@
     state: RelayState, open_request: OpenRequest, now_us: int, effects: Effects
 ) -> None:
     """Reply with the parts answered so far and abandon the open sends."""
-    reply = _create_reply(state, open_request, now_us)
     request_number = open_request.request.request_number
+    if open_request.served is not None:
+        report_outcomes(open_request, effects, last=True)
+        del state.requests[request_number]
+        abandon_request(state, open_request, now_us, effects)
+        _record_served(open_request, now_us, effects)
+        return
+    reply = _create_reply(state, open_request, now_us)
     del state.requests[request_number]
-    for part in open_request.parts:
-        if part.sends:
-            abandon_sends(state, part, now_us, effects)
+    abandon_request(state, open_request, now_us, effects)
     effects.append(SendReply(request_number, reply))
     _record_end(open_request, reply, now_us, effects)
 
 
+def _schedule_report(state: RelayState, open_request: OpenRequest, now_us: int) -> None:
+    served = open_request.served
+    if not served.report_due:
+        served.report_due = True
+        number = open_request.request.request_number
+        state.timers.add(now_us + _REPORT_DELAY_US, TimerKind.REPORT, number)
+
+
+def report_outcomes(open_request: OpenRequest, effects: Effects, last: bool) -> None:
+    """Report the outcomes of a gather that were not reported yet to the other instance.
+
+    The first report is sent even without any outcome, because it shows the other instance that
+    this one works on the parts and that they are due for a hedge.
+
+    :param last: whether no further outcome follows; parts without one are reported as failed.
+    """
+    served = open_request.served
+    served.report_due = False
+    answers, failed, not_run = {}, [], []
+    for position, part in enumerate(open_request.parts):
+        if position in served.reported or not (part.done or last):
+            continue
+        served.reported.add(position)
+        index = served.shards[position]
+        # A signature with a comma could not be told apart from two.
+        if part.answer is not None and "," not in part.answer.signature:
+            answers[index] = part.answer
+            continue
+        failed.append(index)
+        if not part.possible_runs:
+            not_run.append(index)
+    if not (answers or failed or last or not served.is_reported):
+        return
+    served.is_reported = True
+    message = GatherAnswer(
+        served.gather_id,
+        tuple(answers),
+        tuple(answer.signature for answer in answers.values()),
+        merge_records((a.body for a in answers.values()), open_request.route.max_records),
+        tuple(failed),
+        tuple(not_run),
+        last,
+    )
+    effects.append(SendPeer(served.peer, served.peer_address, message))
+
+
+def _record_served(open_request: OpenRequest, now_us: int, effects: Effects) -> None:
+    missing = [part for part in open_request.parts if part.answer is None]
+    fields = (
+        ("request", open_request.request.request_id),
+        ("peer", open_request.served.peer),
+        ("version", open_request.version),
+        ("elapsed_ms", (now_us - open_request.arrived_us) // 1_000),
+        ("parts", len(open_request.parts)),
+        ("answered", open_request.answered),
+        ("median_ms", _get_median_answer_ms(open_request)),
+        ("slowest", _describe_slowest(open_request)),
+        ("missing", " ".join(_describe_part(part) for part in missing[:4])),
+    )
+    effects.append(WriteLog("gather_served", fields))
+
+
 def _create_reply(state: RelayState, open_request: OpenRequest, now_us: int) -> Reply:
     route = open_request.route
     if route.shards and is_sufficient(open_request):
         answers = [part.answer for part in open_request.parts if part.answer is not None]
-        missing = len(open_request.parts) - len(answers)
-        body = merge_records((answer.body for answer in answers), route.max_records)
+        gathered = open_request.gathered_parts
+        signatures = [answer.signature for answer in answers]
+        for batch in gathered:
+            signatures += batch.signatures
+        bodies = [*(a.body for a in answers), *(batch.records for batch in gathered)]
+        missing = len(open_request.parts) - len(signatures)
         code = ResultCode.PARTIAL if missing else ResultCode.COMPLETE
-        return GatheredReply(code, tuple(a.signature for a in answers), missing, body)
+        body = merge_records(bodies, route.max_records)
+        return GatheredReply(code, tuple(signatures), missing, body)
     if not route.shards:
         answer = open_request.parts[0].answer or open_request.failed_answer
         if answer is not None:
@@ -132,7 +223,7 @@
 
 def _join_missing_reasons(open_request: OpenRequest) -> str:
     reasons = sorted(
-        {part.reason or "open" for part in open_request.parts if part.answer is None}
+        {part.reason or "open" for part in open_request.parts if not part.is_answered}
     )
     return ",".join(reasons)
 
@@ -142,12 +233,12 @@
 
 
 def _get_median_answer_ms(open_request: OpenRequest) -> int:
-    times = sorted(part.answered_us for part in open_request.parts if part.answer is not None)
+    times = sorted(part.answered_us for part in open_request.parts if part.is_answered)
     return (times[len(times) // 2] - open_request.arrived_us) // 1_000 if times else 0
 
 
 def _describe_slowest(open_request: OpenRequest) -> str:
-    answered = [part for part in open_request.parts if part.answer is not None]
+    answered = [part for part in open_request.parts if part.is_answered]
     if not answered:
         return ""
     slowest = max(answered, key=lambda part: part.answered_us)
@@ -156,7 +247,7 @@
 
 
 def _record_end(open_request: OpenRequest, reply: Reply, now_us: int, effects: Effects) -> None:
-    missing = [part for part in open_request.parts if part.answer is None]
+    missing = [part for part in open_request.parts if not part.is_answered]
     status = reply.answer.status if isinstance(reply, ForwardedReply) else 0
     fields = (
         ("request", open_request.request.request_id),
@@ -168,6 +259,7 @@
         ("left_ms", (open_request.request.deadline_us - now_us) // 1_000),
         ("parts", len(open_request.parts)),
         ("answered", open_request.answered),
+        ("gathers", len(open_request.gather_ids)),
         ("hedges", open_request.hedges),
         ("retries", open_request.retries),
         ("median_ms", _get_median_answer_ms(open_request)),
--- a/mimosapost/relay/events.py
+++ b/mimosapost/relay/events.py
@@ -15,6 +15,7 @@
     "CatalogRead",
     "DomainsOut",
     "ExchangeFailed",
+    "InstanceStarted",
     "RequestArrived",
     "ServerListed",
     "ServerUnlisted",
@@ -25,6 +26,11 @@
 ]
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceStarted(Event):
+    """The instance listens on all its addresses."""
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired(Event):
     """The timer set by the last ``SetTimer`` effect fired."""
--- a/mimosapost/relay/graceful_stop.py
+++ b/mimosapost/relay/graceful_stop.py
@@ -9,6 +9,7 @@
 
 from mimosapost.model.effects import StopServing, WriteLog
 from mimosapost.model.events import StopRequested
+from mimosapost.relay.gossip import announce_leaving
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
 from mimosapost.relay.state import InstanceSettings, RelayState
 
@@ -48,6 +49,7 @@
         return
     state.stop_requested_us = event.now_us
     effects.append(WriteLog("stop_begun", (("open_requests", len(state.requests)),)))
+    announce_leaving(state, event.now_us, effects)
     state.timers.add(event.now_us + state.instance_settings.drain_us, TimerKind.STOP)
     last_reply_us = get_last_reply_us(state.instance_settings, event.now_us)
     for request_number, open_request in state.requests.items():
--- a/mimosapost/relay/reducer.py
+++ b/mimosapost/relay/reducer.py
@@ -10,9 +10,12 @@
 from mimosapost.model.events import Event
 from mimosapost.relay import (  # noqa: F401 - imported for their registered handlers
     admission,
+    gathers,
+    gossip,
     graceful_stop,
     send_outcomes,
     sends,
+    served_gathers,
     service_discovery,
 )
 from mimosapost.relay.events import TimerFired
--- a/mimosapost/relay/registry.py
+++ b/mimosapost/relay/registry.py
@@ -13,8 +13,10 @@
     "Effects",
     "TimerKind",
     "find_handler",
+    "find_message_handler",
     "find_timer_handler",
     "handles",
+    "handles_message",
     "handles_timer",
     "list_handled_types",
 ]
@@ -36,10 +38,14 @@
     REMOVE_SERVER = 5
     STOP = 6
     HOLD = 7
+    GOSSIP = 8
+    GATHER = 9
+    REPORT = 10
 
 
 _EVENT_HANDLERS: dict[type[Event], Callable[..., None]] = {}
 _TIMER_HANDLERS: dict[TimerKind, Callable[..., None]] = {}
+_MESSAGE_HANDLERS: dict[type, Callable[..., None]] = {}
 
 
 def handles(event_type: type[Event]) -> Callable[[Handler], Handler]:
@@ -58,6 +64,19 @@
     return _register(_TIMER_HANDLERS, kind)
 
 
+def handles_message(message_type: type) -> Callable[[Handler], Handler]:
+    """Register the handler of a peer message, called with state, event and effects.
+
+    :raises ValueError: if the type already has a handler.
+    """
+    return _register(_MESSAGE_HANDLERS, message_type)
+
+
+def find_message_handler(message_type: type) -> Callable[..., None] | None:
+    """Return the handler of a type of peer message, or ``None`` if the relay ignores it."""
+    return _MESSAGE_HANDLERS.get(message_type)
+
+
 def find_handler(event_type: type[Event]) -> Callable[..., None]:
     """Return the handler of an event type.
 
--- a/mimosapost/relay/retry_after.py
+++ b/mimosapost/relay/retry_after.py
@@ -26,7 +26,7 @@
     """
     waits: list[float] = []
     for part in open_request.parts:
-        if part.answer is not None:
+        if part.is_answered:
             continue
         for record in state.by_service.get(part.service, ()):
             if record.is_blocked(now_us):
--- a/mimosapost/relay/send_outcomes.py
+++ b/mimosapost/relay/send_outcomes.py
@@ -19,9 +19,9 @@
     record_latency,
     record_success,
 )
-from mimosapost.relay.state import OpenRequest, OpenSend, RelayState
+from mimosapost.relay.state import OpenRequest, OpenSend, Part, RelayState
 
-__all__: list[str] = []
+__all__ = ["retry_or_fail"]
 
 # Delay before another send of a part that servers rejected more than once, and the number of
 # rejections after which the part fails.
@@ -177,16 +177,36 @@
 def _retry_or_fail(
     state: RelayState, send: OpenSend, reason: str, now_us: int, effects: Effects
 ) -> None:
-    """Retry a part after a send without a usable answer, or mark the part as failed."""
     open_request = state.requests.get(send.request_number)
     part = send.part
-    if open_request is None or part.done or part.sends or part.waiting:
+    if open_request is None or part.done or part.sends or part.waiting or part.gather_id:
         return
+    server_id, waited_us = send.record.server.server_id, now_us - send.sent_us
+    retry_or_fail(state, open_request, part, server_id, waited_us, reason, now_us, effects)
+
+
+def retry_or_fail(
+    state: RelayState,
+    open_request: OpenRequest,
+    part: Part,
+    server_id: str,
+    waited_us: int,
+    reason: str,
+    now_us: int,
+    effects: Effects,
+) -> None:
+    """Retry a part after a send without a usable answer, or mark the part as failed.
+
+    :param server_id: server that the part was last sent to.
+    :param waited_us: time since that send, in microseconds.
+    """
     route = open_request.route
     may_run_again = route.repeatable or not part.possible_runs
-    budget = state.get_budget(part.service)
     allowed = part.possible_runs < route.max_sends and part.rejections < _MAX_REJECTIONS
-    if not (may_run_again and allowed and budget.try_spend()):
+    # Parts that are gathered for another instance are retried there.
+    is_served = open_request.served is not None
+    budget = state.get_budget(part.service)
+    if is_served or not (may_run_again and allowed and budget.try_spend()):
         fail_part(state, open_request, part, reason, now_us, effects)
         return
     open_request.retries += 1
@@ -196,25 +216,13 @@
             "send_retried",
             (
                 ("request", open_request.request.request_id),
-                ("server", send.record.server.server_id),
+                ("server", server_id),
                 ("reason", reason),
-                ("elapsed_ms", (now_us - send.sent_us) // 1_000),
+                ("elapsed_ms", waited_us // 1_000),
                 ("runs", part.possible_runs),
             ),
         )
     )
-    _start_retry(state, open_request, send, reason, now_us, effects)
-
-
-def _start_retry(
-    state: RelayState,
-    open_request: OpenRequest,
-    send: OpenSend,
-    reason: str,
-    now_us: int,
-    effects: Effects,
-) -> None:
-    part = send.part
     if part.rejections > 1 and reason == "rejected":
         # All servers of the service may be full now, but one may have room after a short delay.
         key, state.next_timer_key = state.next_timer_key, state.next_timer_key + 1
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -7,7 +7,8 @@
 
 from enum import Enum
 
-from mimosapost.model.effects import IncrementCounter, WriteLog
+from mimosapost.model.effects import IncrementCounter, SendPeer, WriteLog
+from mimosapost.model.peer_messages import GatherCancel
 from mimosapost.relay.effects import AbandonSend, StartSend
 from mimosapost.relay.registry import Effects, TimerKind, handles_timer
 from mimosapost.relay.repeats import get_hedge_delay_us
@@ -18,8 +19,12 @@
 
 __all__ = [
     "StartResult",
+    "abandon_request",
     "abandon_sends",
+    "choose_warm_server",
     "dispatch_waiting",
+    "emit_send",
+    "hedge_part",
     "hedge_stragglers",
     "list_usable",
     "start_send",
@@ -82,22 +87,44 @@
     usable = list_usable(state, open_request, part, now_us)
     if not usable:
         return StartResult.NO_SERVER
-    connections = _get_connections(state, part.service)
-    pools = state.get_pools(open_request.route)
     limit = _get_cold_limit(state, part.service)
-    warm = [record for record in usable if not limit or record.cold_until_us <= now_us]
-    free = [record for record in warm if len(record.open_sends) < connections]
-    record = choose_server(free, pools, now_us, state.rng)
+    record = _choose_warm(state, open_request, part, usable, now_us)
     if record is None and limit:
         cold = [record for record in usable if record.cold_until_us > now_us]
         record = _choose_cold(state, cold, limit, now_us)
     if record is None:
         _enqueue(state, open_request, part)
         return StartResult.WAITING
-    _emit_send(state, open_request, part, record, now_us, effects)
+    emit_send(state, open_request, part, record, now_us, effects)
     return StartResult.SENT
 
 
+def choose_warm_server(
+    state: RelayState, open_request: OpenRequest, part: Part, now_us: int
+) -> ServerRecord | None:
+    """Return the server that a send of a part would use now, if one with room is warm."""
+    usable = list_usable(state, open_request, part, now_us)
+    return _choose_warm(state, open_request, part, usable, now_us)
+
+
+def _choose_warm(
+    state: RelayState,
+    open_request: OpenRequest,
+    part: Part,
+    usable: list[ServerRecord],
+    now_us: int,
+) -> ServerRecord | None:
+    connections = _get_connections(state, part.service)
+    limit = _get_cold_limit(state, part.service)
+    free = [
+        record
+        for record in usable
+        if (not limit or record.cold_until_us <= now_us)
+        and len(record.open_sends) < connections
+    ]
+    return choose_server(free, state.get_pools(open_request.route), now_us, state.rng)
+
+
 def _choose_cold(
     state: RelayState, records: list[ServerRecord], limit: float, now_us: int
 ) -> ServerRecord | None:
@@ -119,7 +146,7 @@
     return rules.cold_per_second if rules is not None else 0.0
 
 
-def _emit_send(
+def emit_send(
     state: RelayState,
     open_request: OpenRequest,
     part: Part,
@@ -127,10 +154,12 @@
     now_us: int,
     effects: Effects,
 ) -> None:
+    """Send a part to a server."""
     send_id, state.next_send_id = state.next_send_id, state.next_send_id + 1
     pool = state.get_pools(open_request.route)[record.distance]
     is_repeat = bool(part.tried_servers)
-    if not is_repeat:
+    if not part.is_counted:
+        part.is_counted = True
         state.get_budget(part.service).earn()
     send = OpenSend(
         send_id,
@@ -170,7 +199,27 @@
     open_request = state.requests.get(send.request_number) if send is not None else None
     if send is None or open_request is None or send.part.done or send.abandoned_us:
         return
-    part = send.part
+    server_id, waited_us = send.record.server.server_id, now_us - send.sent_us
+    usual_us = send.pool.slow_us
+    hedge_part(state, open_request, send.part, server_id, waited_us, usual_us, now_us, effects)
+
+
+def hedge_part(
+    state: RelayState,
+    open_request: OpenRequest,
+    part: Part,
+    server_id: str,
+    waited_us: int,
+    usual_us: int,
+    now_us: int,
+    effects: Effects,
+) -> None:
+    """Send a part to a second server if the limits on repeats allow it.
+
+    :param server_id: server that has not answered yet.
+    :param waited_us: time since that send, in microseconds.
+    :param usual_us: time in which most answers arrive, in microseconds.
+    """
     if (
         not open_request.route.repeatable
         or len(part.sends) > 1
@@ -191,15 +240,15 @@
     open_request.hedges += 1
     fields = (
         ("request", open_request.request.request_id),
-        ("server", send.record.server.server_id),
+        ("server", server_id),
         ("next_server", record.server.server_id),
-        ("waited_ms", (now_us - send.sent_us) // 1_000),
-        ("usual_ms", send.pool.slow_us // 1_000),
+        ("waited_ms", waited_us // 1_000),
+        ("usual_ms", usual_us // 1_000),
         ("budget", state.get_budget(part.service).available),
     )
     effects.append(WriteLog("send_hedged", fields))
     effects.append(IncrementCounter("mimosapost_relay_repeats_total", (("reason", "hedge"),)))
-    _emit_send(state, open_request, part, record, now_us, effects)
+    emit_send(state, open_request, part, record, now_us, effects)
 
 
 def hedge_stragglers(state: RelayState, open_request: OpenRequest, now_us: int) -> None:
@@ -217,6 +266,10 @@
         return
     open_request.stragglers_hedged = True
     due_us = now_us + (now_us - open_request.arrived_us) // _STRAGGLER_WAIT_DIVISOR
+    if open_request.served is not None:
+        # The instance that asked for the parts decides on hedges.
+        state.timers.add(due_us, TimerKind.REPORT, open_request.request.request_number)
+        return
     for part in open_request.parts:
         if not part.done:
             for send_id in part.sends:
@@ -241,6 +294,22 @@
             effects.append(AbandonSend(send_id, now_us + grace_us))
 
 
+def abandon_request(
+    state: RelayState, open_request: OpenRequest, now_us: int, effects: Effects
+) -> None:
+    """Give up all open sends and gathers of a request that has ended."""
+    for part in open_request.parts:
+        if part.sends:
+            abandon_sends(state, part, now_us, effects)
+    for gather_id in open_request.gather_ids:
+        gather = state.gathers.pop(gather_id, None)
+        if gather is not None:
+            effects.append(SendPeer(gather.peer, gather.peer_address, GatherCancel(gather_id)))
+    if open_request.served is not None:
+        served = open_request.served
+        state.served_gathers.pop((served.peer, served.gather_id), None)
+
+
 def _get_connections(state: RelayState, service: str) -> int:
     rules = state.catalog.services.get(service) if state.catalog is not None else None
     if rules is None:
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -7,21 +7,27 @@
 
 from mimosapost.core.timers import Timers
 from mimosapost.limits.budgets import SendBudget
+from mimosapost.membership.members import MemberTable
+from mimosapost.model.identities import NO_SEAT, InstanceIdentity
 from mimosapost.relay import repeats
 from mimosapost.relay.catalog import Catalog, Route
 from mimosapost.relay.latency_pools import DISTANCES, LatencyPool
 from mimosapost.relay.messages import RelayRequest, ServerAnswer
+from mimosapost.relay.partners import PeerState
 from mimosapost.relay.server_selection import ServerRecord
 from mimosapost.relay.warmup import ColdAllowance
 from mimosapost.relay.weighted_round_robin import WeightedRoundRobin
 from mimosapost.suspects.tracker import SuspectTracker
 
 __all__ = [
+    "GatheredParts",
     "InstanceSettings",
+    "OpenGather",
     "OpenRequest",
     "OpenSend",
     "Part",
     "RelayState",
+    "ServedGather",
     "create_relay_state",
 ]
 
@@ -37,6 +43,9 @@
     :param drain_us: time in microseconds after a stop request during which the load balancer
         may still send callers.
     :param stop_us: time in microseconds after a stop request by which the process must end.
+    :param peer_address: ``ip:port`` where the instance accepts peer links; empty for an
+        instance that works alone.
+    :param seed_addresses: peer addresses of some instances, which may be out of date.
     """
 
     name: str
@@ -45,6 +54,8 @@
     regions: dict[str, str]
     drain_us: int = 3_200_000
     stop_us: int = 5_400_000
+    peer_address: str = ""
+    seed_addresses: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -61,6 +72,10 @@
     :param done: whether the part was answered or has failed.
     :param waiting: whether the part waits for a server with room or for a retry.
     :param reason: why the part has no answer.
+    :param is_counted: whether the budget for repeats has counted the part.
+    :param gather_id: number of the open gather at another instance that includes the part,
+        or 0.
+    :param gathered: whether another instance gathered the answer.
     """
 
     service: str
@@ -73,6 +88,63 @@
     done: bool = False
     waiting: bool = False
     reason: str = ""
+    is_counted: bool = False
+    gather_id: int = 0
+    gathered: bool = False
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether the part has an answer, its own or a gathered one."""
+        return self.gathered or self.answer is not None
+
+
+@dataclass(frozen=True, slots=True)
+class GatheredParts:
+    """Merged answers of some shards, as another instance returned them."""
+
+    signatures: tuple[str, ...]
+    records: bytes
+
+
+@dataclass(slots=True)
+class OpenGather:
+    """Parts of one query that another instance gathers.
+
+    :param peer: name of that instance.
+    :param distance: distance class of that instance.
+    :param parts: parts without an outcome, with the server that this instance would have
+        used, by index of the shard.
+    :param is_reported: whether the other instance has sent an answer.
+    """
+
+    gather_id: int
+    request_number: int
+    peer: str
+    peer_address: str
+    distance: int
+    sent_us: int
+    parts: dict[int, tuple[Part, ServerRecord]]
+    is_reported: bool = False
+
+
+@dataclass(slots=True)
+class ServedGather:
+    """Parts of a query that this instance gathers for another one.
+
+    :param peer: name of the other instance.
+    :param shards: index of the shard of each part, in the order of the parts.
+    :param reported: positions of the parts whose outcome was sent.
+    :param is_reported: whether any answer was sent; further outcomes are then sent at once.
+    :param report_due: whether a timer for the next answer is set.
+    """
+
+    gather_id: int
+    peer: str
+    peer_address: str
+    shards: tuple[int, ...]
+    reported: set[int] = field(default_factory=set)
+    is_reported: bool = False
+    report_due: bool = False
 
 
 @dataclass(slots=True)
@@ -85,6 +157,9 @@
     :param past_goal: whether the latency goal has passed.
     :param stragglers_hedged: whether early hedges of the last parts were scheduled.
     :param failed_answer: last signed answer with a server error.
+    :param gather_ids: numbers of the gathers that were started for the request.
+    :param gathered_parts: answers that other instances gathered.
+    :param served: for parts that are gathered for another instance.
     """
 
     request: RelayRequest
@@ -100,6 +175,9 @@
     past_goal: bool = False
     stragglers_hedged: bool = False
     failed_answer: ServerAnswer | None = None
+    gather_ids: list[int] = field(default_factory=list)
+    gathered_parts: list[GatheredParts] = field(default_factory=list)
+    served: ServedGather | None = None
 
 
 @dataclass(slots=True)
@@ -136,6 +214,10 @@
     :param source_lost_us: time at which the source was lost, or 0 if it is reachable.
     :param source_regained_us: time at which the source last recovered, or 0.
     :param services_to_dispatch: services whose waiting parts may now find a server with room.
+    :param peers: other instances, or ``None`` for an instance that works alone.
+    :param gathers: open gathers at other instances, by number.
+    :param served_gathers: request number of each open gather for another instance, by the name
+        of that instance and the number of the gather.
     """
 
     instance_settings: InstanceSettings
@@ -163,6 +245,11 @@
     next_timer_key: int = 1
     stop_requested_us: int = 0
     services_to_dispatch: set[str] = field(default_factory=set)
+    peers: PeerState | None = None
+    gathers: dict[int, OpenGather] = field(default_factory=dict)
+    served_gathers: dict[tuple[str, int], int] = field(default_factory=dict)
+    next_gather_id: int = 1
+    next_served_number: int = -1
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send callers to this instance."""
@@ -192,4 +279,22 @@
     :param instance_settings: location of the instance and time limits of its stop.
     :param seed: seed of the random numbers used in decisions.
     """
-    return RelayState(instance_settings, random.Random(seed))
+    state = RelayState(instance_settings, random.Random(seed))
+    if instance_settings.peer_address:
+        own = InstanceIdentity(
+            instance_settings.name,
+            state.rng.getrandbits(63),
+            NO_SEAT,
+            instance_settings.domain,
+            instance_settings.region,
+            instance_settings.peer_address,
+        )
+        state.peers = PeerState(
+            own,
+            instance_settings.regions,
+            instance_settings.seed_addresses,
+            MemberTable(own),
+        )
+        # Answers to gathers of an earlier process must not match those of this one.
+        state.next_gather_id = state.rng.getrandbits(48)
+    return state
--- a/mimosapost/relay/tests/relay_harness.py
+++ b/mimosapost/relay/tests/relay_harness.py
@@ -69,8 +69,10 @@
 class Relay:
     """A relay under test that collects effects and has a manual clock."""
 
-    def __init__(self, routes, servers, rules=(), domain="a1", seed=1) -> None:
-        instance_settings = InstanceSettings("n1", domain, REGIONS[domain], REGIONS)
+    def __init__(
+        self, routes, servers, rules=(), domain="a1", seed=1, name="n1", **settings
+    ) -> None:
+        instance_settings = InstanceSettings(name, domain, REGIONS[domain], REGIONS, **settings)
         self.state = create_relay_state(instance_settings, seed)
         self.now_us = 1_000_000
         self.effects: list[Effect] = []
--- /dev/null
+++ b/mimosapost/relay/tests/test_gathers.py
@@ -0,0 +1,379 @@
+"""Checks gathers at other instances, with all faults of the instance that gathers.
+
+Load pattern: a caller near no server sends queries over many shards. Sent directly, every part
+crosses the link between the regions; a partner that fails must not cost the parts.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from mimosapost.model.codes import FailureKind, ResultCode, RunState
+from mimosapost.model.effects import WriteLog
+from mimosapost.model.events import PeerMessageArrived, StopRequested
+from mimosapost.model.peer_messages import Gather, GatherAnswer, GatherCancel
+from mimosapost.relay.catalog import ServiceRules, create_catalog
+from mimosapost.relay.events import CallerLeft, CatalogRead
+from mimosapost.relay.gathers import list_gathered_domains
+from mimosapost.relay.messages import GatheredReply, Refusal
+from mimosapost.relay.server_selection import ServerRecord
+from mimosapost.relay.state import Part
+from mimosapost.relay.tests.fleet_harness import Fleet
+from mimosapost.relay.tests.relay_harness import create_route, create_servers
+
+SHARDS = tuple(f"s{n}" for n in range(8))
+
+
+def create_fleet(domains=("c1", "a1"), server_domains=("a1", "b1"), warm_up=True, **changes):
+    """Return a fleet whose first instance is near no server and has met the others."""
+    route = create_route(shards=SHARDS, **({"goal_us": 140_000, "min_coverage": 0.9} | changes))
+    servers = [s for shard in SHARDS for s in create_servers(shard, server_domains)]
+    fleet = Fleet(domains, [route], servers)
+    if warm_up:
+        fleet.advance(2_500)
+        # The first query shows which partners are needed.
+        number = fleet["n1"].request()
+        answer_all(fleet)
+        assert isinstance(fleet["n1"].get_reply(number), GatheredReply)
+        fleet.advance(2_500)
+        clear(fleet)
+    return fleet
+
+
+def clear(fleet):
+    fleet.messages.clear()
+    for relay in fleet.relays.values():
+        relay.effects.clear()
+
+
+def answer_all(fleet, milliseconds=60.0):
+    """Let every server answer within 10 ms, for a time."""
+    for _ in range(int(milliseconds / 10)):
+        for relay in fleet.relays.values():
+            for send in relay.pop_sends():
+                relay.answer(send)
+        fleet.advance(10)
+
+
+def send_query(fleet):
+    """Start a query at the first instance and deliver its gathers."""
+    number = fleet["n1"].request()
+    fleet.advance(9)
+    return number
+
+
+def list_events(relay):
+    return [effect.event for effect in relay.effects if isinstance(effect, WriteLog)]
+
+
+def count_runs(fleet):
+    """Return how often each shard was sent to since the last call."""
+    sends = [send for relay in fleet.relays.values() for send in relay.pop_sends()]
+    services = [send.server.service for send in sends]
+    return {shard: services.count(shard) for shard in SHARDS}
+
+
+def test_all_parts_in_a_region_cross_the_link_once():
+    fleet = create_fleet(server_domains=("a1",))
+    number = send_query(fleet)
+    assert fleet["n1"].pop_sends() == []
+    assert len(fleet["n2"].state.sends) == len(SHARDS)
+    answer_all(fleet)
+    reply = fleet["n1"].get_reply(number)
+    assert isinstance(reply, GatheredReply)
+    assert (reply.code, reply.missing) == (ResultCode.COMPLETE, 0)
+    assert len(set(reply.signatures)) == len(SHARDS)
+    assert len(reply.body) == 3 * 16
+    assert fleet.count_messages(Gather) == fleet.count_messages(GatherAnswer) == 1
+    assert not fleet["n1"].state.gathers
+    assert not fleet["n2"].state.served_gathers
+
+
+@pytest.mark.parametrize(
+    ("domain_of_part", "expected"),
+    [
+        pytest.param("aaaaaaaa", set(), id="own domain"),
+        pytest.param("bbaaaaaa", set(), id="few parts elsewhere"),
+        pytest.param("bbbaaaaa", {"b1"}, id="one domain"),
+        pytest.param("bbbbcccc", {"b1", "c1"}, id="two domains"),
+        pytest.param("bbbbbbcc", {"b1"}, id="many and few"),
+    ],
+)
+def test_parts_are_gathered_where_several_are(domain_of_part, expected):
+    planned = []
+    for index, letter in enumerate(domain_of_part):
+        (server,) = create_servers(f"s{index}", (f"{letter}1",))
+        planned.append((index, Part(f"s{index}"), ServerRecord(server, 0, "")))
+    domains = list_gathered_domains("a1", planned)
+    assert set(domains) == expected
+    assert all(len(entries) >= 3 for entries in domains.values())
+
+
+def test_a_paused_server_is_hedged_by_the_instance_that_asked():
+    """Replay a query of which one server at the partner pauses: the partner may not hedge."""
+    fleet = create_fleet()
+    number = send_query(fleet)
+    paused = next(iter(fleet["n2"].state.sends))
+    for send in fleet["n2"].pop_sends():
+        if send.send_id != paused:
+            fleet["n2"].answer(send)
+    for send in fleet["n1"].pop_sends():
+        fleet["n1"].answer(send)
+    fleet.advance(60)
+    assert fleet["n2"].pop_sends() == []
+    hedges = fleet["n1"].pop_sends()
+    assert len(hedges) == 1
+    assert fleet["n1"].get_reply(number) is None
+    fleet["n1"].answer(hedges[0])
+    reply = fleet["n1"].get_reply(number)
+    assert len(reply.signatures) == len(set(reply.signatures)) == len(SHARDS)
+    assert fleet.count_messages(GatherCancel) == 0
+    fleet.advance(1)
+    # The partner stops waiting for the paused server too.
+    assert fleet.count_messages(GatherCancel) == 1
+
+
+def test_an_answer_of_both_a_hedge_and_the_partner_counts_once():
+    fleet = create_fleet(server_domains=("a1", "b1"), min_coverage=1.0)
+    number = send_query(fleet)
+    paused, *rest = fleet["n2"].pop_sends()
+    last, *others = rest
+    for send in others:
+        fleet["n2"].answer(send)
+    for send in fleet["n1"].pop_sends():
+        fleet["n1"].answer(send)
+    fleet.advance(60)
+    hedges = {send.server.service: send for send in fleet["n1"].pop_sends()}
+    fleet["n1"].answer(hedges[paused.server.service])
+    fleet["n2"].answer(paused)
+    fleet.advance(20)
+    fleet["n2"].answer(last)
+    fleet.advance(20)
+    reply = fleet["n1"].get_reply(number)
+    assert reply.missing == 0
+    assert len(reply.signatures) == len(set(reply.signatures)) == len(SHARDS)
+
+
+FAILURES = {
+    "silent": lambda fleet: fleet.cut.add(("n2", "n1")),
+    "unreachable": lambda fleet: fleet.cut.update({("n1", "n2"), ("n2", "n1")}),
+    "link lost": lambda fleet: (fleet.cut.update({("n2", "n1")}), fleet.lose("n1", "n2")),
+}
+
+
+@pytest.mark.parametrize("case", FAILURES)
+def test_no_part_is_lost_with_the_partner(case):
+    """A partner that fails under a query costs time, but no part, and no third run."""
+    fleet = create_fleet(domains=("c1", "a1"), server_domains=("a1", "b1"))
+    number = fleet["n1"].request()
+    if case == "link lost":
+        fleet.advance(5)
+    FAILURES[case](fleet)
+    runs = dict.fromkeys(SHARDS, 0)
+    for _ in range(13):
+        for relay in fleet.relays.values():
+            for send in relay.pop_sends():
+                runs[send.server.service] += 1
+                relay.answer(send)
+        fleet.advance(10)
+    reply = fleet["n1"].get_reply(number)
+    assert isinstance(reply, GatheredReply)
+    assert len(set(reply.signatures)) == len(SHARDS)
+    assert max(runs.values()) <= 2
+
+
+def test_a_failed_partner_is_not_asked_again_at_once():
+    fleet = create_fleet(server_domains=("a1",))
+    fleet.cut.add(("n2", "n1"))
+    fleet["n1"].request()
+    fleet.advance(200)
+    clear(fleet)
+    fleet["n1"].request()
+    fleet.advance(1)
+    assert fleet.count_messages(Gather) == 0
+    assert len(fleet["n1"].pop_sends()) == len(SHARDS)
+
+
+def test_a_partner_that_recovers_is_asked_again():
+    fleet = create_fleet(server_domains=("a1",))
+    fleet.cut.add(("n2", "n1"))
+    fleet["n1"].request()
+    fleet.advance(200)
+    fleet.cut.clear()
+    fleet.advance(4_000)
+    clear(fleet)
+    send_query(fleet)
+    assert fleet.count_messages(Gather) == 1
+
+
+def test_failed_parts_are_repeated_within_the_limits():
+    """The partner reports failures; the retry counts against ``max_sends`` over both."""
+    fleet = create_fleet(server_domains=("a1", "b1"))
+    number = send_query(fleet)
+    for send in fleet["n2"].pop_sends():
+        fleet["n2"].fail(send, FailureKind.RESET, RunState.UNKNOWN)
+    for send in fleet["n1"].pop_sends():
+        fleet["n1"].answer(send)
+    fleet.advance(15)
+    assert fleet["n2"].pop_sends() == []
+    retries = fleet["n1"].pop_sends()
+    assert retries
+    for send in retries:
+        fleet["n1"].fail(send, FailureKind.RESET, RunState.UNKNOWN)
+    assert fleet["n1"].pop_sends() == []
+    reply = fleet["n1"].get_reply(number)
+    assert isinstance(reply, Refusal)
+    assert reply.code is ResultCode.OUTCOME_UNKNOWN
+
+
+def test_rejected_parts_did_not_run():
+    fleet = create_fleet(server_domains=("a1",), min_coverage=0.0)
+    number = send_query(fleet)
+    for send in fleet["n2"].pop_sends():
+        fleet["n2"].answer(send, status=503, not_run=True, signature="")
+    fleet.advance(15)
+    for send in fleet["n1"].pop_sends():
+        fleet["n1"].answer(send, status=503, not_run=True, signature="")
+    for _ in range(10):
+        for send in fleet["n1"].pop_sends():
+            fleet["n1"].answer(send, status=503, not_run=True, signature="")
+        fleet.advance(20)
+    reply = fleet["n1"].get_reply(number)
+    assert isinstance(reply, Refusal)
+    assert reply.code is ResultCode.OVERLOADED
+
+
+def test_an_unknown_outcome_at_the_partner_is_no_promise():
+    """A refusal must not say "not run" while the partner may have sent the request."""
+    fleet = create_fleet(server_domains=("a1",))
+    number = send_query(fleet)
+    fleet["n2"].pop_sends()
+    fleet.cut.add(("n2", "n1"))
+    fleet.lose("n1", "n2")
+    for _ in range(60):
+        for send in fleet["n1"].pop_sends():
+            fleet["n1"].answer(send, status=503, not_run=True, signature="")
+        fleet.advance(10)
+    reply = fleet["n1"].get_reply(number)
+    assert reply.code in (ResultCode.OUTCOME_UNKNOWN, ResultCode.DEADLINE_EXCEEDED)
+    assert reply.retry_after_us == 0
+
+
+@pytest.mark.parametrize("case", ["version", "stopping"])
+def test_a_refused_gather_is_sent_directly_as_a_first_send(case):
+    fleet = create_fleet(server_domains=("a1",))
+    if case == "version":
+        routes = [create_route(shards=SHARDS, goal_us=140_000)]
+        services = [ServiceRules(shard, 100) for shard in SHARDS]
+        catalog = create_catalog(2, routes, services)
+        fleet["n2"].apply_event(CatalogRead(fleet.now_us, catalog))
+    else:
+        fleet["n2"].apply_event(StopRequested(fleet.now_us))
+        fleet["n2"].effects = []  # The announcement is lost.
+    budgets = {s: fleet["n1"].state.get_budget(s).available for s in SHARDS}
+    number = fleet["n1"].request()
+    fleet.advance(18)
+    assert fleet["n2"].pop_sends() == []
+    assert "gather_not_served" in list_events(fleet["n2"])
+    sends = fleet["n1"].pop_sends()
+    assert len(sends) == len(SHARDS)
+    assert {s: fleet["n1"].state.get_budget(s).available for s in SHARDS} == budgets
+    for send in sends:
+        fleet["n1"].answer(send)
+    assert fleet["n1"].get_reply(number).missing == 0
+
+
+def test_a_stopping_partner_is_released_before_it_refuses():
+    fleet = create_fleet(domains=("c1", "a1", "a1"), server_domains=("a1",))
+    partner = fleet["n1"].state.peers.partners["a1"].name
+    fleet[partner].apply_event(StopRequested(fleet.now_us))
+    fleet.advance(30)
+    clear(fleet)
+    send_query(fleet)
+    asked = {receiver for _, receiver, m in fleet.messages if isinstance(m, Gather)}
+    assert asked == {"n2", "n3"} - {partner}
+
+
+def test_the_callers_leaving_reaches_the_servers():
+    fleet = create_fleet(server_domains=("a1",))
+    number = send_query(fleet)
+    fleet["n1"].apply_event(CallerLeft(fleet.now_us, number))
+    fleet.advance(9)
+    assert len(fleet["n2"].list_abandoned()) == len(SHARDS)
+    assert not fleet["n2"].state.served_gathers
+    assert not fleet["n2"].state.requests
+
+
+def test_the_partner_abandons_the_sends_of_an_instance_that_is_gone():
+    fleet = create_fleet(server_domains=("a1",))
+    send_query(fleet)
+    fleet.lose("n2", "n1")
+    assert len(fleet["n2"].list_abandoned()) == len(SHARDS)
+    assert not fleet["n2"].state.requests
+
+
+def test_the_deadline_shrinks():
+    fleet = create_fleet(server_domains=("a1",))
+    before_us = fleet.now_us
+    send_query(fleet)
+    deadlines = {send.deadline_us for send in fleet["n2"].pop_sends()}
+    (deadline_us,) = deadlines
+    assert deadline_us <= before_us + 600_000 + fleet.delay_us
+
+
+@pytest.mark.parametrize(
+    "forge",
+    [
+        pytest.param(lambda m: replace(m, shards=(7,), signatures=("s",)), id="not asked"),
+        pytest.param(lambda m: replace(m, failed=(200,), last=False), id="out of range"),
+        pytest.param(lambda m: m, id="twice"),
+    ],
+)
+def test_unexpected_parts_are_refused_without_loss(forge):
+    fleet = create_fleet(server_domains=("a1", "b1"))
+    number = send_query(fleet)
+    gather = next(iter(fleet["n1"].state.gathers.values()))
+    first = min(gather.parts)
+    valid = GatherAnswer(gather.gather_id, (first,), ("a.1",), b"r" * 16, last=False)
+    if 7 in gather.parts:
+        valid_shards = set(gather.parts) - {7}
+        first = min(valid_shards)
+    fleet["n1"].apply_event(PeerMessageArrived(fleet.now_us, "n2", valid))
+    forged = forge(valid)
+    if forged.shards == (7,) and 7 in gather.parts:
+        forged = replace(forged, shards=(200,))
+    fleet["n1"].apply_event(PeerMessageArrived(fleet.now_us, "n2", forged))
+    assert "gather_answer_refused" in list_events(fleet["n1"])
+    answer_all(fleet, 100)
+    reply = fleet["n1"].get_reply(number)
+    assert len(set(reply.signatures)) == len(SHARDS)
+
+
+def test_an_answer_from_another_instance_is_ignored():
+    fleet = create_fleet(domains=("c1", "a1", "a1"), server_domains=("a1",))
+    send_query(fleet)
+    gather = next(iter(fleet["n1"].state.gathers.values()))
+    other = "n3" if gather.peer == "n2" else "n2"
+    answer = GatherAnswer(gather.gather_id, tuple(gather.parts), ("s",) * len(gather.parts))
+    fleet["n1"].apply_event(PeerMessageArrived(fleet.now_us, other, answer))
+    assert len(gather.parts) == len(SHARDS)
+
+
+def test_gathers_of_a_route_with_regions_stay_in_them():
+    fleet = create_fleet(domains=("c1", "a1", "b1"), regions=frozenset({"south"}))
+    send_query(fleet)
+    asked = {receiver for _, receiver, m in fleet.messages if isinstance(m, Gather)}
+    assert asked == {"n3"}
+    servers = {send.server.domain for send in fleet["n3"].pop_sends()}
+    assert servers == {"b1"}
+
+
+def test_a_gather_is_not_passed_on():
+    """The partner sends to servers elsewhere itself, so that gathers can't go in a circle."""
+    fleet = create_fleet(domains=("c1", "a1", "b1"), server_domains=("a1", "b1"))
+    send_query(fleet)
+    fleet.advance(20)
+    asked = [sender for sender, _, m in fleet.messages if isinstance(m, Gather)]
+    assert set(asked) == {"n1"}
--- a/mimosapost/relay/tests/test_layers.py
+++ b/mimosapost/relay/tests/test_layers.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from mimosapost.model.events import Event, StopRequested
+from mimosapost.model.events import Event, PeerLost, PeerMessageArrived, StopRequested
 from mimosapost.relay import events, reducer
 from mimosapost.relay.registry import TimerKind, find_timer_handler, list_handled_types
 
@@ -19,7 +19,6 @@
 
 PACKAGE = Path(__file__).parents[2]
 SHARED = {"model", "limits", "suspects", "relay"}
-EDGE = {"clock", "log_stream", "logs", "metrics", "relay_connections", "tcp_channels"}
 
 
 def list_imports(folder: str) -> set[tuple[str, str]]:
@@ -40,7 +39,8 @@
     known = Event.__subclasses__()
     own = {event.__name__ for event in known if event.__module__ == events.__name__}
     handled = {event.__name__ for event in list_handled_types()}
-    assert handled == own | {StopRequested.__name__}
+    shared = {StopRequested, PeerLost, PeerMessageArrived}
+    assert handled == own | {event.__name__ for event in shared}
     modules = {event.__module__ for event in known}
     assert modules == {events.__name__, Event.__module__}
 
@@ -51,7 +51,7 @@
 
 def test_the_relay_decides_without_input_or_output():
     others = {(p, m) for p, m in list_imports("relay") if p not in SHARED}
-    assert others == {("core", "timers")}
+    assert others == {("core", "timers"), ("membership", "members")}
 
 
 def test_the_platform_folder_uses_the_relay_and_its_edge_only():
