Send the hedges of one moment to one instance near their servers

Change: hedges that fall due with one event are decided together (relay/hedges.py), and parts that several domains could serve go to the one that has most of them. A part may then be in two gathered answers; the reply uses the larger of two answers with a common shard, so that each part is named once. An estimate counts no new connection where an instance near the server has one.

Result: relay and platform tests pass; the new cases failed before.

--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -11,17 +11,18 @@
 from mimosapost.relay.catalog import Catalog, Route
 from mimosapost.relay.completion import check_progress, end_request, fail_part, refuse_request
 from mimosapost.relay.events import CallerLeft, RequestArrived
-from mimosapost.relay.gathers import list_gathered_domains, start_gather
+from mimosapost.relay.gathers import PlannedPart, assign_domains, start_gather
 from mimosapost.relay.graceful_stop import STOP_RETRY_US, can_finish, get_last_reply_us
 from mimosapost.relay.messages import Refusal, RelayRequest
+from mimosapost.relay.partners import find_partner, list_linked_domains
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
 from mimosapost.relay.retry_after import get_retry_after_us
 from mimosapost.relay.sends import (
     StartResult,
     abandon_request,
-    choose_warm_server,
     emit_send,
     list_usable,
+    rank_warm_servers,
     start_send,
 )
 from mimosapost.relay.startup_hold import hold_request, refuse_not_configured
@@ -93,7 +94,7 @@
             refuse_request(state, request.request_number, request.request_id, refusal, effects)
             return
     services = route.shards or (_choose_service(state, route),)
-    parts = [Part(service) for service in services]
+    parts = [Part(service, shard=shard) for shard, service in enumerate(services)]
     open_request = OpenRequest(request, route, catalog.version, now_us, deadline_us, parts)
     open_request.open_parts = len(parts)
     if deadline_us - now_us < _MIN_REMAINING_US:
@@ -135,19 +136,23 @@
     """
     if state.peers is None or not open_request.route.shards:
         return open_request.parts
+    linked_domains = list_linked_domains(state.peers, now_us)
     rest, planned = [], []
-    for index, part in enumerate(open_request.parts):
-        record = choose_warm_server(state, open_request, part, now_us)
-        if record is None:
-            rest.append(part)
+    for part in open_request.parts:
+        choices = rank_warm_servers(state, open_request, part, linked_domains, now_us)
+        if choices:
+            planned.append(PlannedPart(part, choices))
         else:
-            planned.append((index, part, record))
-    domains = list_gathered_domains(state.instance_settings.domain, planned)
+            rest.append(part)
+    domains, direct = assign_domains(
+        state.instance_settings.domain,
+        planned,
+        lambda domain: find_partner(state.peers, domain, now_us) is not None,
+    )
     for domain, entries in domains.items():
         start_gather(state, open_request, domain, entries, now_us, effects)
-    for _, part, record in planned:
-        if not part.gather_id:
-            emit_send(state, open_request, part, record, now_us, effects)
+    for part, record in direct:
+        emit_send(state, open_request, part, record, now_us, effects)
     return rest
 
 
--- a/mimosapost/relay/completion.py
+++ b/mimosapost/relay/completion.py
@@ -15,10 +15,12 @@
 from mimosapost.relay.registry import Effects, TimerKind
 from mimosapost.relay.retry_after import get_retry_after_us
 from mimosapost.relay.sends import abandon_request, abandon_sends
-from mimosapost.relay.state import OpenRequest, Part, RelayState
+from mimosapost.relay.state import GatheredParts, OpenRequest, Part, RelayState
 
 __all__ = [
     "check_progress",
+    "choose_gathered",
+    "count_answered",
     "end_request",
     "fail_part",
     "is_sufficient",
@@ -31,6 +33,31 @@
 _REPORT_DELAY_US = 4_000
 
 
+def choose_gathered(batches: list[GatheredParts]) -> list[GatheredParts]:
+    """Return the gathered answers that a reply is merged from, so that no shard is in two.
+
+    Load pattern: both the instance that gathered a part first and the one that hedged it
+    answer. The larger of two answers with a common shard is used.
+    """
+    chosen: list[GatheredParts] = []
+    for batch in sorted(batches, key=lambda batch: -len(batch.shards)):
+        if all(batch.shards.isdisjoint(other.shards) for other in chosen):
+            chosen.append(batch)
+    return chosen
+
+
+def count_answered(open_request: OpenRequest) -> int:
+    """Return the number of parts that a reply would include now."""
+    chosen = choose_gathered(open_request.gathered_parts)
+    covered = frozenset().union(*(batch.shards for batch in chosen))
+    own = sum(
+        1
+        for part in open_request.parts
+        if part.answer is not None and part.shard not in covered
+    )
+    return len(covered) + own
+
+
 def is_sufficient(open_request: OpenRequest) -> bool:
     """Return whether enough parts were answered for a successful reply."""
     required = len(open_request.parts) * open_request.route.min_coverage
@@ -164,8 +191,13 @@
 def _create_reply(state: RelayState, open_request: OpenRequest, now_us: int) -> Reply:
     route = open_request.route
     if route.shards and is_sufficient(open_request):
-        answers = [part.answer for part in open_request.parts if part.answer is not None]
-        gathered = open_request.gathered_parts
+        gathered = choose_gathered(open_request.gathered_parts)
+        covered = frozenset().union(*(batch.shards for batch in gathered))
+        answers = [
+            part.answer
+            for part in open_request.parts
+            if part.answer is not None and part.shard not in covered
+        ]
         signatures = [answer.signature for answer in answers]
         for batch in gathered:
             signatures += batch.signatures
--- a/mimosapost/relay/gathers.py
+++ b/mimosapost/relay/gathers.py
@@ -9,13 +9,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from mimosapost.membership.members import Member
 from mimosapost.model.effects import IncrementCounter, ObserveDuration, SendPeer, WriteLog
 from mimosapost.model.events import PeerLost, PeerMessageArrived
 from mimosapost.model.peer_messages import Gather, GatherAnswer
-from mimosapost.relay.completion import check_progress, fail_part
+from mimosapost.relay.completion import check_progress, count_answered, fail_part
 from mimosapost.relay.latency_pools import get_distance
 from mimosapost.relay.partners import (
     find_partner,
@@ -35,63 +36,93 @@
 from mimosapost.relay.sends import (
     StartResult,
     abandon_sends,
-    hedge_part,
     hedge_stragglers,
+    queue_hedge,
     start_send,
 )
 from mimosapost.relay.served_gathers import SUSPECT_REFUSAL, cancel_gathers_for
 from mimosapost.relay.server_selection import ServerRecord, record_failure
 from mimosapost.relay.state import GatheredParts, OpenGather, OpenRequest, Part, RelayState
 
-__all__ = ["MIN_GATHERED_PARTS", "list_gathered_domains", "start_gather"]
+__all__ = ["MIN_GATHERED_PARTS", "PlannedPart", "assign_domains", "start_gather"]
 
-#: Fewer parts than this are sent directly, which takes one hop less.
-MIN_GATHERED_PARTS = 3
+#: Fewer parts than this are sent directly, which takes one hop less, by distance class. A
+#: gather of two parts already crosses the link between regions with half of the bytes.
+MIN_GATHERED_PARTS = (3, 3, 2)
 # Round trip to an instance in microseconds, by distance class, and time for its reducer. A
 # partner that has not reported anything after this time and its report delay has failed.
 _ROUND_TRIP_US = (1_000, 4_000, 26_000)
 _REPORT_MARGIN_US = 10_000
 
-PlannedPart = tuple[int, Part, ServerRecord]
+ChosenPart = tuple[Part, ServerRecord]
 
 
-def list_gathered_domains(
-    own_domain: str, planned: Iterable[PlannedPart]
-) -> dict[str, list[PlannedPart]]:
-    """Return the parts that may be gathered at another instance, by failure domain.
+@dataclass(frozen=True, slots=True)
+class PlannedPart:
+    """A part that is about to be sent.
+
+    :param choices: the best server, then those that are about as quick.
+    """
+
+    part: Part
+    choices: tuple[ServerRecord, ...]
+
+
+def assign_domains(
+    own_domain: str, planned: Iterable[PlannedPart], has_partner: Callable[[str], bool]
+) -> tuple[dict[str, list[ChosenPart]], list[ChosenPart]]:
+    """Choose the parts that are gathered at other instances, and a server for each part.
+
+    Load pattern: several domains far away have equally quick servers of a shard. Parts that
+    may go to any of them go to the same one, so that a query crosses the link once.
 
     :param own_domain: domain of this instance, whose servers receive direct sends.
-    :param planned: index of the shard, part and chosen server of each part.
+    :param has_partner: returns whether an instance of a domain can gather.
+    :returns: the parts to gather by failure domain, and those to send directly.
     """
-    by_domain: dict[str, list[PlannedPart]] = {}
+    planned = list(planned)
+    options: dict[str, dict[int, ChosenPart]] = {}
     for entry in planned:
-        domain = entry[2].server.domain
-        if domain != own_domain:
-            by_domain.setdefault(domain, []).append(entry)
-    return {
-        domain: entries
-        for domain, entries in by_domain.items()
-        if len(entries) >= MIN_GATHERED_PARTS
-    }
+        for record in entry.choices:
+            if record.server.domain != own_domain:
+                domain_options = options.setdefault(record.server.domain, {})
+                domain_options.setdefault(entry.part.shard, (entry.part, record))
+    domains: dict[str, list[ChosenPart]] = {}
+    gathered: set[int] = set()
+    while options:
+        domain = max(options, key=lambda name: len(options[name]))
+        entries = options.pop(domain)
+        if not entries:
+            break
+        distance = next(iter(entries.values()))[1].distance
+        if len(entries) < MIN_GATHERED_PARTS[distance] or not has_partner(domain):
+            continue
+        domains[domain] = list(entries.values())
+        gathered |= entries.keys()
+        for others in options.values():
+            for shard in entries:
+                others.pop(shard, None)
+    direct = [(e.part, e.choices[0]) for e in planned if e.part.shard not in gathered]
+    return domains, direct
 
 
 def start_gather(
     state: RelayState,
     open_request: OpenRequest,
     domain: str,
-    entries: list[PlannedPart],
+    entries: list[ChosenPart],
     now_us: int,
     effects: Effects,
-) -> bool:
-    """Gather parts at the partner of a domain; return whether there is one."""
-    if state.peers is None:
-        return False
+    is_hedge: bool = False,
+) -> None:
+    """Gather parts at the partner of a domain.
+
+    :param is_hedge: whether the parts were sent before and paid from the budget for repeats.
+    """
     partner = find_partner(state.peers, domain, now_us)
-    if partner is None:
-        return False
-    gather = _create_gather(state, open_request, partner, entries, now_us)
-    for _, part, record in entries:
-        part.gather_id = gather.gather_id
+    gather = _create_gather(state, open_request, partner, entries, is_hedge, now_us)
+    for part, record in entries:
+        part.gather_ids.append(gather.gather_id)
         part.possible_runs += 1
         part.tried_servers.append(record.server.server_id)
         if not part.is_counted:
@@ -115,6 +146,7 @@
         ("partner", partner.name),
         ("domain", domain),
         ("parts", len(entries)),
+        ("hedge", is_hedge),
         ("heard_ms", (now_us - state.peers.heard_us[partner.name]) // 1_000),
     )
     effects.append(WriteLog("gather_sent", fields))
@@ -125,14 +157,14 @@
         + _REPORT_MARGIN_US
     )
     state.timers.add(now_us + silent_us, TimerKind.GATHER, gather.gather_id)
-    return True
 
 
 def _create_gather(
     state: RelayState,
     open_request: OpenRequest,
     partner: Member,
-    entries: list[PlannedPart],
+    entries: list[ChosenPart],
+    is_hedge: bool,
     now_us: int,
 ) -> OpenGather:
     gather_id, state.next_gather_id = state.next_gather_id, state.next_gather_id + 1
@@ -144,13 +176,18 @@
         partner.peer_address,
         get_distance(own.domain, own.region, identity.domain, identity.region),
         now_us,
-        {index: (part, record) for index, part, record in entries},
+        {part.shard: (part, record) for part, record in sorted(entries, key=_get_shard)},
+        is_hedge,
     )
     state.gathers[gather_id] = gather
     open_request.gather_ids.append(gather_id)
     return gather
 
 
+def _get_shard(entry: ChosenPart) -> int:
+    return entry[0].shard
+
+
 @handles_message(GatherAnswer)
 def handle_gather_answer(
     state: RelayState, event: PeerMessageArrived, effects: Effects
@@ -185,10 +222,12 @@
         state.gathers.pop(gather.gather_id, None)
     for index in answer.failed:
         part, record = gather.parts.pop(index)
-        part.gather_id = 0
+        part.gather_ids.remove(gather.gather_id)
         if index in answer.not_run:
             part.possible_runs -= 1
             part.rejections += 1
+            if gather.is_hedge:
+                state.get_budget(part.service).refund()
         record_failure(record, now_us)
         _repeat_part(
             state, open_request, part, gather.sent_us, "gather_failed", now_us, effects
@@ -198,8 +237,7 @@
     if not _is_open(state, open_request):
         return
     hedge_stragglers(state, open_request, now_us)
-    for part, record in list(gather.parts.values()):
-        _hedge_gathered_part(state, open_request, gather, part, record, now_us, effects)
+    _hedge_gathered_parts(state, open_request, gather, now_us)
 
 
 def _accept_parts(
@@ -210,20 +248,18 @@
     now_us: int,
     effects: Effects,
 ) -> None:
-    open_request.gathered_parts.append(GatheredParts(answer.signatures, answer.records))
+    shards = frozenset(answer.shards)
+    open_request.gathered_parts.append(GatheredParts(shards, answer.signatures, answer.records))
     for index in answer.shards:
         part, _ = gather.parts.pop(index)
-        part.gather_id = 0
+        part.gather_ids.remove(gather.gather_id)
         part.gathered = True
-        # The records of the parts can't be told apart, so the gathered answer replaces one
-        # that a hedge brought.
-        part.answer = None
         if not part.done:
             part.done = True
             part.answered_us = now_us
-            open_request.answered += 1
             open_request.open_parts -= 1
             abandon_sends(state, part, now_us, effects)
+    open_request.answered = count_answered(open_request)
 
 
 def _is_open(state: RelayState, open_request: OpenRequest) -> bool:
@@ -245,11 +281,17 @@
     _count(effects, "refused")
     del state.gathers[gather.gather_id]
     for part, record in gather.parts.values():
-        part.gather_id = 0
+        part.gather_ids.remove(gather.gather_id)
         part.possible_runs -= 1
-        if part.done or part.sends or not _is_open(state, open_request):
-            continue
         part.tried_servers.remove(record.server.server_id)
+        if gather.is_hedge:
+            state.get_budget(part.service).refund()
+        if part.done or not _is_open(state, open_request):
+            continue
+        if part.is_sent:
+            server_id, waited_us = record.server.server_id, now_us - gather.sent_us
+            queue_hedge(state, open_request, part, server_id, waited_us, 0, is_direct=True)
+            continue
         if reason == SUSPECT_REFUSAL:
             fail_part(state, open_request, part, reason, now_us, effects)
         elif start_send(state, open_request, part, now_us, effects) is StartResult.NO_SERVER:
@@ -265,25 +307,18 @@
     now_us: int,
     effects: Effects,
 ) -> None:
-    if not part.done and not part.sends and _is_open(state, open_request):
+    if not part.done and not part.is_sent and _is_open(state, open_request):
         server_id, waited_us = part.tried_servers[-1], now_us - sent_us
         retry_or_fail(state, open_request, part, server_id, waited_us, reason, now_us, effects)
 
 
-def _hedge_gathered_part(
-    state: RelayState,
-    open_request: OpenRequest,
-    gather: OpenGather,
-    part: Part,
-    record: ServerRecord,
-    now_us: int,
-    effects: Effects,
+def _hedge_gathered_parts(
+    state: RelayState, open_request: OpenRequest, gather: OpenGather, now_us: int
 ) -> None:
-    if part.done or part.sends:
-        return
-    pool = state.get_pools(open_request.route)[gather.distance]
-    server_id, waited_us = record.server.server_id, now_us - gather.sent_us
-    hedge_part(state, open_request, part, server_id, waited_us, pool.slow_us, now_us, effects)
+    usual_us = state.get_pools(open_request.route)[gather.distance].slow_us
+    for part, record in gather.parts.values():
+        server_id, waited_us = record.server.server_id, now_us - gather.sent_us
+        queue_hedge(state, open_request, part, server_id, waited_us, usual_us)
 
 
 @handles_timer(TimerKind.GATHER)
@@ -304,8 +339,7 @@
     effects.append(WriteLog("gather_silent", fields))
     _count(effects, "silent")
     record_peer_failure(state.peers, gather.peer, now_us)
-    for part, record in list(gather.parts.values()):
-        _hedge_gathered_part(state, open_request, gather, part, record, now_us, effects)
+    _hedge_gathered_parts(state, open_request, gather, now_us)
 
 
 @handles(PeerLost)
@@ -336,7 +370,7 @@
     effects.append(WriteLog("gather_lost", fields))
     _count(effects, "lost")
     for part, _ in gather.parts.values():
-        part.gather_id = 0
+        part.gather_ids.remove(gather.gather_id)
     for part, _ in gather.parts.values():
         _repeat_part(state, open_request, part, gather.sent_us, reason, now_us, effects)
 
--- a/mimosapost/relay/partners.py
+++ b/mimosapost/relay/partners.py
@@ -15,7 +15,15 @@
 from mimosapost.membership.members import Member, MemberTable
 from mimosapost.model.identities import InstanceIdentity
 
-__all__ = ["PeerState", "choose_partner", "find_partner", "record_peer_failure"]
+__all__ = [
+    "PeerState",
+    "choose_partner",
+    "find_partner",
+    "list_linked_domains",
+    "record_gathered",
+    "record_heard",
+    "record_peer_failure",
+]
 
 # A partner that was not heard from for this time gets no gathers. It answers pings that are
 # sent once a second.
@@ -112,6 +120,16 @@
     return partner if heard_us is not None and now_us - heard_us < READY_US else None
 
 
+def list_linked_domains(peers: PeerState, now_us: int) -> set[str]:
+    """Return the failure domains whose partner answered lately."""
+    return {
+        domain
+        for domain, partner in peers.partners.items()
+        if not peers.is_blocked(partner.name, now_us)
+        and now_us - peers.heard_us.get(partner.name, now_us - READY_US) < READY_US
+    }
+
+
 def record_heard(peers: PeerState, name: str, now_us: int) -> None:
     """Record an answer of an instance."""
     peers.heard_us[name] = now_us
--- a/mimosapost/relay/reducer.py
+++ b/mimosapost/relay/reducer.py
@@ -13,6 +13,7 @@
     gathers,
     gossip,
     graceful_stop,
+    hedges,
     send_outcomes,
     sends,
     served_gathers,
@@ -36,6 +37,7 @@
     find_handler(type(event))(state, event, effects)
     admission.admit_held_requests(state, event.now_us, effects)
     sends.dispatch_waiting(state, event.now_us, effects)
+    hedges.start_hedges(state, event.now_us, effects)
     due_us = state.timers.get_next_due_us()
     if due_us is not None and due_us != state.timers.armed_us:
         state.timers.armed_us = due_us
--- a/mimosapost/relay/send_outcomes.py
+++ b/mimosapost/relay/send_outcomes.py
@@ -179,7 +179,7 @@
 ) -> None:
     open_request = state.requests.get(send.request_number)
     part = send.part
-    if open_request is None or part.done or part.sends or part.waiting or part.gather_id:
+    if open_request is None or part.done or part.is_sent or part.waiting:
         return
     server_id, waited_us = send.record.server.server_id, now_us - send.sent_us
     retry_or_fail(state, open_request, part, server_id, waited_us, reason, now_us, effects)
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -5,28 +5,29 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from enum import Enum
 
-from mimosapost.model.effects import IncrementCounter, SendPeer, WriteLog
+from mimosapost.model.effects import SendPeer
 from mimosapost.model.peer_messages import GatherCancel
 from mimosapost.relay.effects import AbandonSend, StartSend
-from mimosapost.relay.registry import Effects, TimerKind, handles_timer
+from mimosapost.relay.registry import Effects, TimerKind
 from mimosapost.relay.repeats import get_hedge_delay_us
-from mimosapost.relay.server_selection import ServerRecord, choose_server
+from mimosapost.relay.server_selection import ServerRecord, choose_server, rank_servers
 from mimosapost.relay.service_discovery import is_usable
-from mimosapost.relay.state import OpenRequest, OpenSend, Part, RelayState
+from mimosapost.relay.state import HedgeDue, OpenRequest, OpenSend, Part, RelayState
 from mimosapost.relay.warmup import ColdAllowance
 
 __all__ = [
     "StartResult",
     "abandon_request",
     "abandon_sends",
-    "choose_warm_server",
     "dispatch_waiting",
     "emit_send",
-    "hedge_part",
     "hedge_stragglers",
     "list_usable",
+    "queue_hedge",
+    "rank_warm_servers",
     "start_send",
 ]
 
@@ -88,7 +89,8 @@
     if not usable:
         return StartResult.NO_SERVER
     limit = _get_cold_limit(state, part.service)
-    record = _choose_warm(state, open_request, part, usable, now_us)
+    warm = _list_warm(state, part, usable, now_us)
+    record = choose_server(warm, state.get_pools(open_request.route), now_us, state.rng)
     if record is None and limit:
         cold = [record for record in usable if record.cold_until_us > now_us]
         record = _choose_cold(state, cold, limit, now_us)
@@ -99,30 +101,35 @@
     return StartResult.SENT
 
 
-def choose_warm_server(
-    state: RelayState, open_request: OpenRequest, part: Part, now_us: int
-) -> ServerRecord | None:
-    """Return the server that a send of a part would use now, if one with room is warm."""
-    usable = list_usable(state, open_request, part, now_us)
-    return _choose_warm(state, open_request, part, usable, now_us)
-
-
-def _choose_warm(
+def rank_warm_servers(
     state: RelayState,
     open_request: OpenRequest,
     part: Part,
-    usable: list[ServerRecord],
+    linked_domains: Collection[str],
     now_us: int,
-) -> ServerRecord | None:
+) -> tuple[ServerRecord, ...]:
+    """Return the warm servers with room that a send of a part may use now.
+
+    :param linked_domains: failure domains with an instance that can send to the servers there.
+    :returns: the server that a send would use, then those that are about as quick.
+    """
+    usable = list_usable(state, open_request, part, now_us)
+    warm = _list_warm(state, part, usable, now_us)
+    pools = state.get_pools(open_request.route)
+    return rank_servers(warm, pools, linked_domains, now_us, state.rng)
+
+
+def _list_warm(
+    state: RelayState, part: Part, usable: list[ServerRecord], now_us: int
+) -> list[ServerRecord]:
     connections = _get_connections(state, part.service)
     limit = _get_cold_limit(state, part.service)
-    free = [
+    return [
         record
         for record in usable
         if (not limit or record.cold_until_us <= now_us)
         and len(record.open_sends) < connections
     ]
-    return choose_server(free, state.get_pools(open_request.route), now_us, state.rng)
 
 
 def _choose_cold(
@@ -192,63 +199,26 @@
         state.timers.add(now_us + delay_us, TimerKind.HEDGE, send_id)
 
 
-@handles_timer(TimerKind.HEDGE)
-def hedge_send(state: RelayState, key: int, now_us: int, effects: Effects) -> None:
-    """Send a part to a second server if the first has not answered within the hedge delay."""
-    send = state.sends.get(key)
-    open_request = state.requests.get(send.request_number) if send is not None else None
-    if send is None or open_request is None or send.part.done or send.abandoned_us:
-        return
-    server_id, waited_us = send.record.server.server_id, now_us - send.sent_us
-    usual_us = send.pool.slow_us
-    hedge_part(state, open_request, send.part, server_id, waited_us, usual_us, now_us, effects)
-
-
-def hedge_part(
+def queue_hedge(
     state: RelayState,
     open_request: OpenRequest,
     part: Part,
     server_id: str,
     waited_us: int,
     usual_us: int,
-    now_us: int,
-    effects: Effects,
+    is_direct: bool = False,
 ) -> None:
-    """Send a part to a second server if the limits on repeats allow it.
+    """Hedge a part once all events of the moment were applied.
+
+    Hedges of several parts may then share one message to another instance.
 
     :param server_id: server that has not answered yet.
     :param waited_us: time since that send, in microseconds.
     :param usual_us: time in which most answers arrive, in microseconds.
+    :param is_direct: whether another instance refused to gather the part.
     """
-    if (
-        not open_request.route.repeatable
-        or len(part.sends) > 1
-        or part.possible_runs >= open_request.route.max_sends
-        or open_request.past_goal
-    ):
-        return
-    limit = _get_cold_limit(state, part.service)
-    usable = [
-        record
-        for record in list_usable(state, open_request, part, now_us)
-        if (not limit or record.cold_until_us <= now_us)
-        and len(record.open_sends) < _get_connections(state, part.service)
-    ]
-    if not usable or not state.get_budget(part.service).try_spend():
-        return
-    record = choose_server(usable, state.get_pools(open_request.route), now_us, state.rng)
-    open_request.hedges += 1
-    fields = (
-        ("request", open_request.request.request_id),
-        ("server", server_id),
-        ("next_server", record.server.server_id),
-        ("waited_ms", waited_us // 1_000),
-        ("usual_ms", usual_us // 1_000),
-        ("budget", state.get_budget(part.service).available),
-    )
-    effects.append(WriteLog("send_hedged", fields))
-    effects.append(IncrementCounter("mimosapost_relay_repeats_total", (("reason", "hedge"),)))
-    emit_send(state, open_request, part, record, now_us, effects)
+    due = HedgeDue(part, server_id, waited_us, usual_us, is_direct)
+    state.hedges_due.setdefault(open_request.request.request_number, []).append(due)
 
 
 def hedge_stragglers(state: RelayState, open_request: OpenRequest, now_us: int) -> None:
--- a/mimosapost/relay/served_gathers.py
+++ b/mimosapost/relay/served_gathers.py
@@ -106,7 +106,7 @@
         message.body,
         message.fingerprint,
     )
-    parts = [Part(route.shards[index]) for index in message.shards]
+    parts = [Part(route.shards[index], shard=index) for index in message.shards]
     open_request = OpenRequest(
         request, replace(route, max_sends=1), message.version, now_us, deadline_us, parts
     )
--- a/mimosapost/relay/server_selection.py
+++ b/mimosapost/relay/server_selection.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from mimosapost.relay.latency_pools import LatencyPool
@@ -18,6 +18,7 @@
     "ServerRecord",
     "choose_server",
     "estimate_us",
+    "rank_servers",
     "record_failure",
     "record_hang",
     "record_latency",
@@ -44,6 +45,8 @@
 # Largest random increase of an estimate, as a share, so that servers with about equal
 # estimates share the load.
 _SCORE_JITTER = 0.1
+# Servers whose estimates are within this ratio of the lowest one count as about as quick.
+_EQUAL_RATIO = 1.3
 # Time without sends after a server was unreachable: the first one, and the bound to which it
 # doubles.
 _INITIAL_BLOCK_US = 300_000
@@ -96,12 +99,16 @@
         return now_us < self.hung_until_us
 
 
-def estimate_us(record: ServerRecord, pool: LatencyPool, now_us: int) -> float:
+def estimate_us(
+    record: ServerRecord, pool: LatencyPool, now_us: int, is_linked: bool = False
+) -> float:
     """Return the expected time to the answer of a send to a server, in microseconds.
 
     :param record: observations of the server.
     :param pool: answer times of the route in the server's distance class.
     :param now_us: monotonic time in microseconds.
+    :param is_linked: whether an instance near the server would send to it over a connection of
+        its own.
     """
     weight = 0.5 ** ((now_us - record.observed_us) / _OBSERVATION_HALF_LIFE_US)
     typical = pool.median_us
@@ -109,7 +116,7 @@
     if record.open_sends:
         # The age of the oldest open send is newer evidence than earlier answers.
         expected = max(expected, float(now_us - next(iter(record.open_sends.values()))))
-    if now_us - record.connection_used_us >= _IDLE_CONNECTION_US:
+    if not is_linked and now_us - record.connection_used_us >= _IDLE_CONNECTION_US:
         expected += _CONNECT_PENALTY_US[record.distance]
     busy = len(record.open_sends)
     if record.load is not None and now_us - record.load_us < _LOAD_REPORT_VALID_US:
@@ -139,15 +146,54 @@
     """
     best, best_score = None, 0.0
     for record in records:
-        score = estimate_us(record, pools[record.distance], now_us)
-        score *= 1 + _SCORE_JITTER * rng.random()
-        if record.is_hung(now_us):
-            score += _MAX_BLOCK_US
+        score = _score(record, pools, now_us, rng)
         if best is None or score < best_score:
             best, best_score = record, score
     return best
 
 
+def rank_servers(
+    records: Iterable[ServerRecord],
+    pools: tuple[LatencyPool, ...],
+    linked_domains: Collection[str],
+    now_us: int,
+    rng: random.Random,
+) -> tuple[ServerRecord, ...]:
+    """Return the server that :func:`choose_server` would choose and those about as quick.
+
+    The others are in the same distance class, so that a choice among them does not cost the
+    caller time.
+
+    :param linked_domains: failure domains with an instance that can send to the servers there.
+    :returns: servers, the one with the lowest estimate first.
+    """
+    scores = [
+        (_score(record, pools, now_us, rng, record.server.domain in linked_domains), record)
+        for record in records
+    ]
+    if not scores:
+        return ()
+    scores.sort(key=lambda entry: entry[0])
+    best_score, best = scores[0]
+    return tuple(
+        record
+        for score, record in scores
+        if record.distance == best.distance and score <= best_score * _EQUAL_RATIO
+    )
+
+
+def _score(
+    record: ServerRecord,
+    pools: tuple[LatencyPool, ...],
+    now_us: int,
+    rng: random.Random,
+    is_linked: bool = False,
+) -> float:
+    score = estimate_us(record, pools[record.distance], now_us, is_linked)
+    score *= 1 + _SCORE_JITTER * rng.random()
+    return score + _MAX_BLOCK_US if record.is_hung(now_us) else score
+
+
 def record_latency(
     record: ServerRecord, pool: LatencyPool, elapsed_us: int, now_us: int
 ) -> None:
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     "GatheredParts",
+    "HedgeDue",
     "InstanceSettings",
     "OpenGather",
     "OpenRequest",
@@ -73,8 +74,8 @@
     :param waiting: whether the part waits for a server with room or for a retry.
     :param reason: why the part has no answer.
     :param is_counted: whether the budget for repeats has counted the part.
-    :param gather_id: number of the open gather at another instance that includes the part,
-        or 0.
+    :param shard: index of the service within the shards of the route.
+    :param gather_ids: numbers of the open gathers at other instances that include the part.
     :param gathered: whether another instance gathered the answer.
     """
 
@@ -89,9 +90,15 @@
     waiting: bool = False
     reason: str = ""
     is_counted: bool = False
-    gather_id: int = 0
+    shard: int = 0
+    gather_ids: list[int] = field(default_factory=list)
     gathered: bool = False
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether a send or a gather of the part is open."""
+        return bool(self.sends or self.gather_ids)
+
     @property
     def is_answered(self) -> bool:
         """Whether the part has an answer, its own or a gathered one."""
@@ -100,12 +107,33 @@
 
 @dataclass(frozen=True, slots=True)
 class GatheredParts:
-    """Merged answers of some shards, as another instance returned them."""
+    """Merged answers of some shards, as another instance returned them.
 
+    :param shards: indexes of the shards; their records can't be told apart.
+    """
+
+    shards: frozenset[int]
     signatures: tuple[str, ...]
     records: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class HedgeDue:
+    """A part that is to be hedged once all events of the moment were applied.
+
+    :param server_id: server that has not answered yet.
+    :param waited_us: time since that send, in microseconds.
+    :param usual_us: time in which most answers arrive, in microseconds.
+    :param is_direct: whether another instance refused to gather the part.
+    """
+
+    part: Part
+    server_id: str
+    waited_us: int
+    usual_us: int
+    is_direct: bool = False
+
+
 @dataclass(slots=True)
 class OpenGather:
     """Parts of one query that another instance gathers.
@@ -114,6 +142,7 @@
     :param distance: distance class of that instance.
     :param parts: parts without an outcome, with the server that this instance would have
         used, by index of the shard.
+    :param is_hedge: whether the parts were sent before, so that the budget for repeats pays.
     :param is_reported: whether the other instance has sent an answer.
     """
 
@@ -124,6 +153,7 @@
     distance: int
     sent_us: int
     parts: dict[int, tuple[Part, ServerRecord]]
+    is_hedge: bool = False
     is_reported: bool = False
 
 
@@ -214,6 +244,7 @@
     :param source_lost_us: time at which the source was lost, or 0 if it is reachable.
     :param source_regained_us: time at which the source last recovered, or 0.
     :param services_to_dispatch: services whose waiting parts may now find a server with room.
+    :param hedges_due: parts to hedge after the current event, by request number.
     :param peers: other instances, or ``None`` for an instance that works alone.
     :param gathers: open gathers at other instances, by number.
     :param served_gathers: request number of each open gather for another instance, by the name
@@ -245,6 +276,7 @@
     next_timer_key: int = 1
     stop_requested_us: int = 0
     services_to_dispatch: set[str] = field(default_factory=set)
+    hedges_due: dict[int, list[HedgeDue]] = field(default_factory=dict)
     peers: PeerState | None = None
     gathers: dict[int, OpenGather] = field(default_factory=dict)
     served_gathers: dict[tuple[str, int], int] = field(default_factory=dict)
--- a/mimosapost/relay/tests/test_gathers.py
+++ b/mimosapost/relay/tests/test_gathers.py
@@ -16,7 +16,7 @@
 from mimosapost.model.peer_messages import Gather, GatherAnswer, GatherCancel
 from mimosapost.relay.catalog import ServiceRules, create_catalog
 from mimosapost.relay.events import CallerLeft, CatalogRead
-from mimosapost.relay.gathers import list_gathered_domains
+from mimosapost.relay.gathers import PlannedPart, assign_domains
 from mimosapost.relay.messages import GatheredReply, Refusal
 from mimosapost.relay.server_selection import ServerRecord
 from mimosapost.relay.state import Part
@@ -92,23 +92,145 @@
 
 
 @pytest.mark.parametrize(
-    ("domain_of_part", "expected"),
+    ("choices", "distance", "expected"),
     [
-        pytest.param("aaaaaaaa", set(), id="own domain"),
-        pytest.param("bbaaaaaa", set(), id="few parts elsewhere"),
-        pytest.param("bbbaaaaa", {"b1"}, id="one domain"),
-        pytest.param("bbbbcccc", {"b1", "c1"}, id="two domains"),
-        pytest.param("bbbbbbcc", {"b1"}, id="many and few"),
+        pytest.param("a a a a a a a a", 0, {}, id="own domain"),
+        pytest.param("b b a a a a a a", 1, {}, id="two parts in the region"),
+        pytest.param("b a a a a a a a", 2, {}, id="one part in another region"),
+        pytest.param("b b a a a a a a", 2, {"b1": 2}, id="two parts in another region"),
+        pytest.param("b b b a a a a a", 1, {"b1": 3}, id="one domain"),
+        pytest.param("b b b b c c c c", 1, {"b1": 4, "c1": 4}, id="two domains"),
+        pytest.param("b b b b b b c c", 1, {"b1": 6}, id="many and few"),
+        pytest.param("bc cb bc cb bc cb bc cb", 2, {"b1": 8}, id="either of two domains"),
+        pytest.param("bc cb c c a a a a", 2, {"c1": 4}, id="one domain has them all"),
+        pytest.param("bc b b cb c c c c", 2, {"b1": 2, "c1": 6}, id="the rest elsewhere"),
+        pytest.param("d d d d a a a a", 2, {}, id="no partner"),
+        pytest.param("db db db db a a a a", 2, {"b1": 4}, id="partner in the other domain"),
     ],
 )
-def test_parts_are_gathered_where_several_are(domain_of_part, expected):
+def test_parts_are_gathered_where_most_are(choices, distance, expected):
     planned = []
-    for index, letter in enumerate(domain_of_part):
-        (server,) = create_servers(f"s{index}", (f"{letter}1",))
-        planned.append((index, Part(f"s{index}"), ServerRecord(server, 0, "")))
-    domains = list_gathered_domains("a1", planned)
-    assert set(domains) == expected
-    assert all(len(entries) >= 3 for entries in domains.values())
+    for shard, letters in enumerate(choices.split()):
+        servers = [create_servers(f"s{shard}", (f"{letter}1",))[0] for letter in letters]
+        records = tuple(ServerRecord(server, distance, "") for server in servers)
+        planned.append(PlannedPart(Part(f"s{shard}", shard=shard), records))
+    domains, direct = assign_domains("a1", planned, lambda domain: domain != "d1")
+    assert {name: len(entries) for name, entries in domains.items()} == expected
+    gathered = [(p.shard, r.server.domain) for e in domains.values() for p, r in e]
+    assert {domain for _, domain in gathered} == set(expected)
+    shards = [shard for shard, _ in gathered] + [part.shard for part, _ in direct]
+    assert sorted(shards) == list(range(len(planned)))
+    best = {entry.part.shard: entry.choices[0] for entry in planned}
+    assert all(record is best[part.shard] for part, record in direct)
+
+
+def test_far_parts_cross_the_link_once_although_two_domains_have_them():
+    fleet = create_fleet(domains=("c1", "a1", "b1"))
+    number = send_query(fleet)
+    assert fleet.count_messages(Gather) == 1
+    assert fleet["n1"].pop_sends() == []
+    answer_all(fleet)
+    assert fleet["n1"].get_reply(number).missing == 0
+
+
+def start_with_stragglers(number_of_stragglers, **changes):
+    """Return a fleet with a query whose first servers answered but for some."""
+    fleet = create_fleet(domains=("a1", "b1"), **changes)
+    # As earlier hedges would, shows that a partner is needed there.
+    fleet["n1"].state.peers.demanded_us["b1"] = fleet.now_us
+    fleet.advance(2_500)
+    clear(fleet)
+    number = fleet["n1"].request()
+    sends = fleet["n1"].pop_sends()
+    assert len(sends) == len(SHARDS)
+    for send in sends[number_of_stragglers:]:
+        fleet["n1"].answer(send)
+    return fleet, number, sends[:number_of_stragglers]
+
+
+@pytest.mark.parametrize(
+    ("stragglers", "messages", "direct"), [(1, 0, 1), (2, 1, 0), (5, 1, 0)]
+)
+def test_hedges_of_one_moment_share_a_message(stragglers, messages, direct):
+    """Replay a query of which some servers pause; their other servers are far away."""
+    fleet, number, paused = start_with_stragglers(stragglers)
+    budgets = {s: fleet["n1"].state.get_budget(s).available for s in SHARDS}
+    fleet.advance(60)
+    assert fleet.count_messages(Gather) == messages
+    hedges = fleet["n1"].pop_sends() + fleet["n2"].pop_sends()
+    assert sorted(s.server.service for s in hedges) == sorted(s.server.service for s in paused)
+    assert len([s for s in hedges if s.send_id in fleet["n1"].state.sends]) >= direct
+    spent = {s: budgets[s] - fleet["n1"].state.get_budget(s).available for s in SHARDS}
+    assert sum(spent.values()) == stragglers
+    owner = fleet["n2"] if messages else fleet["n1"]
+    for send in hedges:
+        owner.answer(send)
+    fleet.advance(12)
+    reply = fleet["n1"].get_reply(number)
+    assert reply.missing == 0
+    assert len(set(reply.signatures)) == len(SHARDS)
+
+
+@pytest.mark.parametrize("first", ["original", "hedges"])
+def test_overlapping_answers_count_once(first):
+    """Both the paused server and the instance that hedged it answer."""
+    fleet, number, paused = start_with_stragglers(3, min_coverage=1.0)
+    fleet.advance(60)
+    hedges = fleet["n2"].pop_sends()
+    assert len(hedges) == 3
+    if first == "original":
+        fleet["n1"].answer(paused[0])
+    for send in hedges:
+        fleet["n2"].answer(send)
+    fleet.advance(12)
+    reply = fleet["n1"].get_reply(number)
+    assert reply.missing == 0
+    assert len(set(reply.signatures)) == len(reply.signatures) == len(SHARDS)
+
+
+@pytest.mark.parametrize("first", ["n2", "n3"])
+def test_a_part_of_two_gathers_counts_once(first):
+    """Replay a partner with paused servers, whose parts another partner gathers as hedges."""
+    fleet = create_fleet(domains=("c1", "a1", "b1"), min_coverage=1.0)
+    number = send_query(fleet)
+    (asked,) = {r for _, r, m in fleet.messages if isinstance(m, Gather)}
+    hedger = "n3" if asked == "n2" else "n2"
+    sends = fleet[asked].pop_sends()
+    for send in sends[3:]:
+        fleet[asked].answer(send)
+    fleet.advance(75)
+    hedges = fleet[hedger].pop_sends()
+    assert len(hedges) == 3
+    first_is_hedger = first == hedger
+    if first_is_hedger:
+        for send in hedges:
+            fleet[hedger].answer(send)
+        fleet[asked].answer(sends[0])
+    else:
+        fleet[asked].answer(sends[0])
+        fleet.advance(6)
+        for send in hedges:
+            fleet[hedger].answer(send)
+    fleet.advance(20)
+    reply = fleet["n1"].get_reply(number)
+    assert reply.missing == 0
+    assert len(set(reply.signatures)) == len(reply.signatures) == len(SHARDS)
+
+
+def test_hedges_that_a_partner_refuses_are_sent_directly():
+    fleet, number, paused = start_with_stragglers(4)
+    budgets = {s: fleet["n1"].state.get_budget(s).available for s in SHARDS}
+    fleet["n2"].apply_event(StopRequested(fleet.now_us))
+    fleet["n2"].effects = []  # The announcement is lost.
+    fleet.advance(70)
+    assert fleet["n2"].pop_sends() == []
+    hedges = fleet["n1"].pop_sends()
+    assert len(hedges) == len(paused)
+    spent = {s: budgets[s] - fleet["n1"].state.get_budget(s).available for s in SHARDS}
+    assert sum(spent.values()) == len(paused)
+    for send in hedges:
+        fleet["n1"].answer(send)
+    assert fleet["n1"].get_reply(number).missing == 0
 
 
 def test_a_paused_server_is_hedged_by_the_instance_that_asked():
