Report gathered hedges once half of them are answered

Change: the message says that its parts are hedges; half of the parts predict when to report.

Result: relay and membership tests pass, the new ones failed before.

--- a/mimosapost/membership/codec.py
+++ b/mimosapost/membership/codec.py
@@ -402,6 +402,7 @@
         "fingerprint": message.fingerprint,
         "remainingUs": message.remaining_us,
         "shards": _write_bitmap(message.shards, "shards"),
+        "hedge": message.is_hedge,
     }
 
 
@@ -417,6 +418,7 @@
         fingerprint=reader.fingerprint,
         remaining_us=reader.remainingUs,
         shards=_read_bitmap(reader.shards, "shards"),
+        is_hedge=reader.hedge,
     )
 
 
--- a/mimosapost/membership/peer.capnp
+++ b/mimosapost/membership/peer.capnp
@@ -103,6 +103,7 @@
   fingerprint @6 :UInt64;
   remainingUs @7 :UInt64;
   shards @8 :Data;
+  hedge @9 :Bool;
 }
 
 # The signatures follow the order of the shards and are separated by commas.
--- a/mimosapost/model/peer_messages.py
+++ b/mimosapost/model/peer_messages.py
@@ -196,6 +196,7 @@
     :param fingerprint: hash of method, target and body.
     :param remaining_us: time left until the deadline, in microseconds.
     :param shards: indexes of the shards within the route, ascending.
+    :param is_hedge: whether the shards were asked before, so that little time is left.
     """
 
     gather_id: int
@@ -207,6 +208,7 @@
     fingerprint: int
     remaining_us: int
     shards: tuple[int, ...]
+    is_hedge: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/mimosapost/relay/gathers.py
+++ b/mimosapost/relay/gathers.py
@@ -139,6 +139,7 @@
         request.fingerprint,
         max(0, open_request.deadline_us - now_us),
         tuple(gather.parts),
+        is_hedge,
     )
     effects.append(SendPeer(partner.name, partner.peer_address, message))
     fields = (
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -42,6 +42,8 @@
 _CONNECT_TIMEOUT_US = 250_000
 # Largest share of a query's parts that are hedged early once all others are answered.
 STRAGGLER_SHARE = 0.1
+# Largest share of gathered hedges that is still open when the others are reported.
+SERVED_HEDGE_SHARE = 0.5
 # The stragglers are hedged after the elapsed time of the query divided by this number.
 _STRAGGLER_WAIT_DIVISOR = 8
 # Time for which the connection of an abandoned send stays open. When a caller leaves, servers
@@ -225,9 +227,13 @@
     """Schedule early hedges of the last parts of a query once the others are answered.
 
     The other parts of the same query predict its answer times better than earlier queries do,
-    because the query may have waited for the processor behind another one.
+    because the query may have waited for the processor behind another one. Hedges that are
+    gathered for another instance are reported once half of them are answered: few parts
+    predict little, and a paused server among them must not hold back the answers of the others.
     """
-    stragglers = len(open_request.parts) * STRAGGLER_SHARE
+    served = open_request.served
+    share = SERVED_HEDGE_SHARE if served is not None and served.is_hedge else STRAGGLER_SHARE
+    stragglers = len(open_request.parts) * share
     if (
         open_request.stragglers_hedged
         or open_request.open_parts > stragglers
@@ -236,7 +242,7 @@
         return
     open_request.stragglers_hedged = True
     due_us = now_us + (now_us - open_request.arrived_us) // _STRAGGLER_WAIT_DIVISOR
-    if open_request.served is not None:
+    if served is not None:
         # The instance that asked for the parts decides on hedges.
         state.timers.add(due_us, TimerKind.REPORT, open_request.request.request_number)
         return
--- a/mimosapost/relay/served_gathers.py
+++ b/mimosapost/relay/served_gathers.py
@@ -51,7 +51,13 @@
         effects.append(WriteLog("gather_not_served", fields))
         _count(effects, "refused")
         return
-    served = ServedGather(message.gather_id, event.peer, member.peer_address, message.shards)
+    served = ServedGather(
+        message.gather_id,
+        event.peer,
+        member.peer_address,
+        message.shards,
+        message.is_hedge,
+    )
     _start_served(state, message, route, served, now_us, effects)
 
 
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -163,6 +163,7 @@
 
     :param peer: name of the other instance.
     :param shards: index of the shard of each part, in the order of the parts.
+    :param is_hedge: whether the parts are hedges.
     :param reported: positions of the parts whose outcome was sent.
     :param is_reported: whether any answer was sent; further outcomes are then sent at once.
     :param report_due: whether a timer for the next answer is set.
@@ -172,6 +173,7 @@
     peer: str
     peer_address: str
     shards: tuple[int, ...]
+    is_hedge: bool = False
     reported: set[int] = field(default_factory=set)
     is_reported: bool = False
     report_due: bool = False
--- a/mimosapost/relay/tests/test_gathers.py
+++ b/mimosapost/relay/tests/test_gathers.py
@@ -171,6 +171,20 @@
     assert len(set(reply.signatures)) == len(SHARDS)
 
 
+@pytest.mark.parametrize("answered", [2, 3])
+def test_a_paused_server_among_the_hedges_does_not_hold_back_the_others(answered):
+    """Replay hedges of four parts at once, of which a second server pauses too."""
+    fleet, number, _ = start_with_stragglers(4, min_coverage=1.0)
+    fleet.advance(20)
+    hedges = fleet["n2"].pop_sends()
+    assert len(hedges) == 4
+    for send in hedges[:answered]:
+        fleet["n2"].answer(send)
+    fleet.advance(16)
+    request = fleet["n1"].state.requests[number]
+    assert request.answered == len(SHARDS) - 4 + answered
+
+
 @pytest.mark.parametrize("first", ["original", "hedges"])
 def test_overlapping_answers_count_once(first):
     """Both the paused server and the instance that hedged it answer."""
