Hedge gathered parts only when they are late, and keep late answers apart

Late answers came merged, so that they overlapped with two hedges at once; the reply dropped one of them and the request ended as if it could not succeed.

Change: a report says whether open parts are overdue; only then are they hedged. After it, each answer has a message of its own. A part that is being gathered is hedged at an untried server only.

Result: relay and membership tests pass, the new ones failed before.

--- a/mimosapost/membership/codec.py
+++ b/mimosapost/membership/codec.py
@@ -435,6 +435,7 @@
         "notRun": _write_bitmap(message.not_run, "notRun"),
         "last": message.last,
         "refusal": message.refusal,
+        "overdue": message.is_overdue,
     }
 
 
@@ -450,6 +451,7 @@
         not_run=_read_bitmap(reader.notRun, "notRun"),
         last=reader.last,
         refusal=_check_length(reader.refusal, _MAX_REFUSAL_BYTES, "refusal"),
+        is_overdue=reader.overdue,
     )
     if len(answer.signatures) != len(answer.shards) or "" in answer.signatures:
         raise CodecError(
--- a/mimosapost/membership/peer.capnp
+++ b/mimosapost/membership/peer.capnp
@@ -116,6 +116,7 @@
   notRun @5 :Data;
   last @6 :Bool;
   refusal @7 :Text;
+  overdue @8 :Bool;
 }
 
 struct GatherCancel {
--- a/mimosapost/model/peer_messages.py
+++ b/mimosapost/model/peer_messages.py
@@ -224,6 +224,7 @@
     :param not_run: those of the failed shards at which the request certainly did not run.
     :param last: whether no further answer follows.
     :param refusal: why the request was refused before anything was sent, or an empty string.
+    :param is_overdue: whether the shards without an outcome are late and should be hedged.
     """
 
     gather_id: int
@@ -234,6 +235,7 @@
     not_run: tuple[int, ...] = ()
     last: bool = True
     refusal: str = ""
+    is_overdue: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/mimosapost/relay/completion.py
+++ b/mimosapost/relay/completion.py
@@ -6,11 +6,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
+
 from mimosapost.model.codes import ResultCode
 from mimosapost.model.effects import IncrementCounter, ObserveDuration, SendPeer, WriteLog
 from mimosapost.model.peer_messages import GatherAnswer
 from mimosapost.relay.effects import SendReply
-from mimosapost.relay.messages import ForwardedReply, GatheredReply, Refusal, Reply
+from mimosapost.relay.messages import (
+    ForwardedReply,
+    GatheredReply,
+    Refusal,
+    Reply,
+    ServerAnswer,
+)
 from mimosapost.relay.record_merge import merge_records
 from mimosapost.relay.registry import Effects, TimerKind
 from mimosapost.relay.retry_after import get_retry_after_us
@@ -114,7 +122,7 @@
     """Reply with the parts answered so far and abandon the open sends."""
     request_number = open_request.request.request_number
     if open_request.served is not None:
-        report_outcomes(open_request, effects, last=True)
+        report_outcomes(open_request, now_us, effects, last=True)
         del state.requests[request_number]
         abandon_request(state, open_request, now_us, effects)
         _record_served(open_request, now_us, effects)
@@ -134,11 +142,13 @@
         state.timers.add(now_us + _REPORT_DELAY_US, TimerKind.REPORT, number)
 
 
-def report_outcomes(open_request: OpenRequest, effects: Effects, last: bool) -> None:
+def report_outcomes(
+    open_request: OpenRequest, now_us: int, effects: Effects, last: bool
+) -> None:
     """Report the outcomes of a gather that were not reported yet to the other instance.
 
-    The first report is sent even without any outcome, because it shows the other instance that
-    this one works on the parts and that they are due for a hedge.
+    Once parts are overdue, a report is sent even without any outcome, because it shows the
+    other instance that this one works on the parts and that they are due for a hedge.
 
     :param last: whether no further outcome follows; parts without one are reported as failed.
     """
@@ -157,17 +167,36 @@
         failed.append(index)
         if not part.possible_runs:
             not_run.append(index)
-    if not (answers or failed or last or not served.is_reported):
+    is_overdue = now_us >= served.overdue_us
+    if served.is_reported:
+        while len(answers) > 1 or (answers and failed):
+            index, answer = answers.popitem()
+            _send_report(open_request, {index: answer}, (), (), False, True, effects)
+    if not (answers or failed or last or (is_overdue and not served.is_reported)):
         return
-    served.is_reported = True
+    served.is_reported |= is_overdue
+    _send_report(open_request, answers, failed, not_run, last, is_overdue, effects)
+
+
+def _send_report(
+    open_request: OpenRequest,
+    answers: Mapping[int, ServerAnswer],
+    failed: Sequence[int],
+    not_run: Sequence[int],
+    last: bool,
+    is_overdue: bool,
+    effects: Effects,
+) -> None:
+    served = open_request.served
     message = GatherAnswer(
         served.gather_id,
-        tuple(answers),
-        tuple(answer.signature for answer in answers.values()),
+        tuple(sorted(answers)),
+        tuple(answers[index].signature for index in sorted(answers)),
         merge_records((a.body for a in answers.values()), open_request.route.max_records),
         tuple(failed),
         tuple(not_run),
         last,
+        is_overdue=is_overdue,
     )
     effects.append(SendPeer(served.peer, served.peer_address, message))
 
--- a/mimosapost/relay/gathers.py
+++ b/mimosapost/relay/gathers.py
@@ -207,7 +207,7 @@
         record_peer_failure(state.peers, event.peer, now_us)
         _give_up(state, gather, "answer_refused", now_us, effects)
         return
-    gather.is_reported = True
+    gather.is_reported |= answer.is_overdue
     if answer.refusal:
         _handle_refusal(state, gather, answer.refusal, now_us, effects)
         return
@@ -238,7 +238,8 @@
     if not _is_open(state, open_request):
         return
     hedge_stragglers(state, open_request, now_us)
-    _hedge_gathered_parts(state, open_request, gather, now_us)
+    if answer.is_overdue:
+        _hedge_gathered_parts(state, open_request, gather, now_us)
 
 
 def _accept_parts(
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -65,7 +65,8 @@
     """Return the servers that the next send of a part may use, regardless of their load.
 
     These are the servers that the part was not yet sent to. If there are none, they are the
-    servers without an open send of the part.
+    servers without an open send of the part; while another instance gathers it, none, because
+    that instance has sent it to one of them.
     """
     regions = open_request.route.regions
     usable = [
@@ -74,7 +75,7 @@
         if is_usable(state, record, now_us) and (not regions or record.region in regions)
     ]
     untried = [record for record in usable if record.server.server_id not in part.tried_servers]
-    if untried:
+    if untried or part.gather_ids:
         return untried
     busy = {state.sends[send_id].record.server.server_id for send_id in part.sends}
     return [record for record in usable if record.server.server_id not in busy]
@@ -244,6 +245,7 @@
     due_us = now_us + (now_us - open_request.arrived_us) // _STRAGGLER_WAIT_DIVISOR
     if served is not None:
         # The instance that asked for the parts decides on hedges.
+        served.overdue_us = min(served.overdue_us, due_us)
         state.timers.add(due_us, TimerKind.REPORT, open_request.request.request_number)
         return
     for part in open_request.parts:
--- a/mimosapost/relay/served_gathers.py
+++ b/mimosapost/relay/served_gathers.py
@@ -123,8 +123,9 @@
     _count(effects, "served")
     pool = state.get_pools(route)[0]
     report_us = min(get_hedge_delay_us(pool, route.goal_us), get_report_delay_us(route.goal_us))
+    served.overdue_us = now_us + report_us
     state.timers.add(deadline_us, TimerKind.DEADLINE, number)
-    state.timers.add(now_us + report_us, TimerKind.REPORT, number)
+    state.timers.add(served.overdue_us, TimerKind.REPORT, number)
     for part in parts:
         # The instance that asks counts the parts in its own budget for repeats.
         part.is_counted = True
@@ -133,11 +134,11 @@
 
 
 @handles_timer(TimerKind.REPORT)
-def report_gather(state: RelayState, key: int, _now_us: int, effects: Effects) -> None:
+def report_gather(state: RelayState, key: int, now_us: int, effects: Effects) -> None:
     """Report the outcomes so far."""
     open_request = state.requests.get(key)
     if open_request is not None and open_request.served is not None:
-        report_outcomes(open_request, effects, last=False)
+        report_outcomes(open_request, now_us, effects, last=False)
 
 
 @handles_message(GatherCancel)
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -143,7 +143,7 @@
     :param parts: parts without an outcome, with the server that this instance would have
         used, by index of the shard.
     :param is_hedge: whether the parts were sent before, so that the budget for repeats pays.
-    :param is_reported: whether the other instance has sent an answer.
+    :param is_reported: whether the other instance has reported the late parts.
     """
 
     gather_id: int
@@ -164,8 +164,10 @@
     :param peer: name of the other instance.
     :param shards: index of the shard of each part, in the order of the parts.
     :param is_hedge: whether the parts are hedges.
+    :param overdue_us: time from which parts without an outcome count as late.
     :param reported: positions of the parts whose outcome was sent.
-    :param is_reported: whether any answer was sent; further outcomes are then sent at once.
+    :param is_reported: whether the late parts were reported; further answers are then sent at
+        once, each in a message of its own, because a hedge may bring the same part.
     :param report_due: whether a timer for the next answer is set.
     """
 
@@ -174,6 +176,7 @@
     peer_address: str
     shards: tuple[int, ...]
     is_hedge: bool = False
+    overdue_us: int = 0
     reported: set[int] = field(default_factory=set)
     is_reported: bool = False
     report_due: bool = False
--- a/mimosapost/relay/tests/test_gathers.py
+++ b/mimosapost/relay/tests/test_gathers.py
@@ -364,6 +364,39 @@
     assert reply.code is ResultCode.OUTCOME_UNKNOWN
 
 
+def test_a_failure_at_the_partner_hedges_no_other_part():
+    """Replay a partner at which one server resets at once, while the others are on time."""
+    fleet = create_fleet(server_domains=("a1", "b1"))
+    send_query(fleet)
+    failing, *others = fleet["n2"].pop_sends()
+    assert others
+    fleet["n1"].pop_sends()
+    hedge_delay_us = fleet["n1"].state.get_pools(create_route())[2].slow_us
+    fleet["n2"].fail(failing, FailureKind.RESET, RunState.UNKNOWN)
+    for gather in fleet["n1"].state.gathers.values():
+        assert not gather.is_reported
+    fleet.advance(13)
+    services = [send.server.service for send in fleet["n1"].pop_sends()]
+    assert services.count(failing.server.service) == 1
+    assert len(services) == 1, f"hedged before {hedge_delay_us} us"
+
+
+def test_late_answers_of_a_partner_stay_apart():
+    """Replay late answers to parts of two hedges, so that no part is lost by their overlap."""
+    fleet = create_fleet(server_domains=("a1",), min_coverage=1.0)
+    number = send_query(fleet)
+    sends = fleet["n2"].pop_sends()
+    for send in sends[2:]:
+        fleet["n2"].answer(send)
+    fleet.advance(60)
+    for send in sends[:2]:
+        fleet["n2"].answer(send)
+    fleet.advance(20)
+    sizes = [len(m.shards) for _, _, m in fleet.messages if isinstance(m, GatherAnswer)]
+    assert sorted(sizes) == [1, 1, len(SHARDS) - 2]
+    assert fleet["n1"].get_reply(number).missing == 0
+
+
 def test_rejected_parts_did_not_run():
     fleet = create_fleet(server_domains=("a1",), min_coverage=0.0)
     number = send_query(fleet)
