Show the members and partners of a running instance

Change: the operators' address of an instance on the platform serves /status, and the command mimosapost members prints it.

--- a/mimosapost/commands/registry.py
+++ b/mimosapost/commands/registry.py
@@ -16,6 +16,7 @@
     "serve",
     "check",
     "explain",
+    "members",
     "reference",
     "demo",
     "standin",
--- a/mimosapost/edge/relay_instance.py
+++ b/mimosapost/edge/relay_instance.py
@@ -7,9 +7,10 @@
 import secrets
 import socket
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 import mode
+import msgspec
 from aiohttp import web
 
 from mimosapost.edge.clock import read_clock_us
@@ -35,6 +36,7 @@
 from mimosapost.relay.catalog import CallerLimits
 from mimosapost.relay.effects import AbandonSend, ForgetServer, SendReply, StartSend
 from mimosapost.relay.events import InstanceStarted, TimerFired
+from mimosapost.relay.partners import describe_peers
 from mimosapost.relay.reducer import reduce
 from mimosapost.relay.state import InstanceSettings, RelayState, create_relay_state
 
@@ -183,11 +185,30 @@
         return web.Response(status=200 if self._state.is_ready() else 503)
 
     async def _answer_operator(self, request: web.BaseRequest) -> web.Response:
+        if request.path == "/status":
+            body = msgspec.json.encode(self._describe())
+            return web.Response(body=body, content_type="application/json")
         if request.path != "/metrics":
             return web.Response(status=404)
         body, headers = self.metrics.render(request.headers.getall("Accept", []))
         return web.Response(body=body, headers=headers)
 
+    def _describe(self) -> dict[str, Any]:
+        state = self._state
+        peers = {"members": [], "partners": []}
+        if state.peers is not None:
+            peers = describe_peers(state.peers, read_clock_us())
+        return {
+            "name": state.instance_settings.name,
+            "version": state.catalog.version if state.catalog is not None else 0,
+            "stopping": bool(state.stop_requested_us),
+            "open_requests": len(state.requests),
+            "open_gathers": len(state.gathers),
+            "served_gathers": len(state.served_gathers),
+            "links": self.links.describe() if self.links is not None else {},
+            **peers,
+        }
+
     def _set_timer(self, effect: SetTimer) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/mimosapost/relay/partners.py
+++ b/mimosapost/relay/partners.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 import xxhash
 
@@ -18,6 +19,7 @@
 __all__ = [
     "PeerState",
     "choose_partner",
+    "describe_peers",
     "find_partner",
     "list_linked_domains",
     "record_gathered",
@@ -149,3 +151,29 @@
     peers.heard_us.pop(name, None)
     for domain in [d for d, partner in peers.partners.items() if partner.name == name]:
         del peers.partners[domain]
+
+
+def describe_peers(peers: PeerState, now_us: int) -> dict[str, Any]:
+    """Return the known instances and the partner of each domain, for the status page."""
+    linked_domains = list_linked_domains(peers, now_us)
+    members = [
+        {
+            "name": member.name,
+            "peer_address": member.peer_address,
+            "domain": member.identity.domain if member.identity is not None else "",
+            "leaving": member.leaving,
+            "blocked": peers.is_blocked(member.name, now_us),
+            "heard_ms": _get_silence_ms(peers, member.name, now_us),
+        }
+        for member in peers.members.list_members()
+    ]
+    partners = [
+        {"domain": domain, "name": partner.name, "ready": domain in linked_domains}
+        for domain, partner in sorted(peers.partners.items())
+    ]
+    return {"members": members, "partners": partners}
+
+
+def _get_silence_ms(peers: PeerState, name: str, now_us: int) -> int | None:
+    heard_us = peers.heard_us.get(name)
+    return None if heard_us is None else (now_us - heard_us) // 1_000
