Let the instances of the soak gather for each other

Cause: the soak ran three instances of one domain without peer ports, so no gather took part in it.

Change: each instance has a region of its own, one without servers; pauses, kills and stops of partners are then among its faults. Faults on the links themselves (delay, one way) are not injected: an instance states the address on which it listens, so no proxy can stand before it.

--- a/mimosapost/platform/tests/soak.py
+++ b/mimosapost/platform/tests/soak.py
@@ -2,7 +2,9 @@
 
 ``python -m mimosapost.platform.tests.soak --seeds 1 2 3 --seconds 8`` runs chosen seeds. The
 stand-ins run in this process, each instance in a process of its own. Every connection between
-an instance and the store or a server goes through a loopback proxy in this process. The
+an instance and the store or a server goes through a loopback proxy in this process. Each
+instance has a region of its own, one of them without servers, so that they gather parts of
+queries for each other; their links are disturbed by signals only. The
 guarantees are checked from the replies to callers and from the requests that servers received.
 """
 
@@ -26,6 +28,8 @@
 from mimosapost.platform.tests.standins import StandinServer, StandinStore, create_config
 
 _INSTANCES = 3
+# Failure domain and region of each instance; the servers are in the first two.
+_PLACES = (("a1", "north"), ("b1", "south"), ("c1", "west"))
 _SERVICES = [f"s{n}" for n in range(6)]
 _REQUESTS_PER_SECOND = 40
 _DEADLINE_MS = 900
@@ -107,8 +111,12 @@
     async def start(self) -> None:
         """Start the process; its output is appended to a log file in ``directory``."""
         settings = self.directory / f"boot-{self.index}.conf"
+        domain, region = _PLACES[self.index]
+        zones = "".join(f"zones.{name}={place}\n" for name, place in _PLACES)
+        seed = f"{self.host.rpartition('.')[0]}.1:8106"
         settings.write_text(
-            f"nodeName=n{self.index}\nzone=a1\nregion=north\nzones.a1=north\nzones.b1=south\n"
+            f"nodeName=n{self.index}\nzone={domain}\nregion={region}\n{zones}"
+            f"portRange=7380,7395\nseeds={seed}\n"
             f"listenAddrs.front={self.caller_address}\nlistenAddrs.readyAddr={self.host}:8108\n"
             f"platform.address={self.store_address}\nbounds.graceS=4\nbounds.contactMs=2000\n"
         )
@@ -144,6 +152,7 @@
     :ivar result_counts: number of requests by HTTP status or by the name of the client's error.
     :ivar run_counts: number of runs at the servers by id of a non-idempotent request.
     :ivar refused_ids: ids of non-idempotent requests that were refused as not run.
+    :ivar gather_count: number of gathers that the instances served for each other.
     """
 
     seed: int
@@ -152,6 +161,7 @@
     result_counts: Counter = field(default_factory=Counter)
     run_counts: Counter = field(default_factory=Counter)
     refused_ids: set[str] = field(default_factory=set)
+    gather_count: int = 0
 
     async def run(self) -> None:
         """Inject faults under a steady load, then check that all requests are served again."""
@@ -348,6 +358,7 @@
     def _check_logs(self, directory: Path) -> None:
         for path in directory.glob("log-*.txt"):
             for line in path.read_text(errors="replace").splitlines():
+                self.gather_count += 'event="gather_served"' in line
                 if "event_failed" in line or "Traceback" in line:
                     self.broken.append(f"{path.name}: {line[:300]}")
 
@@ -376,7 +387,10 @@
     for seed in arguments.seeds:
         soak = asyncio.run(run_seed(seed, arguments.seconds))
         failed += bool(soak.broken)
-        sys.stdout.write(f"seed {seed}: {dict(soak.result_counts)} broken {soak.broken[:5]}\n")
+        sys.stdout.write(
+            f"seed {seed}: {dict(soak.result_counts)} gathers {soak.gather_count} "
+            f"broken {soak.broken[:5]}\n"
+        )
         sys.stdout.flush()
     return 1 if failed else 0
 
--- a/mimosapost/platform/tests/test_soak.py
+++ b/mimosapost/platform/tests/test_soak.py
@@ -19,3 +19,4 @@
     soak = await run_seed(seed, seconds=4.0)
     assert soak.broken == []
     assert soak.result_counts[200] > 0
+    assert soak.gather_count > 0
