Let one instance of a region read the store for the others

Each instance follows the one of the lowest rank that it knows in its region, gets its changes with their revision and the age of the store's confirmation, and reads the store itself when that is too old or a change is missing. A list or a watch that is older than what was read is refused; no test was red for it before (test_an_answer_older_than_what_was_read_is_refused).

--- a/mimosapost/commands/members.py
+++ b/mimosapost/commands/members.py
@@ -20,11 +20,12 @@
 
 @command("members")
 def members(address: str) -> None:
-    """Show the members, partners and links of a running instance.
+    """Show the members, partners, feed and links of a running instance.
 
-    The instance must run on the users' platform, where instances gather parts of queries for
-    each other. Each line has ``key=value`` pairs: first the instance, then its partner in each
-    failure domain, then every member.
+    The instance must run on the users' platform, where instances gather parts of queries and
+    read the store for each other. Each line has ``key=value`` pairs: first the instance, then
+    whom it reads the store from and for, then its partner in each failure domain, then every
+    member.
 
     :param address: ``ip:port`` of the operators' address of the instance.
     """
@@ -52,6 +53,9 @@
 def _format_status(status: Mapping[str, Any]) -> Iterator[str]:
     fields = {k: v for k, v in status.items() if not isinstance(v, dict | list)}
     yield _format_line("instance", fields | status["links"])
+    # Instances of earlier releases have no feeds.
+    if (feed := status.get("feed")) is not None:
+        yield _format_line("feed", feed | {"followers": ",".join(feed["followers"])})
     for partner in status["partners"]:
         yield _format_line("partner", partner)
     for member in status["members"]:
--- a/mimosapost/commands/tests/test_members.py
+++ b/mimosapost/commands/tests/test_members.py
@@ -17,11 +17,13 @@
 STATUS = {
     "name": "n1",
     "links": {"outgoing_links": 2},
+    "feed": {"revision": 7, "age_ms": 40, "reader": "n3", "followers": ["n2", "n4"]},
     "partners": [{"domain": "b1", "name": "n2", "ready": True}],
     "members": [{"name": "n2", "domain": "b1", "heard_ms": 40}],
 }
 LINES = [
     'instance name="n1" outgoing_links=2',
+    'feed revision=7 age_ms=40 reader="n3" followers="n2,n4"',
     'partner domain="b1" name="n2" ready=true',
     'member name="n2" domain="b1" heard_ms=40',
 ]
@@ -44,6 +46,12 @@
     assert capsys.readouterr().out.splitlines() == LINES
 
 
+async def test_an_instance_of_an_earlier_release_has_no_feed(capsys):
+    status = {key: value for key, value in STATUS.items() if key != "feed"}
+    assert await run_members(lambda: web.json_response(status)) == 0
+    assert capsys.readouterr().out.splitlines() == [LINES[0], *LINES[2:]]
+
+
 @pytest.mark.parametrize(
     ("respond", "expected"),
     [
--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -104,6 +104,16 @@
 declare_counter(
     "mimosapost_relay_send_failures_total", "Sends without an answer by kind.", ("kind",)
 )
+declare_counter(
+    "mimosapost_relay_source_reads_total",
+    "Reads of the source, by a call of this instance or by a feed.",
+    ("by",),
+)
+declare_counter(
+    "mimosapost_relay_feed_updates_total",
+    "Updates of the source between instances by outcome.",
+    ("outcome",),
+)
 declare_counter(
     "mimosapost_relay_gathers_total", "Gathers at other instances by outcome.", ("outcome",)
 )
--- a/mimosapost/edge/relay_instance.py
+++ b/mimosapost/edge/relay_instance.py
@@ -34,8 +34,16 @@
 )
 from mimosapost.model.events import StopRequested
 from mimosapost.relay.catalog import CallerLimits
-from mimosapost.relay.effects import AbandonSend, ForgetServer, SendReply, StartSend
+from mimosapost.relay.effects import (
+    AbandonSend,
+    ApplyFeed,
+    ForgetServer,
+    SendReply,
+    StartSend,
+)
 from mimosapost.relay.events import InstanceStarted, TimerFired
+from mimosapost.relay.feed_choices import has_followers
+from mimosapost.relay.feeds import describe_feed
 from mimosapost.relay.partners import describe_peers
 from mimosapost.relay.reducer import reduce
 from mimosapost.relay.state import InstanceSettings, RelayState, create_relay_state
@@ -71,7 +79,9 @@
     :param addresses: listen addresses.
     :param codec: translation of requests and answers.
     :param create_source: creates the service that reads the configuration and the servers. Its
-        arguments are the function that handles events, the clock and the log.
+        arguments are the function that handles events, the clock, the log and a function that
+        returns whether other instances follow this one. Its method ``apply_feed`` executes the
+        effect of that name.
     :param logs: log of the process.
     :param listener: socket that callers connect to, if it is already open; the service closes
         it when it stops.
@@ -148,7 +158,8 @@
         for address in self._addresses.operator_addresses:
             server = web.Server(self._answer_operator, access_log=None)
             await start_listener(self.async_exit_stack, server, address)
-        source = self._create_source(self.handle, read_clock_us, self._logs)
+        source = self._create_source(self.handle, read_clock_us, self._logs, self._is_followed)
+        self._runner.executors = {**self._runner.executors, ApplyFeed: source.apply_feed}
         await self.add_runtime_dependency(source)
         self.handle(InstanceStarted(read_clock_us()))
         # Modules and tables live as long as the process, so garbage collection can skip them.
@@ -177,6 +188,9 @@
         self._runner.executors = {**self._runner.executors, SendPeer: self.links.send}
         await self.add_runtime_dependency(self.links)
 
+    def _is_followed(self) -> bool:
+        return has_followers(self._state.feed, read_clock_us())
+
     def _get_limits(self) -> CallerLimits:
         catalog = self._state.catalog
         return catalog.limits if catalog is not None else CallerLimits()
@@ -206,6 +220,7 @@
             "open_gathers": len(state.gathers),
             "served_gathers": len(state.served_gathers),
             "links": self.links.describe() if self.links is not None else {},
+            "feed": describe_feed(state, read_clock_us()),
             **peers,
         }
 
--- a/mimosapost/membership/codec.py
+++ b/mimosapost/membership/codec.py
@@ -13,6 +13,8 @@
 
 from mimosapost.model.identities import NO_SEAT, InstanceIdentity
 from mimosapost.model.peer_messages import (
+    FeedRequest,
+    FeedUpdate,
     Forward,
     ForwardAnswer,
     Gather,
@@ -24,6 +26,7 @@
     Hello,
     MemberReport,
     PeerMessage,
+    SourceEntry,
     SubtreeReply,
     SubtreeRequest,
     SuspectNote,
@@ -54,6 +57,9 @@
 # Largest number of shards of a route, which bounds the bitmaps of a gather.
 _MAX_SHARDS = 4_096
 _MAX_REFUSAL_BYTES = 200
+# The source allows keys of this size.
+_MAX_KEY_BYTES = 200
+_MAX_FEED_ENTRIES = 1_000
 # Largest version allowed in the published settings. A subtree with a higher version could
 # never be superseded.
 _MAX_VERSION = 2**53
@@ -470,3 +476,60 @@
 @_register_reader("gatherCancel")
 def _read_gather_cancel(reader: Any) -> GatherCancel:
     return GatherCancel(reader.gatherId)
+
+
+@_register_writer(FeedRequest, "feedRequest")
+def _write_feed_request(message: FeedRequest) -> dict[str, Any]:
+    return {"revision": _check_version(message.revision)}
+
+
+@_register_reader("feedRequest")
+def _read_feed_request(reader: Any) -> FeedRequest:
+    return FeedRequest(_check_version(reader.revision))
+
+
+@_register_writer(FeedUpdate, "feedUpdate")
+def _write_feed_update(message: FeedUpdate) -> dict[str, Any]:
+    return {
+        "after": _check_version(message.after),
+        "asOf": _check_version(message.as_of),
+        "entries": [
+            {
+                "key": _check_key(entry.key),
+                "revision": entry.revision,
+                "value": entry.value,
+                "removed": entry.is_removed,
+            }
+            for entry in _check_length(message.entries, _MAX_FEED_ENTRIES, "entries")
+        ],
+        "ageUs": message.age_us,
+        "regained": message.is_regained,
+    }
+
+
+@_register_reader("feedUpdate")
+def _read_feed_update(reader: Any) -> FeedUpdate:
+    update = FeedUpdate(
+        after=_check_version(reader.after),
+        as_of=_check_version(reader.asOf),
+        entries=tuple(
+            SourceEntry(
+                _check_key(entry.key), entry.revision, bytes(entry.value), entry.removed
+            )
+            for entry in _check_length(reader.entries, _MAX_FEED_ENTRIES, "entries")
+        ),
+        age_us=reader.ageUs,
+        is_regained=reader.regained,
+    )
+    revisions = [update.after, *(entry.revision for entry in update.entries), update.as_of]
+    if any(entry.revision == update.after for entry in update.entries):
+        raise CodecError("feed update has an entry of the revision that it starts from")
+    if revisions != sorted(revisions):
+        raise CodecError("feed update has revisions that do not ascend")
+    return update
+
+
+def _check_key(key: str) -> str:
+    if not 0 < len(key.encode()) <= _MAX_KEY_BYTES:
+        raise CodecError(f"key has {len(key)} characters; 1 to {_MAX_KEY_BYTES} bytes allowed")
+    return key
--- a/mimosapost/membership/peer.capnp
+++ b/mimosapost/membership/peer.capnp
@@ -123,6 +123,26 @@
   gatherId @0 :UInt64;
 }
 
+struct SourceEntry {
+  key @0 :Text;
+  revision @1 :UInt64;
+  value @2 :Data;
+  removed @3 :Bool;
+}
+
+struct FeedRequest {
+  revision @0 :UInt64;
+}
+
+# The values of the entries are compressed (zlib).
+struct FeedUpdate {
+  after @0 :UInt64;
+  asOf @1 :UInt64;
+  entries @2 :List(SourceEntry);
+  ageUs @3 :UInt64;
+  regained @4 :Bool;
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -136,6 +156,8 @@
     gather @8 :Gather;
     gatherAnswer @9 :GatherAnswer;
     gatherCancel @10 :GatherCancel;
+    feedRequest @11 :FeedRequest;
+    feedUpdate @12 :FeedUpdate;
   }
 }
 
--- a/mimosapost/membership/tests/test_codec.py
+++ b/mimosapost/membership/tests/test_codec.py
@@ -16,6 +16,8 @@
 from mimosapost.membership.codec import CodecError, decode_message, encode_message
 from mimosapost.model.identities import InstanceIdentity
 from mimosapost.model.peer_messages import (
+    FeedRequest,
+    FeedUpdate,
     Forward,
     ForwardAnswer,
     Gather,
@@ -26,6 +28,7 @@
     HeartbeatAnswer,
     Hello,
     MemberReport,
+    SourceEntry,
     SubtreeReply,
     SubtreeRequest,
     SuspectNote,
@@ -51,6 +54,9 @@
     GatherAnswer(1, (0, 9), ("s.1", "s.2"), b"r" * 32, (1, 3), (3,), False),
     GatherAnswer(1, refusal="stopping"),
     GatherCancel(2),
+    FeedRequest(2**53),
+    FeedUpdate(0, 2**53, (), 2**64 - 1, True),
+    FeedUpdate(5, 9, (SourceEntry("servers/i-1", 7, b"{}"), SourceEntry("k", 9, b"", True)), 3),
 ]
 
 
@@ -154,14 +160,35 @@
         decode_message(frame(gatherAnswer={"gatherId": 1, **fields}))
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        pytest.param({"after": 6, "asOf": 5}, id="older than its start"),
+        pytest.param({"after": 2**53 + 1, "asOf": 2**53 + 1}, id="revision too high"),
+        pytest.param({"entries": [{"key": "k", "revision": 10}]}, id="entry too new"),
+        pytest.param({"entries": [{"key": "k", "revision": 5}]}, id="entry too old"),
+        pytest.param(
+            {"entries": [{"key": "k", "revision": 8}, {"key": "l", "revision": 7}]},
+            id="entries out of order",
+        ),
+        pytest.param({"entries": [{"key": "", "revision": 7}]}, id="no key"),
+        pytest.param({"entries": [{"key": "k" * 201, "revision": 7}]}, id="key too long"),
+        pytest.param({"entries": [{"key": "k", "revision": 7}] * 1_001}, id="too many entries"),
+    ],
+)
+def test_inconsistent_feed_updates_are_refused(fields):
+    with pytest.raises(CodecError):
+        decode_message(frame(feedUpdate={"after": 5, "asOf": 9, **fields}))
+
+
 def test_messages_of_the_next_protocol_version(tmp_path):
     # While a newer release is rolled out, its instances may send message kinds and fields that
     # this release does not know. These must not break the link.
     text = Path(codec.__file__).with_name("peer.capnp").read_text()
     text = text.replace("@0xc1b6f0a93d5e7284", "@0xc1b6f0a93d5e7285")
-    last = "gatherCancel @10 :GatherCancel;"
+    last = "feedUpdate @12 :FeedUpdate;"
     assert last in text
-    text = text.replace(last, last + " novel @11 :Hello;")
+    text = text.replace(last, last + " novel @13 :Hello;")
     text = text.replace("number @2 :UInt64;\n}", "number @2 :UInt64;\n extra @3 :Text;\n}")
     path = tmp_path / "next.capnp"
     path.write_text(text)
--- a/mimosapost/model/peer_messages.py
+++ b/mimosapost/model/peer_messages.py
@@ -7,6 +7,8 @@
 from mimosapost.model.identities import InstanceIdentity
 
 __all__ = [
+    "FeedRequest",
+    "FeedUpdate",
     "Forward",
     "ForwardAnswer",
     "Gather",
@@ -18,6 +20,7 @@
     "Hello",
     "MemberReport",
     "PeerMessage",
+    "SourceEntry",
     "SubtreeReply",
     "SubtreeRequest",
     "SuspectNote",
@@ -245,6 +248,49 @@
     gather_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class SourceEntry:
+    """One entry of the source of configuration and servers, not decoded.
+
+    :param revision: number of the entry's last change, which counts all changes of the source.
+    """
+
+    key: str
+    revision: int
+    value: bytes = b""
+    is_removed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class FeedRequest:
+    """Request to pass on what the receiver reads from the source during the next seconds.
+
+    :param revision: revision up to which the sender has applied the changes of the source.
+    """
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class FeedUpdate:
+    """Changes that the sender has read from the source.
+
+    :param after: revision from which the receiver must start.
+    :param as_of: revision of the source up to which the changes are complete.
+    :param entries: entries that changed between the two, with ascending revisions and
+        compressed values (zlib).
+    :param age_us: time in microseconds since the source stated that nothing newer existed.
+    :param is_regained: whether the source was unreachable before, so that entries may be
+        missing only because they expired meanwhile.
+    """
+
+    after: int
+    as_of: int
+    entries: tuple[SourceEntry, ...]
+    age_us: int
+    is_regained: bool = False
+
+
 PeerMessage = (
     Hello
     | Heartbeat
@@ -257,4 +303,6 @@
     | Gather
     | GatherAnswer
     | GatherCancel
+    | FeedRequest
+    | FeedUpdate
 )
--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -1,4 +1,8 @@
-"""Reader of the platform's store: configuration, servers and domains out of service."""
+"""Reader of the platform's store: configuration, servers and domains out of service.
+
+The reader follows the updates of another instance while they are recent, and reads the store
+itself otherwise.
+"""
 
 from __future__ import annotations
 
@@ -13,9 +17,12 @@
 import mode
 import msgspec
 
+from mimosapost.edge.feed_inbox import FeedInbox
 from mimosapost.edge.logs import Logs
 from mimosapost.model.events import Event
+from mimosapost.model.peer_messages import FeedUpdate, SourceEntry
 from mimosapost.platform.store_entries import EntryError, decode_catalog, decode_server
+from mimosapost.relay.effects import ApplyFeed
 from mimosapost.relay.events import (
     CatalogRead,
     DomainsOut,
@@ -23,6 +30,7 @@
     ServersReplaced,
     ServerUnlisted,
     SourceLost,
+    SourceRead,
     SourceRegained,
 )
 
@@ -51,6 +59,12 @@
 # Longest pause, as a share of the time within which a change must take effect. The rest is left
 # for reading the change and for a second attempt after a failure.
 _MAX_PAUSE_SHARE = 1 / 3
+# Age of an update from which the store is read instead, the longest wait of a watch and the
+# longest pause after it while other instances follow, each as a share of the time within which
+# a change must take effect. The wait and the pause together stay below the age.
+_FEED_AGE_SHARE = 0.6
+_FED_WAIT_SHARE = 0.24
+_FED_PAUSE_SHARE = 0.2
 # A watch that takes longer than this ends a burst of changes.
 _BURST_GAP_US = 1_500_000
 # Maximum size of an answer. A page holds about 1 MB; the changes of the whole history are
@@ -59,6 +73,8 @@
 # Delays after failed calls. The platform charges for every call, including refused ones.
 _FIRST_BACKOFF_SECONDS = 0.1
 _MAX_BACKOFF_SECONDS = 0.4
+# The same for an instance that was fed lately: those that it follows try more often.
+_MAX_FED_BACKOFF_SECONDS = 1.2
 
 
 class _Item(msgspec.Struct):
@@ -85,6 +101,10 @@
     """The store has discarded changes made after the last revision that was read."""
 
 
+class _StaleAnswer(aiohttp.ClientError):
+    """The store sent an answer that is older than what was read from it before."""
+
+
 class _AnswerTooLarge(aiohttp.ClientError):
     """The store sent more bytes in one answer than it may."""
 
@@ -113,6 +133,7 @@
     :param handle: function that passes an event to the reducer.
     :param read_clock_us: monotonic clock in microseconds.
     :param logs: log for entries that are ignored and for lost history.
+    :param is_followed: returns whether other instances follow this one.
     :param detection_limit_ms: time in milliseconds within which the reader detects a silent
         connection or a lost answer; a watch waits for changes for a shorter time.
     :param apply_limit_ms: time in milliseconds within which a change must take effect.
@@ -124,6 +145,7 @@
         handle: Callable[[Event], None],
         read_clock_us: Callable[[], int],
         logs: Logs,
+        is_followed: Callable[[], bool],
         detection_limit_ms: int,
         apply_limit_ms: int,
     ) -> None:
@@ -132,47 +154,114 @@
         self._handle = handle
         self._read_clock_us = read_clock_us
         self._logs = logs
+        self._is_followed = is_followed
         self._watch_wait_ms = max(_MIN_WATCH_WAIT_MS, detection_limit_ms - _RECOVERY_MS)
         self._session: aiohttp.ClientSession | None = None
         self._revisions: dict[str, int] = {}
+        # Revision up to which all changes were applied; 0 before the first list.
+        self._revision = 0
+        self._is_list_needed = True
+        self._inbox = FeedInbox(read_clock_us, int(apply_limit_ms * 1_000 * _FEED_AGE_SHARE))
+        # Whether updates are applied now, and whether they were since the last own call.
+        self._is_fed = False
+        self._was_fed = False
         self._domains_out: frozenset[str] = frozenset()
         self._source_lost = False
         self._pause_seconds = _FIRST_PAUSE_SECONDS
-        self._max_pause_seconds = max(
-            _FIRST_PAUSE_SECONDS, apply_limit_ms / 1e3 * _MAX_PAUSE_SHARE
-        )
+        self._apply_limit_ms = apply_limit_ms
 
     async def on_start(self) -> None:
         """Open the HTTP session and start reading."""
         self._session = await self.async_exit_stack.enter_async_context(aiohttp.ClientSession())
         self.add_future(self._read_until_stopped())
 
+    def apply_feed(self, effect: ApplyFeed) -> None:
+        """Queue changes that another instance has read."""
+        self._inbox.put(effect)
+
     async def _read_until_stopped(self) -> None:
-        last_revision = None
         backoff = _FIRST_BACKOFF_SECONDS
         while not self.should_stop:
+            await self._follow_feed()
             try:
-                if last_revision is None:
-                    last_revision = await self._read_all()
+                if self._is_list_needed:
+                    await self._read_all()
                 else:
-                    last_revision = await self._read_changes(last_revision)
+                    await self._read_changes()
             except _HistoryLost:
-                self._logs.write("store_history_lost", {"after": last_revision})
-                last_revision = None
+                self._logs.write("store_history_lost", {"after": self._revision})
+                self._is_list_needed = True
                 continue
             except _AnswerTooLarge as error:
                 # A watch over fewer changes could be as large, so the whole list is read.
                 self._report_source_lost(error)
-                last_revision = None
+                self._is_list_needed = True
                 await asyncio.sleep(_MAX_BACKOFF_SECONDS)
                 continue
             except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
                 self._report_source_lost(error)
-                await asyncio.sleep(backoff)
-                backoff = min(2 * backoff, _MAX_BACKOFF_SECONDS)
+                await self._wait_for_feed(backoff)
+                longest = _MAX_FED_BACKOFF_SECONDS if self._was_fed else _MAX_BACKOFF_SECONDS
+                backoff = min(2 * backoff, longest)
                 continue
             backoff = _FIRST_BACKOFF_SECONDS
-            self._report_source_regained()
+            self._was_fed = False
+
+    async def _wait_for_feed(self, seconds: float) -> None:
+        """Wait for a time, or until an update arrives that can be applied."""
+        if self._is_list_needed:
+            await asyncio.sleep(seconds)
+        else:
+            await self._inbox.wait(seconds)
+
+    async def _follow_feed(self) -> None:
+        """Apply the updates of another instance until they are missing or too old."""
+        while not self._is_list_needed and not self.should_stop:
+            while (taken := self._inbox.take(self._revision)) is not None:
+                self._apply_update(*taken)
+            remaining_seconds = self._inbox.get_remaining_seconds()
+            if not remaining_seconds:
+                break
+            if not self._is_fed:
+                self._logs.write("feed_followed", {"revision": self._revision})
+            self._is_fed = self._was_fed = True
+            await self._inbox.wait(remaining_seconds)
+        if self._is_fed:
+            fields = {"revision": self._revision, "reason": self._inbox.end_reason}
+            self._logs.write("feed_ended", fields)
+        self._is_fed = False
+
+    def _apply_update(self, update: FeedUpdate, confirmed_us: int) -> None:
+        if update.is_regained and not self._source_lost:
+            # The source failed and recovered between two updates. Entries may be missing only
+            # because they expired meanwhile.
+            now_us = self._read_clock_us()
+            self._handle(SourceLost(now_us, "reported by the instance that reads it"))
+            self._source_lost = True
+        self._apply_changes(update.as_of, update.entries, confirmed_us, is_fed=True)
+
+    def _apply_changes(
+        self,
+        as_of: int,
+        entries: tuple[SourceEntry, ...],
+        confirmed_us: int,
+        is_fed: bool = False,
+    ) -> None:
+        after = self._revision
+        is_regained = self._report_source_regained()
+        for entry in entries:
+            if entry.revision <= max(after, self._revisions.get(entry.key, 0)):
+                continue
+            if entry.is_removed:
+                self._revisions.pop(entry.key, None)
+            else:
+                self._revisions[entry.key] = entry.revision
+            self._apply_change(entry)
+        self._revision = as_of
+        now_us = self._read_clock_us()
+        self._handle(
+            SourceRead(now_us, after, as_of, entries, confirmed_us, is_regained, is_fed)
+        )
 
     async def _fetch(self, path: str, fields: dict[str, Any], wait_seconds: float = 0) -> bytes:
         timeout = aiohttp.ClientTimeout(
@@ -193,100 +282,133 @@
                 chunks.append(chunk)
             return b"".join(chunks)
 
-    async def _read_all(self) -> int:
+    async def _read_all(self) -> None:
         """Read all items, page by page, and pass them to the reducer.
 
-        :returns: revision of the first page, from which the next watch starts. The pages are
-            no consistent snapshot, so changes made after the first page must be read again.
+        The pages are no consistent snapshot, so the next watch starts from the revision of the
+        first page.
         """
         items: list[_Item] = []
         fields: dict[str, Any] = {"pathPrefix": ""}
         first_revision = None
         while True:
             data = await self._fetch("/api/kv-range", fields)
+            confirmed_us = self._read_clock_us()
             page = msgspec.json.decode(data, type=_Page)
             first_revision = page.asOf if first_revision is None else first_revision
             items.extend(page.items)
             if not page.truncated or not page.items:
                 break
             fields["after"] = page.items[-1].key
-        self._apply_items(items)
-        return first_revision
-
-    def _apply_items(self, items: list[_Item]) -> None:
-        self._revisions = {item.key: item.revision for item in items}
-        for item in items:
-            if item.key == _CONFIG_KEY:
-                self._apply_config(item)
+        self._check_revision(first_revision)
+        self._apply_list(first_revision, [_create_entry(item) for item in items], confirmed_us)
+
+    def _check_revision(self, as_of: int) -> None:
+        if as_of < self._revision:
+            raise _StaleAnswer(f"answer as of revision {as_of}, after {self._revision}")
+
+    def _apply_list(self, as_of: int, entries: list[SourceEntry], confirmed_us: int) -> None:
+        is_regained = self._report_source_regained()
+        changes = self._find_changes(as_of, entries)
+        after, self._revision = self._revision, as_of
+        self._is_list_needed = False
+        self._revisions = {entry.key: entry.revision for entry in entries}
+        for entry in entries:
+            if entry.key == _CONFIG_KEY:
+                self._apply_config(entry)
         domains_out = (
-            item.key.removeprefix(_DOMAIN_OUT_PREFIX)
-            for item in items
-            if item.key.startswith(_DOMAIN_OUT_PREFIX)
+            entry.key.removeprefix(_DOMAIN_OUT_PREFIX)
+            for entry in entries
+            if entry.key.startswith(_DOMAIN_OUT_PREFIX)
         )
         self._set_domains_out(frozenset(domains_out))
         # The server list is passed last, because it releases the requests that were held until
         # the instance is ready.
-        entries = [item for item in items if item.key.startswith(_SERVER_PREFIX)]
-        servers = [self._decode_server(item) for item in entries]
+        server_entries = [entry for entry in entries if entry.key.startswith(_SERVER_PREFIX)]
+        servers = [self._decode_server(entry) for entry in server_entries]
         usable_servers = tuple(server for server in servers if server is not None)
-        self._handle(ServersReplaced(self._read_clock_us(), usable_servers))
+        now_us = self._read_clock_us()
+        self._handle(ServersReplaced(now_us, usable_servers))
+        self._handle(SourceRead(now_us, after, as_of, changes, confirmed_us, is_regained))
 
-    async def _read_changes(self, last_revision: int) -> int:
-        fields = {"pathPrefix": "", "after": last_revision, "waitMs": self._watch_wait_ms}
+    def _find_changes(self, as_of: int, entries: list[SourceEntry]) -> tuple[SourceEntry, ...]:
+        """Return how a list differs from what was applied, up to a revision.
+
+        Entries that changed later are left out, because the next watch brings them.
+        """
+        listed = {entry.key for entry in entries}
+        changed = [entry for entry in entries if self._revision < entry.revision <= as_of]
+        removed = [
+            SourceEntry(key, as_of, is_removed=True)
+            for key in self._revisions
+            if key not in listed
+        ]
+        return tuple(sorted((*changed, *removed), key=lambda entry: entry.revision))
+
+    async def _read_changes(self) -> None:
+        wait_ms, max_pause_seconds = self._get_watch_limits()
+        fields = {"pathPrefix": "", "after": self._revision, "waitMs": wait_ms}
         started_us = self._read_clock_us()
-        data = await self._fetch("/api/kv-watch", fields, self._watch_wait_ms / 1_000)
+        data = await self._fetch("/api/kv-watch", fields, wait_ms / 1_000)
+        confirmed_us = self._read_clock_us()
         changes = msgspec.json.decode(data, type=_Changes)
-        for item in changes.events:
-            if item.revision > self._revisions.get(item.key, 0):
-                self._revisions[item.key] = item.revision
-                self._apply_change(item)
-        watch_us = self._read_clock_us() - started_us
-        if changes.events:
+        self._check_revision(changes.asOf)
+        entries = tuple(_create_entry(item) for item in changes.events)
+        self._apply_changes(changes.asOf, entries, confirmed_us)
+        if entries:
             await asyncio.sleep(self._pause_seconds)
         self._pause_seconds = get_next_pause(
-            self._pause_seconds, watch_us, self._max_pause_seconds
+            self._pause_seconds, confirmed_us - started_us, max_pause_seconds
         )
-        return max(last_revision, changes.asOf)
 
-    def _apply_change(self, item: _Item) -> None:
-        if item.key.startswith(_SERVER_PREFIX):
-            server_id = item.key.removeprefix(_SERVER_PREFIX)
-            if item.removed:
+    def _get_watch_limits(self) -> tuple[int, float]:
+        """Return the wait of a watch in milliseconds and the longest pause in seconds."""
+        limit_ms = self._apply_limit_ms
+        if not self._is_followed():
+            longest = max(_FIRST_PAUSE_SECONDS, limit_ms / 1e3 * _MAX_PAUSE_SHARE)
+            return self._watch_wait_ms, longest
+        wait_ms = min(self._watch_wait_ms, int(limit_ms * _FED_WAIT_SHARE))
+        return wait_ms, max(_FIRST_PAUSE_SECONDS, limit_ms / 1e3 * _FED_PAUSE_SHARE)
+
+    def _apply_change(self, entry: SourceEntry) -> None:
+        if entry.key.startswith(_SERVER_PREFIX):
+            server_id = entry.key.removeprefix(_SERVER_PREFIX)
+            if entry.is_removed:
                 event = ServerUnlisted(self._read_clock_us(), server_id, "removed")
                 self._handle(event)
                 return
-            server = self._decode_server(item)
+            server = self._decode_server(entry)
             if server is not None:
                 self._handle(ServerListed(self._read_clock_us(), server))
-        elif item.key.startswith(_DOMAIN_OUT_PREFIX):
-            domain = frozenset((item.key.removeprefix(_DOMAIN_OUT_PREFIX),))
+        elif entry.key.startswith(_DOMAIN_OUT_PREFIX):
+            domain = frozenset((entry.key.removeprefix(_DOMAIN_OUT_PREFIX),))
             self._set_domains_out(
-                self._domains_out - domain if item.removed else self._domains_out | domain
+                self._domains_out - domain if entry.is_removed else self._domains_out | domain
             )
-        elif item.key == _CONFIG_KEY and not item.removed:
-            self._apply_config(item)
+        elif entry.key == _CONFIG_KEY and not entry.is_removed:
+            self._apply_config(entry)
 
     def _set_domains_out(self, domains: frozenset[str]) -> None:
         self._domains_out = domains
         self._handle(DomainsOut(self._read_clock_us(), domains))
 
-    def _decode_server(self, item: _Item) -> Any:
-        server_id = item.key.removeprefix(_SERVER_PREFIX)
+    def _decode_server(self, entry: SourceEntry) -> Any:
+        server_id = entry.key.removeprefix(_SERVER_PREFIX)
         try:
-            return decode_server(server_id, _decode_value(item))
+            return decode_server(server_id, _get_value(entry))
         except EntryError as error:
-            self._logs.write("entry_ignored", {"key": item.key, "reason": str(error)})
+            self._logs.write("entry_ignored", {"key": entry.key, "reason": str(error)})
             # The entry may have replaced a valid one. The current address and state of its
             # server are unknown, so the server must not be used any longer.
             event = ServerUnlisted(self._read_clock_us(), server_id, "unreadable")
             self._handle(event)
             return None
 
-    def _apply_config(self, item: _Item) -> None:
+    def _apply_config(self, entry: SourceEntry) -> None:
         try:
-            catalog = decode_catalog(_decode_value(item))
+            catalog = decode_catalog(_get_value(entry))
         except EntryError as error:
-            self._logs.write("entry_ignored", {"key": item.key, "reason": str(error)})
+            self._logs.write("entry_ignored", {"key": entry.key, "reason": str(error)})
             return
         self._handle(CatalogRead(self._read_clock_us(), catalog))
 
@@ -296,14 +418,25 @@
             self._handle(SourceLost(self._read_clock_us(), reason))
         self._source_lost = True
 
-    def _report_source_regained(self) -> None:
-        if self._source_lost:
-            self._source_lost = False
-            self._handle(SourceRegained(self._read_clock_us()))
+    def _report_source_regained(self) -> bool:
+        """Report that the source is reachable, and return whether it was not before."""
+        if not self._source_lost:
+            return False
+        self._source_lost = False
+        self._handle(SourceRegained(self._read_clock_us()))
+        return True
 
 
-def _decode_value(item: _Item) -> bytes:
+def _create_entry(item: _Item) -> SourceEntry:
+    """Return an item with its value decoded; a value that is not valid is left empty."""
     try:
-        return base64.b64decode(item.value or "", validate=True)
-    except (binascii.Error, ValueError) as error:
-        raise EntryError(f"value is not valid base64: {error}") from error
+        value = base64.b64decode(item.value or "", validate=True)
+    except (binascii.Error, ValueError):
+        value = b""
+    return SourceEntry(item.key, item.revision, value, item.removed)
+
+
+def _get_value(entry: SourceEntry) -> bytes:
+    if not entry.value:
+        raise EntryError("value is empty or not valid base64")
+    return entry.value
--- a/mimosapost/platform/tests/standins.py
+++ b/mimosapost/platform/tests/standins.py
@@ -23,6 +23,7 @@
     :ivar endless_bytes: number of bytes written in mode ``endless``.
     :ivar page_size: largest number of items in one page of a list.
     :ivar requested_paths: paths of all requests, in order.
+    :ivar watch_waits_ms: longest wait of each watch that was requested, in order.
     """
 
     def __init__(self) -> None:
@@ -33,6 +34,7 @@
         self.endless_bytes = 0
         self.page_size = 500
         self.requested_paths: list[str] = []
+        self.watch_waits_ms: list[int] = []
         self.change_condition = asyncio.Condition()
 
     async def start(self, stack: AsyncExitStack) -> str:
@@ -109,6 +111,7 @@
         return {"items": items, "truncated": truncated, "asOf": self.revision}
 
     async def _watch(self, prefix: str, query) -> dict:
+        self.watch_waits_ms.append(int(query["waitMs"]))
         after, wait_seconds = int(query["after"]), int(query["waitMs"]) / 1_000
 
         def find_events() -> list[dict]:
--- /dev/null
+++ b/mimosapost/platform/tests/test_store_feed.py
@@ -0,0 +1,267 @@
+"""Checks the store reader while another instance feeds it, against a stand-in for the store.
+
+A reader that follows another instance makes no calls. Whatever that instance misses, holds back
+or sends twice, the reader must end with the entries of the store, and never go back to an older
+revision.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import io
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import pytest
+
+from mimosapost.edge.clock import read_clock_us
+from mimosapost.edge.logs import Logs
+from mimosapost.model.peer_messages import FeedUpdate, SourceEntry
+from mimosapost.platform.store_reader import StoreReader
+from mimosapost.platform.tests.standins import StandinServer, StandinStore, create_config
+from mimosapost.relay.effects import ApplyFeed
+from mimosapost.relay.events import (
+    CatalogRead,
+    DomainsOut,
+    ServerListed,
+    ServersReplaced,
+    ServerUnlisted,
+    SourceLost,
+    SourceRead,
+    SourceRegained,
+)
+
+# A third of a second is the age from which a follower reads the store itself.
+APPLY_LIMIT_MS = 600
+LIMIT_SECONDS = 0.36
+
+
+class Reader:
+    """A store reader that records its events and may feed others."""
+
+    def __init__(self, address: str) -> None:
+        self.events: list = []
+        self.followers: list[Reader] = []
+        self.log = io.StringIO()
+        self.holds_back = False
+        self.source = StoreReader(
+            address,
+            self.handle,
+            read_clock_us,
+            Logs(self.log),
+            lambda: bool(self.followers),
+            detection_limit_ms=2_000,
+            apply_limit_ms=APPLY_LIMIT_MS,
+        )
+
+    def handle(self, event) -> None:
+        self.events.append(event)
+        if isinstance(event, SourceRead) and not self.holds_back:
+            for follower in self.followers:
+                follower.feed(event.after, event.as_of, event.entries, event.is_regained, event)
+
+    def feed(self, after, as_of, entries=(), is_regained=False, read=None, age_ms=0) -> None:
+        update = FeedUpdate(after, as_of, tuple(entries), 0, is_regained)
+        now_us = read_clock_us() - age_ms * 1_000
+        self.source.apply_feed(ApplyFeed(update, read.confirmed_us if read else now_us))
+
+    def list_events(self, *kinds):
+        return [event for event in self.events if isinstance(event, kinds)]
+
+    @property
+    def revision(self) -> int:
+        reads = self.list_events(SourceRead)
+        return reads[-1].as_of if reads else 0
+
+    def list_servers(self) -> set[str]:
+        """Return the servers that the events leave in use."""
+        servers: set[str] = set()
+        for event in self.events:
+            match event:
+                case ServersReplaced():
+                    servers = {server.server_id for server in event.servers}
+                case ServerListed():
+                    servers.add(event.server.server_id)
+                case ServerUnlisted():
+                    servers.discard(event.server_id)
+        return servers
+
+
+def create_entry(number=1, **changes):
+    server = StandinServer(f"i-{number}", "s0", "a1")
+    server.address = f"10.0.0.{number}:80"
+    return server.create_entry(**changes)
+
+
+async def wait_until(condition, seconds=5.0):
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def run_readers(number=2):
+    """Run a reader and others that it feeds, after all of them have read the store."""
+    async with AsyncExitStack() as stack:
+        store = StandinStore()
+        address = await store.start(stack)
+        await store.put("op/config", create_config(1, ["s0"]))
+        await store.put("servers/i-1", create_entry())
+        readers = [Reader(address) for _ in range(number)]
+        for reader in readers:
+            await reader.source.start()
+            stack.push_async_callback(reader.source.stop)
+            await wait_until(lambda reader=reader: reader.revision == store.revision)
+        readers[0].followers = readers[1:]
+        # Ends the long watches that were open before there were followers.
+        await store.put("servers/i-2", create_entry(2))
+        await wait_until(lambda: all("feed_followed" in r.log.getvalue() for r in readers[1:]))
+        yield store, readers
+
+
+async def test_followers_make_no_calls_and_see_all_changes():
+    async with run_readers(4) as (store, readers):
+        calls = len(store.requested_paths)
+        await store.put("servers/i-3", create_entry(3))
+        await store.remove("servers/i-1")
+        await store.put("op/evacuate/b1", b"{}")
+        await store.put("op/config", create_config(2, ["s0"]))
+        await wait_until(lambda: all(r.revision == store.revision for r in readers))
+        await asyncio.sleep(2 * LIMIT_SECONDS)
+        for reader in readers:
+            assert reader.list_servers() == {"i-2", "i-3"}
+            assert reader.list_events(CatalogRead)[-1].catalog.version == 2
+            assert reader.list_events(DomainsOut)[-1].domains == {"b1"}
+        # The first reader watches in calls of 144 ms and pauses after changes.
+        assert len(store.requested_paths) - calls < 16
+        assert set(store.watch_waits_ms[-4:]) == {144}
+
+
+async def test_a_silent_feed_is_replaced_by_own_calls_within_its_limit():
+    async with run_readers() as (store, (first, follower)):
+        first.holds_back = True
+        await asyncio.sleep(0.05)
+        await store.put("servers/i-3", create_entry(3))
+        await wait_until(lambda: "i-3" in follower.list_servers(), LIMIT_SECONDS + 0.2)
+        assert "feed_ended" in follower.log.getvalue()
+        first.holds_back = False
+        followed = follower.log.getvalue().count("feed_followed")
+        await wait_until(lambda: follower.log.getvalue().count("feed_followed") > followed)
+
+
+async def test_an_old_confirmation_does_not_keep_a_follower_from_the_store():
+    async with run_readers() as (store, (first, follower)):
+        first.followers = []
+        revision = follower.revision
+        await store.put("servers/i-3", create_entry(3))
+        # Another instance passes on what it heard before, as feeds in a circle would.
+        for _ in range(40):
+            follower.feed(revision, revision, age_ms=1_000 * LIMIT_SECONDS)
+            await asyncio.sleep(0.01)
+        assert "i-3" in follower.list_servers()
+
+
+@pytest.mark.parametrize(
+    ("after", "as_of"),
+    [
+        pytest.param(1, 2, id="one change missing"),
+        pytest.param(50, 60, id="ahead of the store"),
+    ],
+)
+async def test_a_gap_is_read_from_the_store(after, as_of):
+    async with run_readers() as (store, (first, follower)):
+        first.followers = []
+        revision = follower.revision
+        calls = len(store.requested_paths)
+        follower.feed(revision + after, revision + as_of, [])
+        await store.put("servers/i-3", create_entry(3))
+        await wait_until(lambda: "i-3" in follower.list_servers(), 2.5)
+        assert len(store.requested_paths) > calls
+        assert follower.revision == store.revision
+
+
+async def test_older_and_repeated_updates_change_nothing():
+    async with run_readers() as (store, (_first, follower)):
+        old = [SourceEntry("servers/i-1", follower.revision, b"", True)]
+        await store.put("op/config", create_config(2, ["s0"]))
+        await wait_until(lambda: follower.revision == store.revision)
+        revision = follower.revision
+        follower.feed(revision - 3, revision - 1, old)
+        follower.feed(revision - 3, revision, old)
+        await asyncio.sleep(0.05)
+        assert follower.list_servers() == {"i-1", "i-2"}
+        revisions = [event.as_of for event in follower.list_events(SourceRead)]
+        assert revisions == sorted(revisions)
+
+
+async def test_an_unreadable_entry_of_a_feed_names_no_server():
+    async with run_readers() as (_store, (first, follower)):
+        first.followers = []
+        revision = follower.revision
+        entries = [SourceEntry("servers/i-1", revision + 1, b"\xff")]
+        follower.feed(revision, revision + 1, entries)
+        await wait_until(lambda: follower.list_servers() == {"i-2"})
+        assert "entry_ignored" in follower.log.getvalue()
+
+
+async def test_a_follower_is_fed_while_its_own_calls_fail():
+    async with run_readers() as (store, (first, follower)):
+        first.followers = []
+        store.mode = "busy"
+        await wait_until(lambda: follower.list_events(SourceLost))
+        revision = follower.revision
+        entry = SourceEntry("servers/i-1", revision + 1, is_removed=True)
+        follower.feed(revision, revision + 1, [entry])
+        await wait_until(lambda: follower.list_servers() == {"i-2"})
+        lost, regained = follower.list_events(SourceLost, SourceRegained)[-2:]
+        assert isinstance(lost, SourceLost)
+        assert isinstance(regained, SourceRegained)
+
+
+async def test_a_follower_learns_that_the_source_had_failed():
+    """Let the store fail for less than the age at which a follower calls it.
+
+    Entries that expired meanwhile must not count as servers that are gone.
+    """
+    async with run_readers() as (_store, (first, follower)):
+        first.followers = []
+        revision = follower.revision
+        entry = SourceEntry("servers/i-1", revision + 1, is_removed=True)
+        follower.feed(revision, revision + 1, [entry], is_regained=True)
+        await wait_until(lambda: follower.list_servers() == {"i-2"})
+        kinds = (SourceLost, SourceRegained, ServerUnlisted)
+        order = [type(event) for event in follower.list_events(*kinds)]
+        assert order == list(kinds)
+
+
+async def test_a_lost_history_costs_the_followers_no_calls():
+    async with run_readers() as (store, (first, follower)):
+        first.holds_back = True
+        await wait_until(lambda: first.revision == store.revision)
+        first.holds_back = False
+        lists = store.requested_paths.count("/api/kv-range")
+        store.mode = "compacted"
+        await store.remove("servers/i-1")
+        await store.put("servers/i-3", create_entry(3))
+        await wait_until(lambda: follower.list_servers() == {"i-2", "i-3"})
+        assert store.requested_paths.count("/api/kv-range") <= lists + 1
+        read = next(e for e in first.list_events(SourceRead) if e.after and e.entries[-1:])
+        assert all(read.after < entry.revision for entry in read.entries)
+
+
+@pytest.mark.parametrize("answer", ["list", "watch"])
+async def test_an_answer_older_than_what_was_read_is_refused(answer):
+    async with run_readers(1) as (store, (reader,)):
+        await store.put("op/config", create_config(2, ["s0"]))
+        await wait_until(lambda: reader.revision == store.revision)
+        # The store loses its history and answers from a copy that is behind.
+        newest = store.revision
+        store.items["op/config"]["revision"] = store.items["servers/i-2"]["revision"] = 3
+        store.items["op/extra"] = {"key": "op/extra", "value": "", "revision": 3}
+        store.revision = 3
+        if answer == "list":
+            store.mode = "compacted"
+        await wait_until(lambda: reader.list_events(SourceLost), 4.0)
+        assert "answer as of revision 3" in reader.list_events(SourceLost)[-1].reason
+        assert reader.revision == newest
+        store.revision = newest
+        await wait_until(lambda: reader.list_events(SourceRegained), 4.0)
--- a/mimosapost/relay/effects.py
+++ b/mimosapost/relay/effects.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass
 
 from mimosapost.model.effects import Effect
+from mimosapost.model.peer_messages import FeedUpdate
 from mimosapost.relay.messages import BackendServer, RelayRequest, Reply
 
-__all__ = ["AbandonSend", "ForgetServer", "SendReply", "StartSend"]
+__all__ = ["AbandonSend", "ApplyFeed", "ForgetServer", "SendReply", "StartSend"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,3 +56,14 @@
     """Close the idle connections to a server that was removed."""
 
     server_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ApplyFeed(Effect):
+    """Apply changes of the source that another instance has read.
+
+    :param confirmed_us: monotonic time at which the source stated that nothing newer existed.
+    """
+
+    update: FeedUpdate
+    confirmed_us: int
--- a/mimosapost/relay/events.py
+++ b/mimosapost/relay/events.py
@@ -6,6 +6,7 @@
 
 from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.model.events import Event
+from mimosapost.model.peer_messages import SourceEntry
 from mimosapost.relay.catalog import Catalog
 from mimosapost.relay.messages import BackendServer, RelayRequest, ServerAnswer
 
@@ -21,6 +22,7 @@
     "ServerUnlisted",
     "ServersReplaced",
     "SourceLost",
+    "SourceRead",
     "SourceRegained",
     "TimerFired",
 ]
@@ -116,3 +118,23 @@
 @dataclass(frozen=True, slots=True)
 class SourceRegained(Event):
     """The source of the configuration and the server list is reachable again."""
+
+
+@dataclass(frozen=True, slots=True)
+class SourceRead(Event):
+    """All changes of the source up to a revision were applied.
+
+    :param after: revision before these changes; 0 if the entries are not known as changes.
+    :param as_of: revision after them.
+    :param entries: the changed entries, with ascending revisions.
+    :param confirmed_us: monotonic time at which the source stated that nothing newer existed.
+    :param is_regained: whether the source was unreachable before.
+    :param is_fed: whether another instance has read the changes.
+    """
+
+    after: int
+    as_of: int
+    entries: tuple[SourceEntry, ...]
+    confirmed_us: int
+    is_regained: bool = False
+    is_fed: bool = False
--- /dev/null
+++ b/mimosapost/relay/feed_choices.py
@@ -0,0 +1,124 @@
+"""Choices of feeds: which instance reads the source for this one, and which updates fit.
+
+Load pattern: hundreds of instances watch the same entries, and the platform charges for every
+call. A few instances of each region read the source, and the others follow them. An instance
+follows only one of a lower rank, so that feeds have no circle, and each update states how old
+the source's confirmation is, so that the followers of an instance that lost the source, was
+paused or was cut off read the source themselves once that age passes their limit.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Container, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+import xxhash
+
+from mimosapost.membership.members import Member
+from mimosapost.model.identities import InstanceIdentity
+from mimosapost.model.peer_messages import FeedUpdate
+
+__all__ = [
+    "FeedState",
+    "Fit",
+    "choose_reader",
+    "classify_update",
+    "has_followers",
+    "list_followers",
+]
+
+# Smaller groups read the source themselves: a reader with followers watches in shorter calls,
+# which costs as many calls as three instances need.
+_MIN_INSTANCES = 4
+# Instances of a region for each one that reads the source. It bounds the messages of a reader.
+_INSTANCES_PER_READER = 32
+# Time after its last request for which an instance gets updates; requests come once a second.
+_FOLLOWER_US = 3_500_000
+
+
+@dataclass(slots=True)
+class FeedState:
+    """What an instance has read of the source and whom it reads it from.
+
+    :param revision: revision up to which the changes of the source were applied.
+    :param confirmed_us: time at which the source stated that nothing newer existed.
+    :param reader: instance that is asked for updates, or ``None``.
+    :param heard_us: time of the last update of the reader, or of the first request to it.
+    :param followers: peer address and time of the last request, by name of the instance.
+    :param blocked_until_us: time until which an instance is not asked, by name.
+    """
+
+    revision: int = 0
+    confirmed_us: int = 0
+    reader: Member | None = None
+    heard_us: int = 0
+    followers: dict[str, tuple[str, int]] = field(default_factory=dict)
+    blocked_until_us: dict[str, int] = field(default_factory=dict)
+
+
+class Fit(Enum):
+    """How an update fits to the revision that was applied."""
+
+    NEXT = "next"
+    OLD = "old"
+    GAP = "gap"
+
+
+def choose_reader(
+    own: InstanceIdentity, members: Iterable[Member], blocked: Container[str]
+) -> Member | None:
+    """Choose the instance that reads the source for this one.
+
+    :param own: identity of this instance.
+    :param members: the other instances.
+    :param blocked: names of instances that are not asked.
+    :returns: an instance of the same region with a lower rank, or ``None`` if this instance
+        reads the source itself.
+    """
+    candidates = {
+        member.name: member
+        for member in members
+        if member.identity is not None
+        and member.identity.region == own.region
+        and not member.leaving
+        and member.name not in blocked
+    }
+    count = len(candidates) + 1
+    if count < _MIN_INSTANCES:
+        return None
+    ranked = sorted([own.name, *candidates], key=_get_rank)
+    readers = ranked[: -(-count // _INSTANCES_PER_READER)]
+    if own.name in readers:
+        return None
+    return candidates[max(readers, key=lambda name: _get_rank(f"{own.name} {name}"))]
+
+
+def _get_rank(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+def classify_update(update: FeedUpdate, revision: int) -> Fit:
+    """Return whether an update continues from the revision that was applied.
+
+    >>> update = FeedUpdate(5, 8, (), 0)
+    >>> [classify_update(update, revision).value for revision in (4, 5, 8, 9)]
+    ['gap', 'next', 'next', 'old']
+    """
+    if update.as_of < revision:
+        return Fit.OLD
+    return Fit.NEXT if update.after <= revision else Fit.GAP
+
+
+def list_followers(feed: FeedState, now_us: int) -> list[tuple[str, str]]:
+    """Return name and peer address of the instances that follow this one."""
+    return [
+        (name, address)
+        for name, (address, asked_us) in feed.followers.items()
+        if now_us - asked_us < _FOLLOWER_US
+    ]
+
+
+def has_followers(feed: FeedState, now_us: int) -> bool:
+    """Return whether any instance follows this one."""
+    return bool(list_followers(feed, now_us))
--- a/mimosapost/relay/gathers.py
+++ b/mimosapost/relay/gathers.py
@@ -17,6 +17,7 @@
 from mimosapost.model.events import PeerLost, PeerMessageArrived
 from mimosapost.model.peer_messages import Gather, GatherAnswer
 from mimosapost.relay.completion import check_progress, count_answered, fail_part
+from mimosapost.relay.feeds import release_reader
 from mimosapost.relay.latency_pools import get_distance
 from mimosapost.relay.partners import (
     find_partner,
@@ -346,10 +347,11 @@
 
 @handles(PeerLost)
 def handle_peer_lost(state: RelayState, event: PeerLost, effects: Effects) -> None:
-    """Give up the gathers at an instance whose link broke, and those for it."""
+    """Give up the gathers and the feed of an instance whose link broke, and gathers for it."""
     if state.peers is None or not event.peer:
         return
     record_peer_failure(state.peers, event.peer, event.now_us)
+    release_reader(state, event.peer, event.now_us)
     for gather in [g for g in state.gathers.values() if g.peer == event.peer]:
         _give_up(state, gather, "peer_lost", event.now_us, effects)
     cancel_gathers_for(state, event.peer, event.now_us, effects)
--- a/mimosapost/relay/gossip.py
+++ b/mimosapost/relay/gossip.py
@@ -12,6 +12,8 @@
 from mimosapost.model.events import PeerMessageArrived
 from mimosapost.model.peer_messages import Gossip, Hello, MemberReport
 from mimosapost.relay.events import InstanceStarted
+from mimosapost.relay.feed_choices import list_followers
+from mimosapost.relay.feeds import request_feed
 from mimosapost.relay.partners import (
     DEMAND_US,
     READY_US,
@@ -70,6 +72,7 @@
                     _create_gossip(state, member.name, member.peer_address, reports, True)
                 )
     _ask_seed(state, effects)
+    request_feed(state, now_us, effects)
 
 
 def _update_partner(
@@ -112,12 +115,14 @@
 
 
 def announce_leaving(state: RelayState, now_us: int, effects: Effects) -> None:
-    """Tell the instances that lately pinged this one that it is stopping."""
+    """Tell the instances that lately pinged or follow this one that it is stopping."""
     if state.peers is None:
         return
-    for name, pinged_us in state.peers.pinged_us.items():
+    names = {name for name, at_us in state.peers.pinged_us.items() if now_us - at_us < READY_US}
+    names |= {name for name, _ in list_followers(state.feed, now_us)}
+    for name in sorted(names):
         member = state.peers.members.find_by_name(name)
-        if member is not None and now_us - pinged_us < READY_US:
+        if member is not None:
             effects.append(_create_gossip(state, name, member.peer_address, (), False))
 
 
--- a/mimosapost/relay/reducer.py
+++ b/mimosapost/relay/reducer.py
@@ -10,6 +10,7 @@
 from mimosapost.model.events import Event
 from mimosapost.relay import (  # noqa: F401 - imported for their registered handlers
     admission,
+    feeds,
     gathers,
     gossip,
     graceful_stop,
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -11,6 +11,7 @@
 from mimosapost.model.identities import NO_SEAT, InstanceIdentity
 from mimosapost.relay import repeats
 from mimosapost.relay.catalog import Catalog, Route
+from mimosapost.relay.feed_choices import FeedState
 from mimosapost.relay.latency_pools import DISTANCES, LatencyPool
 from mimosapost.relay.messages import RelayRequest, ServerAnswer
 from mimosapost.relay.partners import PeerState
@@ -251,6 +252,7 @@
     :param services_to_dispatch: services whose waiting parts may now find a server with room.
     :param hedges_due: parts to hedge after the current event, by request number.
     :param peers: other instances, or ``None`` for an instance that works alone.
+    :param feed: what was read of the source, and who reads it for whom.
     :param gathers: open gathers at other instances, by number.
     :param served_gathers: request number of each open gather for another instance, by the name
         of that instance and the number of the gather.
@@ -283,6 +285,7 @@
     services_to_dispatch: set[str] = field(default_factory=set)
     hedges_due: dict[int, list[HedgeDue]] = field(default_factory=dict)
     peers: PeerState | None = None
+    feed: FeedState = field(default_factory=FeedState)
     gathers: dict[int, OpenGather] = field(default_factory=dict)
     served_gathers: dict[tuple[str, int], int] = field(default_factory=dict)
     next_gather_id: int = 1
