--- a/mimosapost/platform/tests/test_translation.py
+++ b/mimosapost/platform/tests/test_translation.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
 import signal
@@ -226,13 +227,16 @@
     [(signal.SIGHUP, 2), (signal.SIGTERM, 0)],
     ids=["sighup-ignored", "sigterm-exits"],
 )
-def test_signals_during_startup_do_not_kill_the_process(signal_number, status):
+def test_signals_during_startup_do_not_kill_the_process(signal_number, status, tmp_path):
     """Without a handler either signal would kill the process while it imports its modules.
 
-    It must ignore SIGHUP, and then exits with 2 because the settings file is missing. SIGTERM
-    must end it with 0.
+    It must ignore SIGHUP, and then exits with 2 because the settings file is empty. SIGTERM
+    must end it with 0. The file is a FIFO that is written after the signal, so the process
+    cannot end before it, however late this test runs.
     """
-    environment = os.environ | {"MIMOSAPOST_CONFIG": "/nonexistent"}
+    settings_file = tmp_path / "settings"
+    os.mkfifo(settings_file)
+    environment = os.environ | {"MIMOSAPOST_CONFIG": str(settings_file)}
     with subprocess.Popen(
         [sys.executable, "-m", "mimosapost.platform"],
         env=environment,
@@ -240,10 +244,25 @@
     ) as process:
         handled = wait_for_handled_signals(process.pid, (signal.SIGHUP, signal.SIGTERM))
         process.send_signal(signal_number)
+        close_empty(settings_file, process)
         assert process.wait(30) == status
         assert handled
 
 
+def close_empty(fifo, process):
+    """Let a process read an empty file from a FIFO, unless it ends before it opens it."""
+    while process.poll() is None:
+        try:
+            os.close(os.open(fifo, os.O_WRONLY | os.O_NONBLOCK))
+        except OSError as error:
+            # No process has opened the FIFO yet.
+            if error.errno != errno.ENXIO:
+                raise
+            time.sleep(0.01)
+        else:
+            return
+
+
 def wait_for_handled_signals(process_id, signal_numbers):
     """Wait until a process ignores or catches all the signals.
 
