Catch up at once after a time without the store, and feed followers that are behind

Entries are packed together, a follower states its revision and gets the last changes, and pauses start anew after a quiet time. At the first start, before there is traffic, an instance waits for a feed after its first list.

--- a/mimosapost/edge/feed_inbox.py
+++ b/mimosapost/edge/feed_inbox.py
@@ -6,7 +6,6 @@
 from collections import deque
 from collections.abc import Callable
 
-from mimosapost.model.peer_messages import FeedUpdate
 from mimosapost.relay.effects import ApplyFeed
 from mimosapost.relay.feed_choices import Fit, classify_update
 
@@ -27,33 +26,33 @@
     def __init__(self, read_clock_us: Callable[[], int], limit_us: int) -> None:
         self._read_clock_us = read_clock_us
         self._limit_us = limit_us
-        self._effects: deque[ApplyFeed] = deque(maxlen=_MAX_UPDATES)
+        self._updates: deque[ApplyFeed] = deque(maxlen=_MAX_UPDATES)
         self._arrived = asyncio.Event()
         self._confirmed_us: int | None = None
         #: Why the feed ended: ``silent`` or ``gap``.
         self.end_reason = "silent"
 
-    def put(self, effect: ApplyFeed) -> None:
+    def put(self, update: ApplyFeed) -> None:
         """Queue an update."""
-        self._effects.append(effect)
+        self._updates.append(update)
         self._arrived.set()
 
-    def take(self, revision: int) -> tuple[FeedUpdate, int] | None:
-        """Return the next update that continues from a revision, with its confirmation time.
+    def take(self, revision: int) -> ApplyFeed | None:
+        """Return the next update that continues from a revision.
 
         An update that starts behind the revision ends the feed, so that the changes in between
         are read from the source.
         """
-        while self._effects:
-            effect = self._effects.popleft()
-            fit = classify_update(effect.update, revision)
+        while self._updates:
+            update = self._updates.popleft()
+            fit = classify_update(update, revision)
             if fit is Fit.GAP:
                 self._confirmed_us = None
                 self.end_reason = "gap"
             elif fit is Fit.NEXT:
+                self._confirmed_us = max(self._confirmed_us or 0, update.confirmed_us)
                 self.end_reason = "silent"
-                self._confirmed_us = max(self._confirmed_us or 0, effect.confirmed_us)
-                return effect.update, effect.confirmed_us
+                return update
         self._arrived.clear()
         return None
 
--- a/mimosapost/membership/codec.py
+++ b/mimosapost/membership/codec.py
@@ -26,7 +26,6 @@
     Hello,
     MemberReport,
     PeerMessage,
-    SourceEntry,
     SubtreeReply,
     SubtreeRequest,
     SuspectNote,
@@ -57,9 +56,8 @@
 # Largest number of shards of a route, which bounds the bitmaps of a gather.
 _MAX_SHARDS = 4_096
 _MAX_REFUSAL_BYTES = 200
-# The source allows keys of this size.
-_MAX_KEY_BYTES = 200
-_MAX_FEED_ENTRIES = 1_000
+# Packed entries of a feed update; a sender leaves larger ones out.
+_MAX_FEED_BYTES = 2**20
 # Largest version allowed in the published settings. A subtree with a higher version could
 # never be superseded.
 _MAX_VERSION = 2**53
@@ -493,15 +491,7 @@
     return {
         "after": _check_version(message.after),
         "asOf": _check_version(message.as_of),
-        "entries": [
-            {
-                "key": _check_key(entry.key),
-                "revision": entry.revision,
-                "value": entry.value,
-                "removed": entry.is_removed,
-            }
-            for entry in _check_length(message.entries, _MAX_FEED_ENTRIES, "entries")
-        ],
+        "entries": _check_length(message.packed_entries, _MAX_FEED_BYTES, "entries"),
         "ageUs": message.age_us,
         "regained": message.is_regained,
     }
@@ -512,24 +502,10 @@
     update = FeedUpdate(
         after=_check_version(reader.after),
         as_of=_check_version(reader.asOf),
-        entries=tuple(
-            SourceEntry(
-                _check_key(entry.key), entry.revision, bytes(entry.value), entry.removed
-            )
-            for entry in _check_length(reader.entries, _MAX_FEED_ENTRIES, "entries")
-        ),
+        packed_entries=bytes(_check_length(reader.entries, _MAX_FEED_BYTES, "entries")),
         age_us=reader.ageUs,
         is_regained=reader.regained,
     )
-    revisions = [update.after, *(entry.revision for entry in update.entries), update.as_of]
-    if any(entry.revision == update.after for entry in update.entries):
-        raise CodecError("feed update has an entry of the revision that it starts from")
-    if revisions != sorted(revisions):
-        raise CodecError("feed update has revisions that do not ascend")
+    if update.after > update.as_of:
+        raise CodecError(f"feed update goes from {update.after} back to {update.as_of}")
     return update
-
-
-def _check_key(key: str) -> str:
-    if not 0 < len(key.encode()) <= _MAX_KEY_BYTES:
-        raise CodecError(f"key has {len(key)} characters; 1 to {_MAX_KEY_BYTES} bytes allowed")
-    return key
--- a/mimosapost/membership/peer.capnp
+++ b/mimosapost/membership/peer.capnp
@@ -123,22 +123,15 @@
   gatherId @0 :UInt64;
 }
 
-struct SourceEntry {
-  key @0 :Text;
-  revision @1 :UInt64;
-  value @2 :Data;
-  removed @3 :Bool;
-}
-
 struct FeedRequest {
   revision @0 :UInt64;
 }
 
-# The values of the entries are compressed (zlib).
+# The entries are a list of [key, revision, value, removed] in MessagePack, compressed (zlib).
 struct FeedUpdate {
   after @0 :UInt64;
   asOf @1 :UInt64;
-  entries @2 :List(SourceEntry);
+  entries @2 :Data;
   ageUs @3 :UInt64;
   regained @4 :Bool;
 }
--- a/mimosapost/model/peer_messages.py
+++ b/mimosapost/model/peer_messages.py
@@ -277,8 +277,8 @@
 
     :param after: revision from which the receiver must start.
     :param as_of: revision of the source up to which the changes are complete.
-    :param entries: entries that changed between the two, with ascending revisions and
-        compressed values (zlib).
+    :param packed_entries: entries that changed between the two, see
+        :mod:`mimosapost.relay.source_entries`.
     :param age_us: time in microseconds since the source stated that nothing newer existed.
     :param is_regained: whether the source was unreachable before, so that entries may be
         missing only because they expired meanwhile.
@@ -286,7 +286,7 @@
 
     after: int
     as_of: int
-    entries: tuple[SourceEntry, ...]
+    packed_entries: bytes
     age_us: int
     is_regained: bool = False
 
--- a/mimosapost/platform/instance_runner.py
+++ b/mimosapost/platform/instance_runner.py
@@ -60,6 +60,7 @@
             *context,
             detection_limit_ms=settings.detection_limit_ms,
             apply_limit_ms=settings.apply_limit_ms,
+            is_first_start=settings.is_first_start,
         ),
         logs,
         listener,
--- a/mimosapost/platform/settings.py
+++ b/mimosapost/platform/settings.py
@@ -45,6 +45,7 @@
         which changes must be detected again.
     :param apply_limit_ms: time in milliseconds within which a change in the store must take
         effect.
+    :param is_first_start: whether all instances start together before there is traffic.
     :param max_held_bytes: maximum number of bytes of all unfinished answers of servers.
     """
 
@@ -56,6 +57,7 @@
     detection_limit_ms: int
     apply_limit_ms: int
     max_held_bytes: int
+    is_first_start: bool = False
 
 
 def read_fields(text: str) -> dict[str, str]:
@@ -119,6 +121,7 @@
                 int(float(fields.get(name, _DEFAULT_APPLY_MS))) for name in _APPLY_LIMIT_FIELDS
             ),
             int(memory_mb * _BYTES_PER_MB * _ANSWER_MEMORY_SHARE),
+            fields.get("bootstrap") == "true",
         )
     )
 
--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -20,7 +20,7 @@
 from mimosapost.edge.feed_inbox import FeedInbox
 from mimosapost.edge.logs import Logs
 from mimosapost.model.events import Event
-from mimosapost.model.peer_messages import FeedUpdate, SourceEntry
+from mimosapost.model.peer_messages import SourceEntry
 from mimosapost.platform.store_entries import EntryError, decode_catalog, decode_server
 from mimosapost.relay.effects import ApplyFeed
 from mimosapost.relay.events import (
@@ -65,6 +65,9 @@
 _FEED_AGE_SHARE = 0.6
 _FED_WAIT_SHARE = 0.24
 _FED_PAUSE_SHARE = 0.2
+# When all instances start together before there is traffic, each waits for this time after its
+# first list. It meets the others meanwhile, and most entries of the servers are written then.
+_FIRST_START_WAIT_SECONDS = 2.5
 # A watch that takes longer than this ends a burst of changes.
 _BURST_GAP_US = 1_500_000
 # Maximum size of an answer. A page holds about 1 MB; the changes of the whole history are
@@ -109,11 +112,11 @@
     """The store sent more bytes in one answer than it may."""
 
 
-def get_next_pause(pause_seconds: float, watch_us: int, max_pause_seconds: float) -> float:
-    """Return the pause after the next watch that returns changes, in seconds.
+def get_next_pause(pause_seconds: float, quiet_us: int, max_pause_seconds: float) -> float:
+    """Return the pause after a watch that returned changes, in seconds.
 
     :param pause_seconds: previous pause.
-    :param watch_us: duration of the last watch without its pause, in microseconds.
+    :param quiet_us: time from the end of that pause to this answer, in microseconds.
     :param max_pause_seconds: upper limit of the pauses in a burst of changes.
 
     >>> get_next_pause(0.4, 5_000, 1.0), get_next_pause(0.8, 5_000, 1.0)
@@ -121,9 +124,9 @@
     >>> get_next_pause(1.0, 2_000_000, 1.0)
     0.1
     """
-    if watch_us > _BURST_GAP_US:
+    if quiet_us > _BURST_GAP_US:
         return _FIRST_PAUSE_SECONDS
-    return min(2 * pause_seconds, max_pause_seconds)
+    return min(max(2 * pause_seconds, _FIRST_PAUSE_SECONDS), max_pause_seconds)
 
 
 class StoreReader(mode.Service):
@@ -137,6 +140,7 @@
     :param detection_limit_ms: time in milliseconds within which the reader detects a silent
         connection or a lost answer; a watch waits for changes for a shorter time.
     :param apply_limit_ms: time in milliseconds within which a change must take effect.
+    :param is_first_start: whether all instances start together before there is traffic.
     """
 
     def __init__(
@@ -148,6 +152,7 @@
         is_followed: Callable[[], bool],
         detection_limit_ms: int,
         apply_limit_ms: int,
+        is_first_start: bool = False,
     ) -> None:
         super().__init__()
         self._url = f"http://{address}"
@@ -167,17 +172,19 @@
         self._was_fed = False
         self._domains_out: frozenset[str] = frozenset()
         self._source_lost = False
-        self._pause_seconds = _FIRST_PAUSE_SECONDS
+        self._pause_seconds = 0.0
+        self._pause_ended_us = 0
         self._apply_limit_ms = apply_limit_ms
+        self._is_first_start = is_first_start
 
     async def on_start(self) -> None:
         """Open the HTTP session and start reading."""
         self._session = await self.async_exit_stack.enter_async_context(aiohttp.ClientSession())
         self.add_future(self._read_until_stopped())
 
-    def apply_feed(self, effect: ApplyFeed) -> None:
+    def apply_feed(self, update: ApplyFeed) -> None:
         """Queue changes that another instance has read."""
-        self._inbox.put(effect)
+        self._inbox.put(update)
 
     async def _read_until_stopped(self) -> None:
         backoff = _FIRST_BACKOFF_SECONDS
@@ -186,6 +193,9 @@
             try:
                 if self._is_list_needed:
                     await self._read_all()
+                    if self._is_first_start:
+                        self._is_first_start = False
+                        await self._inbox.wait(_FIRST_START_WAIT_SECONDS)
                 else:
                     await self._read_changes()
             except _HistoryLost:
@@ -217,8 +227,8 @@
     async def _follow_feed(self) -> None:
         """Apply the updates of another instance until they are missing or too old."""
         while not self._is_list_needed and not self.should_stop:
-            while (taken := self._inbox.take(self._revision)) is not None:
-                self._apply_update(*taken)
+            while (update := self._inbox.take(self._revision)) is not None:
+                self._apply_update(update)
             remaining_seconds = self._inbox.get_remaining_seconds()
             if not remaining_seconds:
                 break
@@ -231,14 +241,14 @@
             self._logs.write("feed_ended", fields)
         self._is_fed = False
 
-    def _apply_update(self, update: FeedUpdate, confirmed_us: int) -> None:
+    def _apply_update(self, update: ApplyFeed) -> None:
         if update.is_regained and not self._source_lost:
             # The source failed and recovered between two updates. Entries may be missing only
             # because they expired meanwhile.
             now_us = self._read_clock_us()
             self._handle(SourceLost(now_us, "reported by the instance that reads it"))
             self._source_lost = True
-        self._apply_changes(update.as_of, update.entries, confirmed_us, is_fed=True)
+        self._apply_changes(update.as_of, update.entries, update.confirmed_us, is_fed=True)
 
     def _apply_changes(
         self,
@@ -348,18 +358,18 @@
     async def _read_changes(self) -> None:
         wait_ms, max_pause_seconds = self._get_watch_limits()
         fields = {"pathPrefix": "", "after": self._revision, "waitMs": wait_ms}
-        started_us = self._read_clock_us()
         data = await self._fetch("/api/kv-watch", fields, wait_ms / 1_000)
         confirmed_us = self._read_clock_us()
         changes = msgspec.json.decode(data, type=_Changes)
         self._check_revision(changes.asOf)
         entries = tuple(_create_entry(item) for item in changes.events)
         self._apply_changes(changes.asOf, entries, confirmed_us)
-        if entries:
-            await asyncio.sleep(self._pause_seconds)
         self._pause_seconds = get_next_pause(
-            self._pause_seconds, confirmed_us - started_us, max_pause_seconds
+            self._pause_seconds, confirmed_us - self._pause_ended_us, max_pause_seconds
         )
+        if entries:
+            await asyncio.sleep(self._pause_seconds)
+        self._pause_ended_us = self._read_clock_us()
 
     def _get_watch_limits(self) -> tuple[int, float]:
         """Return the wait of a watch in milliseconds and the longest pause in seconds."""
--- a/mimosapost/relay/effects.py
+++ b/mimosapost/relay/effects.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from mimosapost.model.effects import Effect
-from mimosapost.model.peer_messages import FeedUpdate
+from mimosapost.model.peer_messages import SourceEntry
 from mimosapost.relay.messages import BackendServer, RelayRequest, Reply
 
 __all__ = ["AbandonSend", "ApplyFeed", "ForgetServer", "SendReply", "StartSend"]
@@ -62,8 +62,15 @@
 class ApplyFeed(Effect):
     """Apply changes of the source that another instance has read.
 
+    :param after: revision from which the changes start.
+    :param as_of: revision up to which they are complete.
+    :param entries: the changed entries, with ascending revisions.
     :param confirmed_us: monotonic time at which the source stated that nothing newer existed.
+    :param is_regained: whether the source was unreachable before.
     """
 
-    update: FeedUpdate
+    after: int
+    as_of: int
+    entries: tuple[SourceEntry, ...]
     confirmed_us: int
+    is_regained: bool = False
--- a/mimosapost/relay/feed_choices.py
+++ b/mimosapost/relay/feed_choices.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -17,13 +18,16 @@
 
 from mimosapost.membership.members import Member
 from mimosapost.model.identities import InstanceIdentity
-from mimosapost.model.peer_messages import FeedUpdate
+from mimosapost.model.peer_messages import SourceEntry
+from mimosapost.relay.effects import ApplyFeed
+from mimosapost.relay.events import SourceRead
 
 __all__ = [
     "FeedState",
     "Fit",
     "choose_reader",
     "classify_update",
+    "find_changes_since",
     "has_followers",
     "list_followers",
 ]
@@ -33,6 +37,9 @@
 _MIN_INSTANCES = 4
 # Instances of a region for each one that reads the source. It bounds the messages of a reader.
 _INSTANCES_PER_READER = 32
+# Reads whose changes are kept for followers that are behind: new ones, and those that lost an
+# update.
+_KEPT_READS = 16
 # Time after its last request for which an instance gets updates; requests come once a second.
 _FOLLOWER_US = 3_500_000
 
@@ -47,6 +54,7 @@
     :param heard_us: time of the last update of the reader, or of the first request to it.
     :param followers: peer address and time of the last request, by name of the instance.
     :param blocked_until_us: time until which an instance is not asked, by name.
+    :param reads: the last reads with known changes, with ascending revisions.
     """
 
     revision: int = 0
@@ -55,6 +63,7 @@
     heard_us: int = 0
     followers: dict[str, tuple[str, int]] = field(default_factory=dict)
     blocked_until_us: dict[str, int] = field(default_factory=dict)
+    reads: deque[SourceRead] = field(default_factory=lambda: deque(maxlen=_KEPT_READS))
 
 
 class Fit(Enum):
@@ -98,10 +107,10 @@
     return xxhash.xxh3_64_intdigest(name.encode())
 
 
-def classify_update(update: FeedUpdate, revision: int) -> Fit:
+def classify_update(update: ApplyFeed, revision: int) -> Fit:
     """Return whether an update continues from the revision that was applied.
 
-    >>> update = FeedUpdate(5, 8, (), 0)
+    >>> update = ApplyFeed(5, 8, (), 0)
     >>> [classify_update(update, revision).value for revision in (4, 5, 8, 9)]
     ['gap', 'next', 'next', 'old']
     """
@@ -110,6 +119,19 @@
     return Fit.NEXT if update.after <= revision else Fit.GAP
 
 
+def find_changes_since(feed: FeedState, revision: int) -> tuple[int, tuple[SourceEntry, ...]]:
+    """Return the changes between a revision and the one that was reached.
+
+    :returns: revision from which the changes start, and the entries. If the changes since the
+        given revision are not known, they start at the revision that was reached.
+    """
+    since = [read for read in feed.reads if read.as_of > revision]
+    if not since or since[0].after > revision:
+        return feed.revision, ()
+    entries = (entry for read in since for entry in read.entries)
+    return revision, tuple(entry for entry in entries if entry.revision > revision)
+
+
 def list_followers(feed: FeedState, now_us: int) -> list[tuple[str, str]]:
     """Return name and peer address of the instances that follow this one."""
     return [
--- a/mimosapost/relay/feeds.py
+++ b/mimosapost/relay/feeds.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import zlib
-from dataclasses import replace
 from typing import Any
 
 from mimosapost.model.effects import IncrementCounter, SendPeer, WriteLog
@@ -11,8 +9,9 @@
 from mimosapost.model.peer_messages import FeedRequest, FeedUpdate, SourceEntry
 from mimosapost.relay.effects import ApplyFeed
 from mimosapost.relay.events import SourceRead
-from mimosapost.relay.feed_choices import choose_reader, list_followers
+from mimosapost.relay.feed_choices import choose_reader, find_changes_since, list_followers
 from mimosapost.relay.registry import Effects, handles, handles_message
+from mimosapost.relay.source_entries import EntriesError, pack_entries, unpack_entries
 from mimosapost.relay.state import RelayState
 
 __all__ = ["describe_feed", "release_reader", "request_feed"]
@@ -21,12 +20,9 @@
 # update may take as long as the call to the source that was open before the request.
 _SILENCE_US = 6_000_000
 _BLOCK_US = 10_000_000
-# Largest size of the compressed entries in an update, so that updates to all followers take
-# little of the link. Followers read larger changes from the source.
+# Largest size of the packed entries in an update, so that updates to all followers take little
+# of the link. Followers read larger changes from the source.
 _MAX_ENTRIES_BYTES = 32 * 2**10
-# Largest size of an entry's value, which is that of the platform's store.
-_MAX_VALUE_BYTES = 2**20
-_MAX_ENTRIES = 1_000
 
 
 def request_feed(state: RelayState, now_us: int, effects: Effects) -> None:
@@ -64,17 +60,18 @@
 
 @handles_message(FeedRequest)
 def handle_feed_request(state: RelayState, event: PeerMessageArrived, effects: Effects) -> None:
-    """Record a follower, and confirm the current revision to a new one."""
+    """Record a follower, and send the changes since its revision to one that is behind."""
     member = state.peers.members.find_by_name(event.peer)
     if member is None or state.stop_requested_us:
         return
-    feed = state.feed
+    feed, revision = state.feed, event.message.revision
     is_new = event.peer not in feed.followers
     feed.followers[event.peer] = (member.peer_address, event.now_us)
-    if is_new and feed.revision:
-        age_us = event.now_us - feed.confirmed_us
-        update = FeedUpdate(feed.revision, feed.revision, (), age_us)
-        effects.append(SendPeer(event.peer, member.peer_address, update))
+    if not feed.revision or not (is_new or revision < feed.revision):
+        return
+    after, entries = find_changes_since(feed, revision)
+    update = _create_update(after, feed.revision, entries, event.now_us - feed.confirmed_us)
+    effects.append(SendPeer(event.peer, member.peer_address, update))
 
 
 @handles_message(FeedUpdate)
@@ -86,15 +83,17 @@
         return
     feed.heard_us = event.now_us
     try:
-        entries = tuple(_decompress(entry) for entry in update.entries)
-    except zlib.error as error:
+        entries = unpack_entries(update.packed_entries, update.after, update.as_of)
+    except EntriesError as error:
         effects.append(WriteLog("feed_refused", (("peer", event.peer), ("reason", str(error)))))
         _count(effects, "refused")
         release_reader(state, event.peer, event.now_us)
         return
     _count(effects, "received")
-    update = replace(update, entries=entries)
-    effects.append(ApplyFeed(update, event.now_us - update.age_us))
+    confirmed_us = event.now_us - update.age_us
+    effects.append(
+        ApplyFeed(update.after, update.as_of, entries, confirmed_us, update.is_regained)
+    )
 
 
 @handles(SourceRead)
@@ -105,40 +104,45 @@
     feed = state.feed
     feed.revision = event.as_of
     feed.confirmed_us = event.confirmed_us
+    if event.after:
+        feed.reads.append(event)
+    else:
+        # The entries of a first list are not known as changes.
+        feed.reads.clear()
     followers = list_followers(feed, event.now_us)
     if not followers:
         return
-    after, entries = event.after, tuple(_compress(entry) for entry in event.entries)
-    size = sum(len(entry.value) for entry in entries)
-    if not after or len(entries) > _MAX_ENTRIES or size > _MAX_ENTRIES_BYTES:
-        # The update starts where it ends, so that followers notice the changes in between.
-        fields = (("after", after), ("as_of", event.as_of), ("bytes", size))
+    after = event.after or event.as_of
+    age_us = event.now_us - event.confirmed_us
+    update = _create_update(after, event.as_of, event.entries, age_us, event.is_regained)
+    if update.after != event.after:
+        fields = (
+            ("after", event.after),
+            ("as_of", event.as_of),
+            ("entries", len(event.entries)),
+        )
         effects.append(WriteLog("feed_left_out", fields))
         _count(effects, "left_out")
-        after, entries = event.as_of, ()
-    age_us = event.now_us - event.confirmed_us
-    update = FeedUpdate(after, event.as_of, entries, age_us, event.is_regained)
     for name, address in followers:
         effects.append(SendPeer(name, address, update))
     _count(effects, "sent", len(followers))
 
 
-def _compress(entry: SourceEntry) -> SourceEntry:
-    return replace(entry, value=zlib.compress(entry.value)) if entry.value else entry
-
-
-def _decompress(entry: SourceEntry) -> SourceEntry:
-    """Return an entry with its value decompressed.
+def _create_update(
+    after: int,
+    as_of: int,
+    entries: tuple[SourceEntry, ...],
+    age_us: int,
+    is_regained: bool = False,
+) -> FeedUpdate:
+    """Create an update; one that would be too large has no entries and starts where it ends.
 
-    :raises zlib.error: if the value is malformed, incomplete or too large.
+    A follower notices the changes in between and reads them from the source.
     """
-    if not entry.value:
-        return entry
-    stream = zlib.decompressobj()
-    value = stream.decompress(entry.value, _MAX_VALUE_BYTES)
-    if not stream.eof or stream.unused_data:
-        raise zlib.error(f"value of {entry.key} is incomplete or larger than allowed")
-    return replace(entry, value=value)
+    packed_entries = pack_entries(entries)
+    if len(packed_entries) > _MAX_ENTRIES_BYTES:
+        after, packed_entries = as_of, b""
+    return FeedUpdate(after, as_of, packed_entries, age_us, is_regained)
 
 
 def describe_feed(state: RelayState, now_us: int) -> dict[str, Any]:
