Tell all instances of servers in trouble from those near them

Instances of a server's region send notes over the tree of feeds when it turns slow, hangs, fails or recovers. A server that hung is used last for 1.5 s.

--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -109,6 +109,11 @@
     "Reads of the source, by a call of this instance or by a feed.",
     ("by",),
 )
+declare_counter(
+    "mimosapost_relay_server_notes_total",
+    "Notes on servers that were sent to and adopted from other instances.",
+    ("outcome",),
+)
 declare_counter(
     "mimosapost_relay_feed_updates_total",
     "Updates of the source between instances by outcome.",
--- a/mimosapost/membership/codec.py
+++ b/mimosapost/membership/codec.py
@@ -26,6 +26,8 @@
     Hello,
     MemberReport,
     PeerMessage,
+    ServerNote,
+    ServerNotes,
     SubtreeReply,
     SubtreeRequest,
     SuspectNote,
@@ -56,6 +58,10 @@
 # Largest number of shards of a route, which bounds the bitmaps of a gather.
 _MAX_SHARDS = 4_096
 _MAX_REFUSAL_BYTES = 200
+_MAX_NOTES = 1_000
+# Keys of the platform's store have at most 200 bytes, and an id is a part of a key.
+_MAX_SERVER_ID_BYTES = 200
+_MAX_NOTE_STAGE = 2
 # Packed entries of a feed update; a sender leaves larger ones out.
 _MAX_FEED_BYTES = 2**20
 # Largest version allowed in the published settings. A subtree with a higher version could
@@ -151,9 +157,9 @@
     return register
 
 
-def _check_name(name: str, field: str) -> str:
-    if len(name.encode()) > _MAX_NAME_BYTES:
-        raise CodecError(f"{field} is too long; at most {_MAX_NAME_BYTES} bytes allowed")
+def _check_name(name: str, field: str, limit: int = _MAX_NAME_BYTES) -> str:
+    if len(name.encode()) > limit:
+        raise CodecError(f"{field} is too long; at most {limit} bytes allowed")
     return name
 
 
@@ -509,3 +515,47 @@
     if update.after > update.as_of:
         raise CodecError(f"feed update goes from {update.after} back to {update.as_of}")
     return update
+
+
+@_register_writer(ServerNotes, "serverNotes")
+def _write_server_notes(message: ServerNotes) -> dict[str, Any]:
+    return {
+        "stage": message.stage,
+        "notes": [
+            {
+                "serverId": _check_name(note.server_id, "serverId", _MAX_SERVER_ID_BYTES),
+                "processStartedMs": note.process_started_ms,
+                "latencyPercent": note.latency_percent,
+                "failurePercent": note.failure_percent,
+                "hungMs": note.hung_ms,
+                "ageMs": note.age_ms,
+            }
+            for note in _check_length(message.notes, _MAX_NOTES, "notes")
+        ],
+    }
+
+
+@_register_reader("serverNotes")
+def _read_server_notes(reader: Any) -> ServerNotes:
+    if reader.stage > _MAX_NOTE_STAGE:
+        raise CodecError(f"stage is {reader.stage}; at most {_MAX_NOTE_STAGE} allowed")
+    return ServerNotes(
+        reader.stage,
+        tuple(
+            ServerNote(
+                _check_name(note.serverId, "serverId", _MAX_SERVER_ID_BYTES),
+                note.processStartedMs,
+                note.latencyPercent,
+                _check_percent(note.failurePercent),
+                note.hungMs,
+                note.ageMs,
+            )
+            for note in _check_length(reader.notes, _MAX_NOTES, "notes")
+        ),
+    )
+
+
+def _check_percent(value: int) -> int:
+    if value > 100:
+        raise CodecError(f"failurePercent is {value}; at most 100 allowed")
+    return value
--- a/mimosapost/membership/peer.capnp
+++ b/mimosapost/membership/peer.capnp
@@ -136,6 +136,20 @@
   regained @4 :Bool;
 }
 
+struct ServerNote {
+  serverId @0 :Text;
+  processStartedMs @1 :UInt64;
+  latencyPercent @2 :UInt32;
+  failurePercent @3 :UInt8;
+  hungMs @4 :UInt32;
+  ageMs @5 :UInt32;
+}
+
+struct ServerNotes {
+  stage @0 :UInt8;
+  notes @1 :List(ServerNote);
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -151,6 +165,7 @@
     gatherCancel @10 :GatherCancel;
     feedRequest @11 :FeedRequest;
     feedUpdate @12 :FeedUpdate;
+    serverNotes @13 :ServerNotes;
   }
 }
 
--- a/mimosapost/membership/tests/test_codec.py
+++ b/mimosapost/membership/tests/test_codec.py
@@ -28,6 +28,8 @@
     HeartbeatAnswer,
     Hello,
     MemberReport,
+    ServerNote,
+    ServerNotes,
     SubtreeReply,
     SubtreeRequest,
     SuspectNote,
@@ -56,6 +58,7 @@
     FeedRequest(2**53),
     FeedUpdate(0, 2**53, b"", 2**64 - 1, True),
     FeedUpdate(5, 9, b"packed", 3),
+    ServerNotes(2, (ServerNote("i-1", 2**64 - 1, 2**32 - 1, 100, 2**32 - 1, 7),)),
 ]
 
 
@@ -172,14 +175,28 @@
         decode_message(frame(feedUpdate={"after": 5, "asOf": 9, **fields}))
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        pytest.param({"stage": 3}, id="stage unknown"),
+        pytest.param({"notes": [{"failurePercent": 101}]}, id="share above 1"),
+        pytest.param({"notes": [{"serverId": "i" * 201}]}, id="long id"),
+        pytest.param({"notes": [{}] * 1_001}, id="too many notes"),
+    ],
+)
+def test_inconsistent_server_notes_are_refused(fields):
+    with pytest.raises(CodecError):
+        decode_message(frame(serverNotes={"stage": 0, **fields}))
+
+
 def test_messages_of_the_next_protocol_version(tmp_path):
     # While a newer release is rolled out, its instances may send message kinds and fields that
     # this release does not know. These must not break the link.
     text = Path(codec.__file__).with_name("peer.capnp").read_text()
     text = text.replace("@0xc1b6f0a93d5e7284", "@0xc1b6f0a93d5e7285")
-    last = "feedUpdate @12 :FeedUpdate;"
+    last = "serverNotes @13 :ServerNotes;"
     assert last in text
-    text = text.replace(last, last + " novel @13 :Hello;")
+    text = text.replace(last, last + " novel @14 :Hello;")
     text = text.replace("number @2 :UInt64;\n}", "number @2 :UInt64;\n extra @3 :Text;\n}")
     path = tmp_path / "next.capnp"
     path.write_text(text)
--- a/mimosapost/model/peer_messages.py
+++ b/mimosapost/model/peer_messages.py
@@ -20,6 +20,8 @@
     "Hello",
     "MemberReport",
     "PeerMessage",
+    "ServerNote",
+    "ServerNotes",
     "SourceEntry",
     "SubtreeReply",
     "SubtreeRequest",
@@ -291,6 +293,38 @@
     is_regained: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ServerNote:
+    """What an instance lately observed of a backend server of its own region.
+
+    :param process_started_ms: start of the server process that was observed, in Unix
+        milliseconds.
+    :param latency_percent: answer times relative to the usual one, in percent.
+    :param failure_percent: share of failed sends, in percent.
+    :param hung_ms: time in milliseconds for which the server is to be used last.
+    :param age_ms: time in milliseconds since the observation.
+    """
+
+    server_id: str
+    process_started_ms: int
+    latency_percent: int
+    failure_percent: int
+    hung_ms: int
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerNotes:
+    """Notes on their way to all instances.
+
+    :param stage: 0 from the observer to the instance that it follows, 1 from there to those
+        that others follow, 2 from these to their followers. Only the first two are passed on.
+    """
+
+    stage: int
+    notes: tuple[ServerNote, ...]
+
+
 PeerMessage = (
     Hello
     | Heartbeat
@@ -305,4 +339,5 @@
     | GatherCancel
     | FeedRequest
     | FeedUpdate
+    | ServerNotes
 )
--- a/mimosapost/relay/feed_choices.py
+++ b/mimosapost/relay/feed_choices.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Container, Iterable
+from collections.abc import Collection, Container, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -30,6 +30,7 @@
     "find_changes_since",
     "has_followers",
     "list_followers",
+    "list_readers",
 ]
 
 # Smaller groups read the source themselves: a reader with followers watches in shorter calls,
@@ -85,24 +86,46 @@
     :returns: an instance of the same region with a lower rank, or ``None`` if this instance
         reads the source itself.
     """
-    candidates = {
-        member.name: member
-        for member in members
-        if member.identity is not None
-        and member.identity.region == own.region
-        and not member.leaving
-        and member.name not in blocked
-    }
-    count = len(candidates) + 1
-    if count < _MIN_INSTANCES:
-        return None
-    ranked = sorted([own.name, *candidates], key=_get_rank)
-    readers = ranked[: -(-count // _INSTANCES_PER_READER)]
+    candidates = _group_by_region(members, blocked).get(own.region, {})
+    readers = _find_readers([own.name, *candidates])
     if own.name in readers:
         return None
     return candidates[max(readers, key=lambda name: _get_rank(f"{own.name} {name}"))]
 
 
+def list_readers(
+    own: InstanceIdentity, members: Iterable[Member], blocked: Container[str]
+) -> list[Member]:
+    """Return the instances of all regions that read the source themselves.
+
+    :param own: identity of this instance, which is left out.
+    :param members: the other instances.
+    :param blocked: names of instances that are left out.
+    """
+    readers = []
+    for region, candidates in sorted(_group_by_region(members, blocked).items()):
+        names = [own.name, *candidates] if region == own.region else candidates
+        readers += [candidates[name] for name in _find_readers(names) if name != own.name]
+    return readers
+
+
+def _group_by_region(
+    members: Iterable[Member], blocked: Container[str]
+) -> dict[str, dict[str, Member]]:
+    regions: dict[str, dict[str, Member]] = {}
+    for member in members:
+        if member.identity is not None and not member.leaving and member.name not in blocked:
+            regions.setdefault(member.identity.region, {})[member.name] = member
+    return regions
+
+
+def _find_readers(names: Collection[str]) -> list[str]:
+    """Return the instances of a region that read the source, lowest rank first."""
+    if len(names) < _MIN_INSTANCES:
+        return list(names)
+    return sorted(names, key=_get_rank)[: -(-len(names) // _INSTANCES_PER_READER)]
+
+
 def _get_rank(name: str) -> int:
     return xxhash.xxh3_64_intdigest(name.encode())
 
--- a/mimosapost/relay/reducer.py
+++ b/mimosapost/relay/reducer.py
@@ -18,6 +18,7 @@
     send_outcomes,
     sends,
     served_gathers,
+    server_notes,
     service_discovery,
 )
 from mimosapost.relay.events import TimerFired
--- a/mimosapost/relay/registry.py
+++ b/mimosapost/relay/registry.py
@@ -41,6 +41,7 @@
     GOSSIP = 8
     GATHER = 9
     REPORT = 10
+    NOTES = 11
 
 
 _EVENT_HANDLERS: dict[type[Event], Callable[..., None]] = {}
--- a/mimosapost/relay/send_outcomes.py
+++ b/mimosapost/relay/send_outcomes.py
@@ -13,6 +13,7 @@
 from mimosapost.relay.record_merge import RECORD_BYTES, merge_records
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
 from mimosapost.relay.sends import StartResult, abandon_sends, hedge_stragglers, start_send
+from mimosapost.relay.server_notes import note_server
 from mimosapost.relay.server_selection import (
     record_failure,
     record_hang,
@@ -42,6 +43,13 @@
 def handle_answer(state: RelayState, event: AnswerArrived, effects: Effects) -> None:
     """Apply an answer to its part and to the record of its server."""
     send = _close_send(state, event.send_id)
+    _apply_answer(state, send, event, effects)
+    note_server(state, send.record, event.now_us)
+
+
+def _apply_answer(
+    state: RelayState, send: OpenSend, event: AnswerArrived, effects: Effects
+) -> None:
     answer, now_us = event.answer, event.now_us
     record = send.record
     if answer.load is not None:
@@ -132,6 +140,7 @@
             _log_server(effects, "server_blocked", send, event.kind.value)
         record_failure(record, now_us, unreachable)
         _record_crash(state, send, unreachable, event, effects)
+    note_server(state, record, now_us)
     effects.append(
         IncrementCounter("mimosapost_relay_send_failures_total", (("kind", event.kind.value),))
     )
--- a/mimosapost/relay/server_selection.py
+++ b/mimosapost/relay/server_selection.py
@@ -16,8 +16,10 @@
 
 __all__ = [
     "ServerRecord",
+    "adopt_observation",
     "choose_server",
     "estimate_us",
+    "get_trouble_level",
     "rank_servers",
     "record_failure",
     "record_hang",
@@ -51,6 +53,13 @@
 # doubles.
 _INITIAL_BLOCK_US = 300_000
 _MAX_BLOCK_US = 1_200_000
+# Time for which a server that hung is used last. Healthy servers pause for less than the wait
+# after which a send counts as hung, so the server is slow or does not answer at all.
+_HANG_US = 1_500_000
+# Observed answer times and failures from which a server counts as worse than usual and as much
+# worse. A server whose sends all fail counts as one that is five times as slow.
+_TROUBLE_RATIOS = (2.5, 8.0)
+_FAILURE_RATIO = 4.0
 
 
 @dataclass(slots=True)
@@ -67,6 +76,8 @@
     :param connection_used_us: time of the last answer that left its connection open.
     :param open_sends: start time of each open send by its number, oldest first.
     :param cold_until_us: time until which the server is cold; 0 if it is warm.
+    :param noted_level: trouble level that other instances were last told, or told this one.
+    :param noted_us: time of that note.
     :param broken_us_by_fingerprint: time at which a connection broke, by the fingerprint of
         the request on it.
     """
@@ -87,6 +98,8 @@
     hung_until_us: int = 0
     block_us: int = 0
     cold_until_us: int = 0
+    noted_level: int = 0
+    noted_us: int = 0
     broken_us_by_fingerprint: dict[int, int] = field(default_factory=dict)
     misdirected: bool = False
 
@@ -228,7 +241,8 @@
 
 def record_hang(record: ServerRecord, now_us: int) -> None:
     """Record that a send was given up after a long wait."""
-    record.hung_until_us = now_us + _INITIAL_BLOCK_US
+    record.hung_until_us = now_us + _HANG_US
+    record.observed_us = now_us
 
 
 def record_failure(record: ServerRecord, now_us: int, unreachable: bool = False) -> None:
@@ -242,3 +256,34 @@
     if unreachable and not record.is_blocked(now_us):
         record.block_us = min(max(2 * record.block_us, _INITIAL_BLOCK_US), _MAX_BLOCK_US)
         record.blocked_until_us = now_us + record.block_us
+
+
+def get_trouble_level(record: ServerRecord, now_us: int) -> int:
+    """Return how much worse than usual a server is: 0 usual, 1 worse, 2 much worse."""
+    if record.is_hung(now_us) or record.is_blocked(now_us):
+        return len(_TROUBLE_RATIOS)
+    ratio = record.latency_ratio + _FAILURE_RATIO * record.failure_rate
+    return sum(ratio >= limit for limit in _TROUBLE_RATIOS)
+
+
+def adopt_observation(
+    record: ServerRecord,
+    latency_ratio: float,
+    failure_rate: float,
+    hung_until_us: int,
+    observed_us: int,
+) -> bool:
+    """Adopt what another instance observed, unless own observations are newer.
+
+    Load pattern: at dozens of instances each one sends to a server about once a second, so
+    alone it takes seconds until a slow or silent server is avoided.
+
+    :returns: whether the observation was adopted.
+    """
+    if observed_us <= record.observed_us:
+        return False
+    record.latency_ratio = latency_ratio
+    record.failure_rate = failure_rate
+    record.hung_until_us = hung_until_us
+    record.observed_us = observed_us
+    return True
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -253,6 +253,7 @@
     :param hedges_due: parts to hedge after the current event, by request number.
     :param peers: other instances, or ``None`` for an instance that works alone.
     :param feed: what was read of the source, and who reads it for whom.
+    :param pending_notes: stage of each queued note on a server, by server id.
     :param gathers: open gathers at other instances, by number.
     :param served_gathers: request number of each open gather for another instance, by the name
         of that instance and the number of the gather.
@@ -286,6 +287,7 @@
     hedges_due: dict[int, list[HedgeDue]] = field(default_factory=dict)
     peers: PeerState | None = None
     feed: FeedState = field(default_factory=FeedState)
+    pending_notes: dict[str, int] = field(default_factory=dict)
     gathers: dict[int, OpenGather] = field(default_factory=dict)
     served_gathers: dict[tuple[str, int], int] = field(default_factory=dict)
     next_gather_id: int = 1
