Let the soak run instances that read the store for each other

Four more instances share a region with one of the three, and at the end each instance must have the last version of the configuration within its bound.

--- a/mimosapost/platform/tests/soak.py
+++ b/mimosapost/platform/tests/soak.py
@@ -4,8 +4,10 @@
 stand-ins run in this process, each instance in a process of its own. Every connection between
 an instance and the store or a server goes through a loopback proxy in this process. Each
 instance has a region of its own, one of them without servers, so that they gather parts of
-queries for each other; their links are disturbed by signals only. The
-guarantees are checked from the replies to callers and from the requests that servers received.
+queries for each other. With ``--feeds`` four more share a region, so that one of them reads the
+store for the others. Links between instances are disturbed by signals only. The guarantees are
+checked from the replies to callers, from the requests that servers received, and from the
+configuration that each instance has in the end.
 """
 
 from __future__ import annotations
@@ -25,15 +27,19 @@
 import aiohttp
 from aiohttp import web
 
+from mimosapost.platform.settings import METRICS_PORT
 from mimosapost.platform.tests.standins import StandinServer, StandinStore, create_config
 
-_INSTANCES = 3
 # Failure domain and region of each instance; the servers are in the first two.
-_PLACES = (("a1", "north"), ("b1", "south"), ("c1", "west"))
+PLACES = (("a1", "north"), ("b1", "south"), ("c1", "west"))
+# Places of enough instances in one region for one of them to read the store for the others.
+FEED_PLACES = (*PLACES, *(("a1", "north"),) * 4)
 _SERVICES = [f"s{n}" for n in range(6)]
 _REQUESTS_PER_SECOND = 40
 _DEADLINE_MS = 900
 _START_TIMEOUT_SECONDS = 10.0
+# Time within which a change of the configuration must be in force, as in the settings.
+_APPLY_LIMIT_SECONDS = 3.0
 
 
 @dataclass
@@ -100,6 +106,7 @@
     directory: Path
     store_address: str
     host: str
+    places: tuple[tuple[str, str], ...]
     handle: asyncio.subprocess.Process | None = None
     is_disturbed: bool = False
 
@@ -111,8 +118,8 @@
     async def start(self) -> None:
         """Start the process; its output is appended to a log file in ``directory``."""
         settings = self.directory / f"boot-{self.index}.conf"
-        domain, region = _PLACES[self.index]
-        zones = "".join(f"zones.{name}={place}\n" for name, place in _PLACES)
+        domain, region = self.places[self.index]
+        zones = "".join(f"zones.{name}={place}\n" for name, place in PLACES)
         seed = f"{self.host.rpartition('.')[0]}.1:8106"
         settings.write_text(
             f"nodeName=n{self.index}\nzone={domain}\nregion={region}\n{zones}"
@@ -153,15 +160,18 @@
     :ivar run_counts: number of runs at the servers by id of a non-idempotent request.
     :ivar refused_ids: ids of non-idempotent requests that were refused as not run.
     :ivar gather_count: number of gathers that the instances served for each other.
+    :ivar feed_count: how often an instance began to follow another one.
     """
 
     seed: int
     seconds: float
+    places: tuple[tuple[str, str], ...] = PLACES
     broken: list[str] = field(default_factory=list)
     result_counts: Counter = field(default_factory=Counter)
     run_counts: Counter = field(default_factory=Counter)
     refused_ids: set[str] = field(default_factory=set)
     gather_count: int = 0
+    feed_count: int = 0
 
     async def run(self) -> None:
         """Inject faults under a steady load, then check that all requests are served again."""
@@ -172,9 +182,13 @@
             network_prefix = f"127.{rng.randrange(64, 120)}.{os.getpid() % 250}"
             self.processes = [
                 Process(
-                    index, directory, proxies["store"].address, f"{network_prefix}.{index + 1}"
+                    index,
+                    directory,
+                    proxies["store"].address,
+                    f"{network_prefix}.{index + 1}",
+                    self.places,
                 )
-                for index in range(_INSTANCES)
+                for index in range(len(self.places))
             ]
             for process in self.processes:
                 stack.push_async_callback(process.kill)
@@ -185,6 +199,7 @@
             await self._inject_faults(rng, store, servers, proxies)
             await requests
             await self._check_recovery()
+            await self._check_versions(store)
             self._check_logs(directory)
         for request_id in self.refused_ids & set(self.run_counts):
             self.broken.append(f"{request_id} was refused as not run, but a server ran it")
@@ -233,7 +248,7 @@
     async def _send_steady_load(self, rng: random.Random) -> None:
         requests = []
         for number in range(int(self.seconds * _REQUESTS_PER_SECOND)):
-            process = self.processes[rng.randrange(_INSTANCES)]
+            process = rng.choice(self.processes)
             kind = "order" if rng.random() < 0.3 else "search"
             requests.append(
                 asyncio.create_task(self._send_request(process, kind, f"r{number}"))
@@ -345,9 +360,9 @@
         await self._wait_ready()
         await asyncio.sleep(2.5)
         served_before = self.result_counts[200]
-        expected_count = 10 * _INSTANCES
+        expected_count = 10 * len(self.processes)
         for number in range(expected_count):
-            process = self.processes[number % _INSTANCES]
+            process = self.processes[number % len(self.processes)]
             await self._send_request(process, "search", f"after{number}")
         served_count = self.result_counts[200] - served_before
         if served_count < expected_count:
@@ -355,21 +370,37 @@
                 f"{served_count} of {expected_count} requests served after the last fault"
             )
 
+    async def _check_versions(self, store: StandinStore) -> None:
+        """Check that the last version of the configuration is in force on all instances."""
+        version = store.revision + 1
+        await store.put("op/config", create_config(version, _SERVICES))
+        await asyncio.sleep(_APPLY_LIMIT_SECONDS)
+        for process in self.processes:
+            url = f"http://{process.host}:{METRICS_PORT}/status"
+            async with self.session.get(url) as response:
+                status = await response.json()
+            if status["version"] != version:
+                self.broken.append(
+                    f"n{process.index} has version {status['version']}, expected {version}"
+                )
+
     def _check_logs(self, directory: Path) -> None:
         for path in directory.glob("log-*.txt"):
             for line in path.read_text(errors="replace").splitlines():
                 self.gather_count += 'event="gather_served"' in line
+                self.feed_count += 'event="feed_followed"' in line
                 if "event_failed" in line or "Traceback" in line:
                     self.broken.append(f"{path.name}: {line[:300]}")
 
 
-async def run_seed(seed: int, seconds: float) -> Soak:
+async def run_seed(seed: int, seconds: float, places=PLACES) -> Soak:
     """Run the soak test with one seed.
 
     :param seed: seed of the faults and of the load.
     :param seconds: duration of the load under faults.
+    :param places: failure domain and region of each instance.
     """
-    soak = Soak(seed, seconds)
+    soak = Soak(seed, seconds, places)
     await soak.run()
     return soak
 
@@ -382,14 +413,16 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, nargs="+", default=[1])
     parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--feeds", action="store_true")
     arguments = parser.parse_args()
     failed = 0
     for seed in arguments.seeds:
-        soak = asyncio.run(run_seed(seed, arguments.seconds))
+        places = FEED_PLACES if arguments.feeds else PLACES
+        soak = asyncio.run(run_seed(seed, arguments.seconds, places))
         failed += bool(soak.broken)
         sys.stdout.write(
             f"seed {seed}: {dict(soak.result_counts)} gathers {soak.gather_count} "
-            f"broken {soak.broken[:5]}\n"
+            f"feeds {soak.feed_count} broken {soak.broken[:5]}\n"
         )
         sys.stdout.flush()
     return 1 if failed else 0
--- a/mimosapost/platform/tests/test_soak.py
+++ b/mimosapost/platform/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from mimosapost.platform.tests.soak import run_seed
+from mimosapost.platform.tests.soak import FEED_PLACES, run_seed
 
 # Every seed that has failed stays in this list, with its cause. Seed 1005: SIGTERM arrived
 # while the process still imported its modules and ended it with status -15. Seed 1014: SIGTERM
@@ -20,3 +20,10 @@
     assert soak.broken == []
     assert soak.result_counts[200] > 0
     assert soak.gather_count > 0
+
+
+async def test_guarantees_hold_where_one_instance_reads_for_others():
+    soak = await run_seed(2001, 4.0, FEED_PLACES)
+    assert soak.broken == []
+    assert soak.result_counts[200] > 0
+    assert soak.feed_count > 0
