--- a/mimosapost/relay/service_discovery.py
+++ b/mimosapost/relay/service_discovery.py
@@ -24,6 +24,7 @@
 # Entries that expired while the source was unreachable are written again within about two
 # seconds of its recovery. A server that is still not listed after this time is removed.
 RELIST_GRACE_US = 2_200_000
+_CHANGES_METRIC = "mimosapost_relay_server_changes_total"
 
 
 @handles(CatalogRead)
@@ -52,10 +53,21 @@
 
     Servers missing from it are removed, after a grace period if the source was unreachable.
     """
+    is_first = not state.servers_listed
     state.servers_listed = True
     listed = {server.server_id for server in event.servers}
+    changes: Effects = []
     for server in event.servers:
-        _upsert_server(state, server, event.now_us, effects)
+        _upsert_server(state, server, event.now_us, changes)
+    if is_first:
+        # One line for each of some hundred servers would delay the requests that wait for it.
+        services = len(state.by_service)
+        fields = (("servers", len(state.servers)), ("services", services))
+        effects.append(WriteLog("servers_listed", fields))
+        labels = (("change", "server_listed"),)
+        effects.append(IncrementCounter(_CHANGES_METRIC, labels, len(state.servers)))
+    else:
+        effects.extend(changes)
     for server_id in [name for name in state.servers if name not in listed]:
         _unlist_server(state, server_id, "not_in_list", event.now_us, effects)
 
@@ -189,9 +201,7 @@
         ("cold_ms", server.cold_remaining_us // 1_000),
     )
     effects.append(WriteLog(event, fields))
-    effects.append(
-        IncrementCounter("mimosapost_relay_server_changes_total", (("change", event),))
-    )
+    effects.append(IncrementCounter(_CHANGES_METRIC, (("change", event),)))
 
 
 def is_usable(state: RelayState, record: ServerRecord, now_us: int) -> bool:
--- a/mimosapost/relay/tests/test_server_state.py
+++ b/mimosapost/relay/tests/test_server_state.py
@@ -216,3 +216,19 @@
     assert not relay.state.is_ready()
     relay.apply_event(ServersReplaced(relay.now_us, ()))
     assert relay.state.is_ready()
+
+
+def test_the_first_list_is_one_line_and_later_changes_are_named():
+    """Hundreds of lines at the start would delay the requests that wait for the list."""
+    servers = [server for n in range(100) for server in create_servers(f"s{n}")]
+    relay = Relay([create_single_route()], [])
+    relay.state.servers_listed = False
+    effects = relay.apply_event(ServersReplaced(relay.now_us, tuple(servers)))
+    lines = [effect for effect in effects if isinstance(effect, WriteLog)]
+    assert [(line.event, dict(line.fields)["servers"]) for line in lines] == [
+        ("servers_listed", 200)
+    ]
+    more = create_servers("one", ("a1",))
+    effects = relay.apply_event(ServersReplaced(relay.now_us, (*servers, *more)))
+    lines = [effect for effect in effects if isinstance(effect, WriteLog)]
+    assert [line.event for line in lines] == ["server_listed"]
