Pass changes of the store on in order, whatever the order of its answer

Cause: found by reading. Followers refuse an update whose revisions don't ascend, and nothing states that a watch answers in order, or with a revision that includes its last change. The age of a list counts from its first page. An instance without peers keeps no reads for followers.

--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -300,12 +300,12 @@
         """
         items: list[_Item] = []
         fields: dict[str, Any] = {"pathPrefix": ""}
-        first_revision = None
+        first_revision, confirmed_us = None, 0
         while True:
             data = await self._fetch("/api/kv-range", fields)
-            confirmed_us = self._read_clock_us()
             page = msgspec.json.decode(data, type=_Page)
-            first_revision = page.asOf if first_revision is None else first_revision
+            if first_revision is None:
+                first_revision, confirmed_us = page.asOf, self._read_clock_us()
             items.extend(page.items)
             if not page.truncated or not page.items:
                 break
@@ -361,9 +361,13 @@
         data = await self._fetch("/api/kv-watch", fields, wait_ms / 1_000)
         confirmed_us = self._read_clock_us()
         changes = msgspec.json.decode(data, type=_Changes)
-        self._check_revision(changes.asOf)
-        entries = tuple(_create_entry(item) for item in changes.events)
-        self._apply_changes(changes.asOf, entries, confirmed_us)
+        events = sorted(changes.events, key=lambda item: item.revision)
+        entries = tuple(
+            _create_entry(item) for item in events if item.revision > self._revision
+        )
+        as_of = max([changes.asOf, *(entry.revision for entry in entries)])
+        self._check_revision(as_of)
+        self._apply_changes(as_of, entries, confirmed_us)
         self._pause_seconds = get_next_pause(
             self._pause_seconds, confirmed_us - self._pause_ended_us, max_pause_seconds
         )
--- a/mimosapost/platform/tests/standins.py
+++ b/mimosapost/platform/tests/standins.py
@@ -23,6 +23,8 @@
     :ivar endless_bytes: number of bytes written in mode ``endless``.
     :ivar page_size: largest number of items in one page of a list.
     :ivar watch_size: largest number of changes in one answer to a watch.
+    :ivar is_disordered: whether a watch answers with the changes in reverse order and with the
+        revision at its start.
     :ivar requested_paths: paths of all requests, in order.
     :ivar watch_waits_ms: longest wait of each watch that was requested, in order.
     """
@@ -35,6 +37,7 @@
         self.endless_bytes = 0
         self.page_size = 500
         self.watch_size = 500
+        self.is_disordered = False
         self.requested_paths: list[str] = []
         self.watch_waits_ms: list[int] = []
         self.change_condition = asyncio.Condition()
@@ -129,6 +132,8 @@
         except TimeoutError:
             pass
         events = find_events()
+        if self.is_disordered:
+            return {"events": events[::-1], "asOf": after}
         if len(events) > self.watch_size:
             events = events[: self.watch_size]
             return {"events": events, "asOf": events[-1]["revision"]}
--- a/mimosapost/platform/tests/test_store_feed.py
+++ b/mimosapost/platform/tests/test_store_feed.py
@@ -297,3 +297,17 @@
         await wait_until(lambda: "i-31" in reader.list_servers())
         # The first pauses are 0.1 and 0.2 s, after a back-off of at most 0.4 s.
         assert read_clock_us() - started_us < 900_000
+
+
+async def test_changes_of_a_watch_are_fed_in_order():
+    """Nothing states that the store orders the changes of an answer, and followers check it."""
+    async with run_readers() as (store, (first, follower)):
+        store.is_disordered = True
+        for number in range(10, 14):
+            await store.put(f"servers/i-{number}", create_entry(number))
+        await wait_until(lambda: "i-13" in follower.list_servers())
+        for event in first.list_events(SourceRead):
+            revisions = [entry.revision for entry in event.entries]
+            assert revisions == sorted(revisions)
+            assert not revisions or event.after < revisions[0] <= revisions[-1] <= event.as_of
+        assert first.list_servers() == follower.list_servers()
--- a/mimosapost/relay/feeds.py
+++ b/mimosapost/relay/feeds.py
@@ -26,7 +26,7 @@
 
 
 def request_feed(state: RelayState, now_us: int, effects: Effects) -> None:
-    """Ask the chosen instance for updates; called once a second."""
+    """Ask the chosen instance for updates; called in each round of gossip."""
     feed, peers = state.feed, state.peers
     feed.followers = {name: feed.followers[name] for name, _ in list_followers(feed, now_us)}
     feed.blocked_until_us = {
@@ -104,6 +104,8 @@
     feed = state.feed
     feed.revision = event.as_of
     feed.confirmed_us = event.confirmed_us
+    if state.peers is None:
+        return
     if event.after:
         feed.reads.append(event)
     else:
