--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -7,11 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-import base64
-import binascii
 from collections.abc import Callable
 from typing import Any
-from urllib.parse import urlencode
 
 import aiohttp
 import mode
@@ -21,6 +18,14 @@
 from mimosapost.edge.logs import Logs
 from mimosapost.model.events import Event
 from mimosapost.model.peer_messages import SourceEntry
+from mimosapost.platform.store_calls import (
+    AnswerTooLarge,
+    Changes,
+    HistoryLost,
+    Page,
+    create_entry,
+    fetch_answer,
+)
 from mimosapost.platform.store_entries import EntryError, decode_catalog, decode_server
 from mimosapost.relay.effects import ApplyFeed
 from mimosapost.relay.events import (
@@ -39,15 +44,6 @@
 _SERVER_PREFIX = "servers/"
 _CONFIG_KEY = "op/config"
 _DOMAIN_OUT_PREFIX = "op/evacuate/"
-# Longest wait for the next bytes of an answer. A slow store takes up to 250 ms until an answer
-# begins. The whole answer may take longer: when 300 instances start at once, a list of one
-# megabyte takes seconds.
-_READ_TIMEOUT_SECONDS = 0.7
-# Time limit for a whole answer, in addition to the time that a watch waits for changes.
-_TOTAL_TIMEOUT_SECONDS = 8.0
-# A round trip takes up to 26 ms. The kernel retransmits a lost SYN packet only after a second,
-# so a new attempt after this timeout connects sooner.
-_CONNECT_TIMEOUT_SECONDS = 0.15
 # Part of the detection time that is reserved for detecting a lost answer and reading the whole
 # list again; a watch waits for changes during the rest.
 _RECOVERY_MS = 1_200
@@ -70,9 +66,6 @@
 _FIRST_START_WAIT_SECONDS = 2.5
 # A watch that takes longer than this ends a burst of changes.
 _BURST_GAP_US = 1_500_000
-# Maximum size of an answer. A page holds about 1 MB; the changes of the whole history are
-# several times as large.
-_MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Delays after failed calls. The platform charges for every call, including refused ones.
 _FIRST_BACKOFF_SECONDS = 0.1
 _MAX_BACKOFF_SECONDS = 0.4
@@ -80,38 +73,10 @@
 _MAX_FED_BACKOFF_SECONDS = 1.2
 
 
-class _Item(msgspec.Struct):
-    key: str
-    revision: int = 0
-    value: str | None = None
-    # Set in the event that reports the removal of the item.
-    removed: bool = False
-
-
-class _Page(msgspec.Struct):
-    items: list[_Item]
-    # Revision of the whole store when the page was read, not of its items.
-    asOf: int  # noqa: N815
-    truncated: bool = False
-
-
-class _Changes(msgspec.Struct):
-    events: list[_Item]
-    asOf: int  # noqa: N815
-
-
-class _HistoryLost(Exception):
-    """The store has discarded changes made after the last revision that was read."""
-
-
 class _StaleAnswer(aiohttp.ClientError):
     """The store sent an answer that is older than what was read from it before."""
 
 
-class _AnswerTooLarge(aiohttp.ClientError):
-    """The store sent more bytes in one answer than it may."""
-
-
 def get_next_pause(pause_seconds: float, quiet_us: int, max_pause_seconds: float) -> float:
     """Return the pause after a watch that returned changes, in seconds.
 
@@ -198,11 +163,11 @@
                         await self._inbox.wait(_FIRST_START_WAIT_SECONDS)
                 else:
                     await self._read_changes()
-            except _HistoryLost:
+            except HistoryLost:
                 self._logs.write("store_history_lost", {"after": self._revision})
                 self._is_list_needed = True
                 continue
-            except _AnswerTooLarge as error:
+            except AnswerTooLarge as error:
                 # A watch over fewer changes could be as large, so the whole list is read.
                 self._report_source_lost(error)
                 self._is_list_needed = True
@@ -273,45 +238,26 @@
             SourceRead(now_us, after, as_of, entries, confirmed_us, is_regained, is_fed)
         )
 
-    async def _fetch(self, path: str, fields: dict[str, Any], wait_seconds: float = 0) -> bytes:
-        timeout = aiohttp.ClientTimeout(
-            total=wait_seconds + _TOTAL_TIMEOUT_SECONDS,
-            sock_connect=_CONNECT_TIMEOUT_SECONDS,
-            sock_read=wait_seconds + _READ_TIMEOUT_SECONDS,
-        )
-        url = f"{self._url}{path}?{urlencode(fields)}"
-        async with self._session.get(url, timeout=timeout) as response:
-            if response.status == 410:
-                raise _HistoryLost
-            response.raise_for_status()
-            chunks, size = [], 0
-            async for chunk in response.content.iter_any():
-                size += len(chunk)
-                if size > _MAX_ANSWER_BYTES:
-                    raise _AnswerTooLarge(f"answer to {path} exceeds {_MAX_ANSWER_BYTES} bytes")
-                chunks.append(chunk)
-            return b"".join(chunks)
-
     async def _read_all(self) -> None:
         """Read all items, page by page, and pass them to the reducer.
 
         The pages are no consistent snapshot, so the next watch starts from the revision of the
         first page.
         """
-        items: list[_Item] = []
+        entries: list[SourceEntry] = []
         fields: dict[str, Any] = {"pathPrefix": ""}
         first_revision, confirmed_us = None, 0
         while True:
-            data = await self._fetch("/api/kv-range", fields)
-            page = msgspec.json.decode(data, type=_Page)
+            data = await fetch_answer(self._session, f"{self._url}/api/kv-range", fields)
+            page = msgspec.json.decode(data, type=Page)
             if first_revision is None:
                 first_revision, confirmed_us = page.asOf, self._read_clock_us()
-            items.extend(page.items)
+            entries += map(create_entry, page.items)
             if not page.truncated or not page.items:
                 break
             fields["after"] = page.items[-1].key
         self._check_revision(first_revision)
-        self._apply_list(first_revision, [_create_entry(item) for item in items], confirmed_us)
+        self._apply_list(first_revision, entries, confirmed_us)
 
     def _check_revision(self, as_of: int) -> None:
         if as_of < self._revision:
@@ -358,13 +304,13 @@
     async def _read_changes(self) -> None:
         wait_ms, max_pause_seconds = self._get_watch_limits()
         fields = {"pathPrefix": "", "after": self._revision, "waitMs": wait_ms}
-        data = await self._fetch("/api/kv-watch", fields, wait_ms / 1_000)
+        data = await fetch_answer(
+            self._session, f"{self._url}/api/kv-watch", fields, wait_ms / 1_000
+        )
         confirmed_us = self._read_clock_us()
-        changes = msgspec.json.decode(data, type=_Changes)
+        changes = msgspec.json.decode(data, type=Changes)
         events = sorted(changes.events, key=lambda item: item.revision)
-        entries = tuple(
-            _create_entry(item) for item in events if item.revision > self._revision
-        )
+        entries = tuple(create_entry(item) for item in events if item.revision > self._revision)
         as_of = max([changes.asOf, *(entry.revision for entry in entries)])
         self._check_revision(as_of)
         self._apply_changes(as_of, entries, confirmed_us)
@@ -441,15 +387,6 @@
         return True
 
 
-def _create_entry(item: _Item) -> SourceEntry:
-    """Return an item with its value decoded; a value that is not valid is left empty."""
-    try:
-        value = base64.b64decode(item.value or "", validate=True)
-    except (binascii.Error, ValueError):
-        value = b""
-    return SourceEntry(item.key, item.revision, value, item.removed)
-
-
 def _get_value(entry: SourceEntry) -> bytes:
     if not entry.value:
         raise EntryError("value is empty or not valid base64")
