--- a/mimosapost/relay/server_selection.py
+++ b/mimosapost/relay/server_selection.py
@@ -64,7 +64,7 @@
 
 @dataclass(slots=True)
 class ServerRecord:
-    """Observations of one server by this instance.
+    """Observations of one server, by this instance or adopted from others.
 
     :param latency_ratio: EWMA of the answer times, relative to the median of the route in the
         same distance class.
