--- a/mimosapost/edge/relay_connections.py
+++ b/mimosapost/edge/relay_connections.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from typing import Protocol
@@ -19,9 +20,9 @@
 from mimosapost.edge.tcp_channels import Channel
 from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.model.events import Event
-from mimosapost.relay.effects import AbandonSend, ForgetServer, StartSend
-from mimosapost.relay.events import AnswerArrived, ExchangeFailed
-from mimosapost.relay.messages import ServerAnswer
+from mimosapost.relay.effects import AbandonSend, ForgetServer, ProbeServer, StartSend
+from mimosapost.relay.events import AnswerArrived, ExchangeFailed, ProbeEnded, ProbeOutcome
+from mimosapost.relay.messages import BackendServer, ServerAnswer
 
 __all__ = ["DEFAULT_HELD_BYTES", "AnswerCodec", "ServerConnections"]
 
@@ -43,6 +44,8 @@
 _MAX_IDLE_SHARE_RUN_ONCE = 0.5
 # Lower limit of the connect timeout, also for a send whose deadline has passed.
 _MIN_CONNECT_SECONDS = 0.001
+# Errors of an attempt to connect that a host without a process at the port causes.
+_REFUSED_ERRORS = (errno.ECONNREFUSED, errno.ECONNRESET)
 
 
 class AnswerCodec(Protocol):
@@ -67,17 +70,25 @@
     """HTTP connection that reports the end of each exchange to its owner.
 
     :param owner: all connections of the instance to backend servers.
-    :param first_send: send that is started as soon as the connection is established.
+    :param server: server to connect to.
+    :param first_send: send that is started as soon as the connection is established, or
+        ``None`` for a probe.
     :param connect_seconds: time in seconds after which the attempt to connect fails.
     """
 
     def __init__(
-        self, owner: ServerConnections, first_send: StartSend, connect_seconds: float
+        self,
+        owner: ServerConnections,
+        server: BackendServer,
+        first_send: StartSend | None,
+        connect_seconds: float,
     ) -> None:
-        host, _, port = first_send.server.address.rpartition(":")
+        host, _, port = server.address.rpartition(":")
         self.owner = owner
-        self.server_id = first_send.server.server_id
-        self.send: StartSend | None = first_send
+        self.server = server
+        self.server_id = server.server_id
+        self.is_probe = first_send is None
+        self.send = first_send
         self.is_connected = False
         self.idle_seconds = _DEFAULT_IDLE_SECONDS
         self.idle_since = 0.0
@@ -141,7 +152,12 @@
     def channel_opened(self) -> None:
         self.is_connected = True
         self.owner.opened += 1
-        self.start(self.send)
+        if self.send is not None:
+            self.start(self.send)
+            return
+        self.idle_since = asyncio.get_running_loop().time()
+        self.owner.add_idle_connection(self)
+        self.owner.report_probe(self.server, ProbeOutcome.OPEN)
 
     def channel_read(self, data: bytes) -> None:
         if self.send is None:
@@ -170,6 +186,10 @@
     def channel_ended(self, error: OSError | None) -> None:
         if not self.is_connected:
             self._fail(FailureKind.REFUSED)
+            if self.is_probe:
+                is_refused = isinstance(error, OSError) and error.errno in _REFUSED_ERRORS
+                outcome = ProbeOutcome.REFUSED if is_refused else ProbeOutcome.SILENT
+                self.owner.report_probe(self.server, outcome)
         elif self.send is None:
             self.close()
         elif error is None and self._has_headers and not self._has_framing:
@@ -330,19 +350,32 @@
                 connection.start(effect)
                 return
             connection.close()
+        connection = self._open(effect.server, effect, effect.connect_deadline_us)
+        if connection is None:
+            # The request has not been written.
+            self.report_failure(effect.send_id, FailureKind.REFUSED, RunState.NOT_RUN)
+            return
+        self._connections_by_send[effect.send_id] = connection
+
+    def probe_server(self, effect: ProbeServer) -> None:
+        """Execute a ``ProbeServer`` effect over a new connection."""
+        if self._open(effect.server, None, effect.connect_deadline_us) is None:
+            self.report_probe(effect.server, ProbeOutcome.SILENT)
+
+    def _open(
+        self, server: BackendServer, send: StartSend | None, connect_deadline_us: int
+    ) -> _Connection | None:
+        """Open a connection, or log why no file descriptor or no valid address is there."""
         connect_seconds = max(
-            _MIN_CONNECT_SECONDS, (effect.connect_deadline_us - self.read_clock_us()) / 1e6
+            _MIN_CONNECT_SECONDS, (connect_deadline_us - self.read_clock_us()) / 1e6
         )
         try:
-            connection = _Connection(self, effect, connect_seconds)
+            connection = _Connection(self, server, send, connect_seconds)
         except OSError as error:
-            # No file descriptor is available, or the address is invalid. In both cases the
-            # request has not been written.
             self._logs.write("connection_not_opened", {"error": repr(error)})
-            self.report_failure(effect.send_id, FailureKind.REFUSED, RunState.NOT_RUN)
-            return
-        self._connections_by_send[effect.send_id] = connection
+            return None
         self._connections.add(connection)
+        return connection
 
     def abandon_send(self, effect: AbandonSend) -> None:
         """Execute an ``AbandonSend`` effect; do nothing if the send has ended."""
@@ -391,6 +424,10 @@
         }
         self._logs.write("answer_too_large", fields)
 
+    def report_probe(self, server: BackendServer, outcome: ProbeOutcome) -> None:
+        """Report the end of a probe."""
+        self._handle(ProbeEnded(self.read_clock_us(), server, outcome))
+
     def report_answer(self, send_id: int, answer: ServerAnswer) -> None:
         """Report a complete answer to a send."""
         self._connections_by_send.pop(send_id, None)
--- a/mimosapost/edge/relay_instance.py
+++ b/mimosapost/edge/relay_instance.py
@@ -38,6 +38,7 @@
     AbandonSend,
     ApplyFeed,
     ForgetServer,
+    ProbeServer,
     SendReply,
     StartSend,
 )
@@ -144,6 +145,7 @@
             IncrementCounter: self.metrics.execute,
             ObserveDuration: self.metrics.observe_duration,
             ForgetServer: servers.forget_server,
+            ProbeServer: servers.probe_server,
             SendReply: callers.send_reply,
             StartSend: servers.start_send,
             StopServing: self._stop_serving,
--- a/mimosapost/edge/tests/test_relay_connections.py
+++ b/mimosapost/edge/tests/test_relay_connections.py
@@ -15,8 +15,8 @@
 from mimosapost.edge.relay_connections import ServerConnections
 from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.platform.http_codec import PlatformCodec
-from mimosapost.relay.effects import AbandonSend, StartSend
-from mimosapost.relay.events import AnswerArrived, ExchangeFailed
+from mimosapost.relay.effects import AbandonSend, ProbeServer, StartSend
+from mimosapost.relay.events import AnswerArrived, ExchangeFailed, ProbeOutcome
 from mimosapost.relay.messages import BackendServer
 
 CODEC = PlatformCodec()
@@ -242,3 +242,50 @@
         exchange.start(1, b"x" * 30_000_000)
         assert isinstance(await exchange.next_event(), AnswerArrived)
         assert not any(exchange.connections._idle.values())
+
+
+async def test_a_probe_opens_a_connection_that_the_next_send_uses():
+    numbers = []
+
+    async def script(reader, writer, number):
+        numbers.append(number)
+        await read_head(reader)
+        writer.write(create_answer("r1"))
+        await writer.drain()
+        await reader.read()
+
+    async with open_exchange(script) as exchange:
+        exchange.connections.probe_server(
+            ProbeServer(exchange.server, read_clock_us() + 1_000_000)
+        )
+        event = await exchange.next_event()
+        assert (event.server, event.outcome) == (exchange.server, ProbeOutcome.OPEN)
+        exchange.start(1)
+        assert isinstance(await exchange.next_event(), AnswerArrived)
+        assert numbers == [0]
+
+
+@pytest.mark.parametrize(
+    ("address", "outcome"),
+    [
+        pytest.param("127.0.0.1:{free_port}", ProbeOutcome.REFUSED, id="no process"),
+        pytest.param("127.0.0.1:{full_port}", ProbeOutcome.SILENT, id="no answer in time"),
+    ],
+)
+async def test_a_probe_tells_a_refusal_from_silence(address, outcome):
+    async def script(reader, writer, number):
+        await reader.read()
+
+    with socket.socket() as free, socket.socket() as full, socket.socket() as blocker:
+        free.bind(("127.0.0.1", 0))
+        # The kernel drops further connections while the queue of this socket is full.
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        blocker.connect(full.getsockname())
+        ports = {"free_port": free.getsockname()[1], "full_port": full.getsockname()[1]}
+        async with open_exchange(script) as exchange:
+            server = BackendServer("i-2", "one", address.format(**ports), "a1", 2)
+            probe = ProbeServer(server, read_clock_us() + 60_000)
+            exchange.connections.probe_server(probe)
+            event = await exchange.next_event()
+            assert (event.server, event.outcome) == (server, outcome)
--- a/mimosapost/membership/codec.py
+++ b/mimosapost/membership/codec.py
@@ -252,6 +252,24 @@
     )
 
 
+def _write_suspects(notes: tuple[SuspectNote, ...]) -> list[dict[str, int]]:
+    return [
+        {
+            "fingerprint": note.fingerprint,
+            "crashes": note.crashes,
+            "refusedForUs": note.refused_for_us,
+        }
+        for note in _check_length(notes, _MAX_SUSPECTS, "suspects")
+    ]
+
+
+def _read_suspects(reader: Any) -> tuple[SuspectNote, ...]:
+    return tuple(
+        SuspectNote(note.fingerprint, note.crashes, note.refusedForUs)
+        for note in _check_length(reader, _MAX_SUSPECTS, "suspects")
+    )
+
+
 @_register_writer(Gossip, "gossip")
 def _write_gossip(message: Gossip) -> dict[str, Any]:
     return {
@@ -265,14 +283,7 @@
             }
             for entry in _check_length(message.versions, _MAX_SUBTREES, "versions")
         ],
-        "suspects": [
-            {
-                "fingerprint": note.fingerprint,
-                "crashes": note.crashes,
-                "refusedForUs": note.refused_for_us,
-            }
-            for note in _check_length(message.suspects, _MAX_SUSPECTS, "suspects")
-        ],
+        "suspects": _write_suspects(message.suspects),
         "replyWanted": message.reply_wanted,
         "warmups": [
             {
@@ -305,10 +316,7 @@
             )
             for entry in _check_length(reader.versions, _MAX_SUBTREES, "versions")
         ),
-        suspects=tuple(
-            SuspectNote(note.fingerprint, note.crashes, note.refusedForUs)
-            for note in _check_length(reader.suspects, _MAX_SUSPECTS, "suspects")
-        ),
+        suspects=_read_suspects(reader.suspects),
         reply_wanted=reader.replyWanted,
         warmups=tuple(
             WarmupNote(
@@ -532,6 +540,7 @@
             }
             for note in _check_length(message.notes, _MAX_NOTES, "notes")
         ],
+        "suspects": _write_suspects(message.suspects),
     }
 
 
@@ -552,6 +561,7 @@
             )
             for note in _check_length(reader.notes, _MAX_NOTES, "notes")
         ),
+        _read_suspects(reader.suspects),
     )
 
 
--- a/mimosapost/membership/peer.capnp
+++ b/mimosapost/membership/peer.capnp
@@ -148,6 +148,7 @@
 struct ServerNotes {
   stage @0 :UInt8;
   notes @1 :List(ServerNote);
+  suspects @2 :List(SuspectNote);
 }
 
 struct Envelope {
--- a/mimosapost/membership/tests/test_codec.py
+++ b/mimosapost/membership/tests/test_codec.py
@@ -58,7 +58,11 @@
     FeedRequest(2**53),
     FeedUpdate(0, 2**53, b"", 2**64 - 1, True),
     FeedUpdate(5, 9, b"packed", 3),
-    ServerNotes(2, (ServerNote("i-1", 2**64 - 1, 2**32 - 1, 100, 2**32 - 1, 7),)),
+    ServerNotes(
+        2,
+        (ServerNote("i-1", 2**64 - 1, 2**32 - 1, 100, 2**32 - 1, 7),),
+        (SuspectNote(2**64 - 1, 2, 60_000_000),),
+    ),
 ]
 
 
--- a/mimosapost/model/peer_messages.py
+++ b/mimosapost/model/peer_messages.py
@@ -319,10 +319,12 @@
 
     :param stage: 0 from the observer to the instance that it follows, 1 from there to those
         that others follow, 2 from these to their followers. Only the first two are passed on.
+    :param suspects: requests that may crash servers.
     """
 
     stage: int
     notes: tuple[ServerNote, ...]
+    suspects: tuple[SuspectNote, ...] = ()
 
 
 PeerMessage = (
--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -21,6 +21,7 @@
     StartResult,
     abandon_request,
     emit_send,
+    is_restricted,
     list_usable,
     rank_warm_servers,
     start_send,
@@ -134,7 +135,11 @@
 
     :returns: the other parts.
     """
-    if state.peers is None or not open_request.route.shards:
+    if (
+        state.peers is None
+        or not open_request.route.shards
+        or is_restricted(state, open_request, now_us)
+    ):
         return open_request.parts
     linked_domains = list_linked_domains(state.peers, now_us)
     rest, planned = [], []
--- a/mimosapost/relay/completion.py
+++ b/mimosapost/relay/completion.py
@@ -26,6 +26,7 @@
 from mimosapost.relay.state import GatheredParts, OpenRequest, Part, RelayState
 
 __all__ = [
+    "CRASHED_REASON",
     "check_progress",
     "choose_gathered",
     "count_answered",
@@ -36,6 +37,8 @@
     "report_outcomes",
 ]
 
+#: Reason of parts that were not sent because the request crashes servers.
+CRASHED_REASON = "crashed_servers"
 # Outcomes of a gather that follow each other within this time are reported together, because
 # several servers often fail at once.
 _REPORT_DELAY_US = 4_000
@@ -86,6 +89,11 @@
     part.reason = reason
     open_request.open_parts -= 1
     abandon_sends(state, part, now_us, effects)
+    if part is open_request.trial:
+        for other in open_request.parts_after_trial:
+            other.done, other.reason = True, "trial_failed"
+            open_request.open_parts -= 1
+        open_request.parts_after_trial = []
     if open_request.served is not None:
         _schedule_report(state, open_request, now_us)
     check_progress(state, open_request, now_us, effects)
@@ -127,6 +135,8 @@
         abandon_request(state, open_request, now_us, effects)
         _record_served(open_request, now_us, effects)
         return
+    if open_request.answered == len(open_request.parts):
+        _record_answered(state, open_request, now_us)
     reply = _create_reply(state, open_request, now_us)
     del state.requests[request_number]
     abandon_request(state, open_request, now_us, effects)
@@ -134,6 +144,17 @@
     _record_end(open_request, reply, now_us, effects)
 
 
+def _record_answered(state: RelayState, open_request: OpenRequest, now_us: int) -> None:
+    """Clear a suspect that all its servers have answered."""
+    fingerprint = open_request.request.fingerprint
+    if open_request.passed_trial:
+        state.suspects.record_answered(fingerprint, now_us)
+    for entries in state.unanswered.values():
+        entry = entries.get(fingerprint)
+        if entry is not None and entry.ended_us < open_request.arrived_us:
+            del entries[fingerprint]
+
+
 def _schedule_report(state: RelayState, open_request: OpenRequest, now_us: int) -> None:
     served = open_request.served
     if not served.report_due:
@@ -244,6 +265,8 @@
     if may_have_run:
         code = ResultCode.DEADLINE_EXCEEDED if expired else ResultCode.OUTCOME_UNKNOWN
         return Refusal(code, 0, _join_missing_reasons(open_request))
+    if any(part.reason == CRASHED_REASON for part in open_request.parts):
+        return Refusal(ResultCode.REQUEST_REFUSED, 0, CRASHED_REASON)
     code = ResultCode.DEADLINE_TOO_SHORT if expired else ResultCode.OVERLOADED
     if expired and state.stop_requested_us:
         code = ResultCode.STOPPING
--- a/mimosapost/relay/effects.py
+++ b/mimosapost/relay/effects.py
@@ -8,7 +8,14 @@
 from mimosapost.model.peer_messages import SourceEntry
 from mimosapost.relay.messages import BackendServer, RelayRequest, Reply
 
-__all__ = ["AbandonSend", "ApplyFeed", "ForgetServer", "SendReply", "StartSend"]
+__all__ = [
+    "AbandonSend",
+    "ApplyFeed",
+    "ForgetServer",
+    "ProbeServer",
+    "SendReply",
+    "StartSend",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +58,19 @@
     reply: Reply
 
 
+@dataclass(frozen=True, slots=True)
+class ProbeServer(Effect):
+    """Open a connection to a server without a request, and keep it for later sends.
+
+    The edge reports one ``ProbeEnded`` for each probe.
+
+    :param connect_deadline_us: monotonic time by which the connection must be established.
+    """
+
+    server: BackendServer
+    connect_deadline_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class ForgetServer(Effect):
     """Close the idle connections to a server that was removed."""
--- a/mimosapost/relay/events.py
+++ b/mimosapost/relay/events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.model.events import Event
@@ -17,6 +18,8 @@
     "DomainsOut",
     "ExchangeFailed",
     "InstanceStarted",
+    "ProbeEnded",
+    "ProbeOutcome",
     "RequestArrived",
     "ServerListed",
     "ServerUnlisted",
@@ -72,6 +75,22 @@
     run: RunState
 
 
+class ProbeOutcome(Enum):
+    """How a server reacted to an attempt to connect."""
+
+    OPEN = "open"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeEnded(Event):
+    """A probe of a server ended."""
+
+    server: BackendServer
+    outcome: ProbeOutcome
+
+
 @dataclass(frozen=True, slots=True)
 class CatalogRead(Event):
     """A configuration version was read from the source."""
--- a/mimosapost/relay/gathers.py
+++ b/mimosapost/relay/gathers.py
@@ -16,7 +16,12 @@
 from mimosapost.model.effects import IncrementCounter, ObserveDuration, SendPeer, WriteLog
 from mimosapost.model.events import PeerLost, PeerMessageArrived
 from mimosapost.model.peer_messages import Gather, GatherAnswer
-from mimosapost.relay.completion import check_progress, count_answered, fail_part
+from mimosapost.relay.completion import (
+    CRASHED_REASON,
+    check_progress,
+    count_answered,
+    fail_part,
+)
 from mimosapost.relay.feeds import release_reader
 from mimosapost.relay.latency_pools import get_distance
 from mimosapost.relay.partners import (
@@ -41,7 +46,7 @@
     queue_hedge,
     start_send,
 )
-from mimosapost.relay.served_gathers import SUSPECT_REFUSAL, cancel_gathers_for
+from mimosapost.relay.served_gathers import cancel_gathers_for
 from mimosapost.relay.server_selection import ServerRecord, record_failure
 from mimosapost.relay.state import GatheredParts, OpenGather, OpenRequest, Part, RelayState
 
@@ -295,7 +300,7 @@
             server_id, waited_us = record.server.server_id, now_us - gather.sent_us
             queue_hedge(state, open_request, part, server_id, waited_us, 0, is_direct=True)
             continue
-        if reason == SUSPECT_REFUSAL:
+        if reason == CRASHED_REASON:
             fail_part(state, open_request, part, reason, now_us, effects)
         elif start_send(state, open_request, part, now_us, effects) is StartResult.NO_SERVER:
             fail_part(state, open_request, part, "no_server", now_us, effects)
--- a/mimosapost/relay/gossip.py
+++ b/mimosapost/relay/gossip.py
@@ -31,6 +31,7 @@
     handles_timer,
 )
 from mimosapost.relay.state import RelayState
+from mimosapost.relay.suspicion import merge_suspects
 
 __all__ = ["announce_leaving"]
 
@@ -69,15 +70,19 @@
         and not state.stop_requested_us
     }
     for partner in pinged.values():
-        effects.append(_create_gossip(state, partner.name, partner.peer_address, (), True))
+        effects.append(
+            _create_gossip(state, partner.name, partner.peer_address, (), True, now_us)
+        )
     if peers.round_number % 2:
         reports = peers.members.choose_reports(state.rng, _REPORTS, now_us)
         for member in peers.members.choose_targets(state.rng, 1):
             if member.name not in pinged:
                 effects.append(
-                    _create_gossip(state, member.name, member.peer_address, reports, True)
+                    _create_gossip(
+                        state, member.name, member.peer_address, reports, True, now_us
+                    )
                 )
-    _ask_seed(state, effects)
+    _ask_seed(state, now_us, effects)
     request_feed(state, now_us, effects)
 
 
@@ -97,7 +102,7 @@
     return partner
 
 
-def _ask_seed(state: RelayState, effects: Effects) -> None:
+def _ask_seed(state: RelayState, now_us: int, effects: Effects) -> None:
     peers = state.peers
     members = peers.members.list_members()
     seeds = [a for a in peers.seed_addresses if a != peers.own.peer_address]
@@ -105,7 +110,7 @@
         return
     address = seeds[peers.round_number // (_SEED_ROUNDS if members else 1) % len(seeds)]
     names = [member.name for member in members if member.peer_address == address]
-    effects.append(_create_gossip(state, names[0] if names else "", address, (), True))
+    effects.append(_create_gossip(state, names[0] if names else "", address, (), True, now_us))
 
 
 def _create_gossip(
@@ -114,9 +119,11 @@
     address: str,
     reports: tuple[MemberReport, ...],
     reply_wanted: bool,
+    now_us: int,
 ) -> SendPeer:
     leaving = bool(state.stop_requested_us)
-    message = Gossip(state.peers.own, leaving, (), (), reply_wanted, (), reports)
+    suspects = state.suspects.export(now_us)
+    message = Gossip(state.peers.own, leaving, (), suspects, reply_wanted, (), reports)
     return SendPeer(name, address, message)
 
 
@@ -129,7 +136,7 @@
     for name in sorted(names):
         member = state.peers.members.find_by_name(name)
         if member is not None:
-            effects.append(_create_gossip(state, name, member.peer_address, (), False))
+            effects.append(_create_gossip(state, name, member.peer_address, (), False, now_us))
 
 
 @handles(PeerMessageArrived)
@@ -158,6 +165,7 @@
         effects.append(WriteLog("peer_not_of_fleet", (("peer", event.peer),)))
         return
     peers.members.record_gossip(message, now_us)
+    merge_suspects(state, message.suspects, now_us, effects)
     for report in message.members:
         if peers.belongs(report.identity):
             peers.members.record_report(report, now_us)
@@ -176,7 +184,7 @@
     limit = _REPORTS if wants_reports else 0
     reports = peers.members.choose_reports(state.rng, limit, now_us)
     address = message.identity.peer_address
-    effects.append(_create_gossip(state, event.peer, address, reports, False))
+    effects.append(_create_gossip(state, event.peer, address, reports, False, now_us))
 
 
 def _release_partner(state: RelayState, name: str, now_us: int, effects: Effects) -> None:
@@ -184,4 +192,6 @@
     for domain in [d for d, partner in peers.partners.items() if partner.name == name]:
         partner = _update_partner(peers, domain, now_us, effects)
         if partner is not None:
-            effects.append(_create_gossip(state, partner.name, partner.peer_address, (), True))
+            effects.append(
+                _create_gossip(state, partner.name, partner.peer_address, (), True, now_us)
+            )
--- a/mimosapost/relay/registry.py
+++ b/mimosapost/relay/registry.py
@@ -42,6 +42,7 @@
     GATHER = 9
     REPORT = 10
     NOTES = 11
+    DISPATCH = 12
 
 
 _EVENT_HANDLERS: dict[type[Event], Callable[..., None]] = {}
--- a/mimosapost/relay/send_outcomes.py
+++ b/mimosapost/relay/send_outcomes.py
@@ -8,7 +8,14 @@
 from mimosapost.model.effects import IncrementCounter, ObserveDuration, WriteLog
 from mimosapost.relay.catalog import Route
 from mimosapost.relay.completion import check_progress, fail_part
-from mimosapost.relay.events import AnswerArrived, ExchangeFailed
+from mimosapost.relay.crashes import (
+    REFUSAL_WINDOW_US,
+    hold_for_probe,
+    record_crash,
+    record_survival,
+    record_unanswered,
+)
+from mimosapost.relay.events import AnswerArrived, ExchangeFailed, ProbeEnded, ProbeOutcome
 from mimosapost.relay.messages import ServerAnswer
 from mimosapost.relay.record_merge import RECORD_BYTES, merge_records
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
@@ -35,8 +42,6 @@
 # A part of a gathered request is cut to the records that can be used if it has this many times
 # as many. Cutting smaller parts would cost more time than the memory is worth.
 _SURPLUS_RATIO = 4
-# A server that refuses connections within this time after it broke one counts as crashed.
-_CRASH_WINDOW_US = 1_000_000
 
 
 @handles(AnswerArrived)
@@ -58,6 +63,8 @@
         record.misdirected = True
         _log_server(effects, "server_misdirected", send, answer.status)
     if answer.not_run:
+        if not answer.misdirected:
+            record_survival(state, send)
         send.part.possible_runs -= 1
         send.part.rejections += 1
         # A rejection is not a fault of the server. It is recorded as a failure so that further
@@ -66,6 +73,7 @@
         record_failure(record, now_us)
         _retry_or_fail(state, send, "rejected", now_us, effects)
         return
+    record_survival(state, send)
     if not answer.closing:
         record.connection_used_us = now_us
     record_latency(record, send.pool, now_us - send.sent_us, now_us)
@@ -82,7 +90,6 @@
         _retry_or_fail(state, send, "server_failed", now_us, effects)
         return
     record_success(record)
-    state.suspects.record_answered(send.fingerprint, now_us)
     _complete_part(state, send, answer, now_us, effects)
 
 
@@ -102,8 +109,25 @@
     open_request.answered += 1
     open_request.open_parts -= 1
     abandon_sends(state, part, now_us, effects)
+    if part is open_request.trial:
+        open_request.passed_trial = True
     check_progress(state, open_request, now_us, effects)
     hedge_stragglers(state, open_request, now_us)
+    _start_after_trial(state, open_request, now_us, effects)
+
+
+def _start_after_trial(
+    state: RelayState, open_request: OpenRequest, now_us: int, effects: Effects
+) -> None:
+    if not open_request.passed_trial:
+        return
+    parts, open_request.parts_after_trial = open_request.parts_after_trial, []
+    for part in parts:
+        part.waiting = False
+        if part.done or open_request.request.request_number not in state.requests:
+            continue
+        if start_send(state, open_request, part, now_us, effects) is StartResult.NO_SERVER:
+            fail_part(state, open_request, part, "no_server", now_us, effects)
 
 
 def _discard_surplus_records(route: Route, answer: ServerAnswer) -> ServerAnswer:
@@ -139,45 +163,58 @@
         if unreachable and not record.is_blocked(now_us):
             _log_server(effects, "server_blocked", send, event.kind.value)
         record_failure(record, now_us, unreachable)
-        _record_crash(state, send, unreachable, event, effects)
+        if unreachable:
+            address = record.server.address
+            record_crash(
+                state, address, "refused", REFUSAL_WINDOW_US, now_us, effects, broken_only=True
+            )
+    record_unanswered(state, send, event, effects)
     note_server(state, record, now_us)
     effects.append(
         IncrementCounter("mimosapost_relay_send_failures_total", (("kind", event.kind.value),))
     )
-    _retry_or_fail(state, send, event.kind.value, now_us, effects)
-
+    if not hold_for_probe(state, send, event, effects):
+        _retry_or_fail(state, send, event.kind.value, now_us, effects)
 
-def _record_crash(
-    state: RelayState,
-    send: OpenSend,
-    unreachable: bool,
-    event: ExchangeFailed,
-    effects: Effects,
-) -> None:
-    """Record a crash if connections broke just before the server became unreachable.
 
-    The requests on these connections become suspects.
-    """
-    record, now_us = send.record, event.now_us
-    if not unreachable:
-        if event.kind in (FailureKind.RESET, FailureKind.CLOSED):
-            record.broken_us_by_fingerprint[send.fingerprint] = now_us
-        return
-    recent = [
-        key
-        for key, at_us in record.broken_us_by_fingerprint.items()
-        if now_us - at_us < _CRASH_WINDOW_US
-    ]
-    record.broken_us_by_fingerprint.clear()
-    if recent:
-        state.suspects.record_crash(record.server.address, recent, now_us)
-        _log_server(effects, "server_crashed", send, f"{len(recent)} requests in flight")
+@handles(ProbeEnded)
+def handle_probe(state: RelayState, event: ProbeEnded, effects: Effects) -> None:
+    """Record whether a server crashed, and retry the parts that waited for that."""
+    server, now_us = event.server, event.now_us
+    record = state.servers.get(server.server_id)
+    effects.append(
+        IncrementCounter("mimosapost_relay_probes_total", (("outcome", event.outcome.value),))
+    )
+    if event.outcome is ProbeOutcome.OPEN:
+        state.unanswered.pop(server.address, None)
+    elif event.outcome is ProbeOutcome.REFUSED:
+        if record is not None:
+            record_failure(record, now_us, unreachable=True)
+            note_server(state, record, now_us)
+        record_crash(state, server.address, "refused", REFUSAL_WINDOW_US, now_us, effects)
+    for held in state.held_parts.pop(server.address, ()):
+        open_request = state.requests.get(held.request_number)
+        held.part.waiting = False
+        if open_request is None or held.part.done or held.part.is_sent:
+            continue
+        retry_or_fail(
+            state,
+            open_request,
+            held.part,
+            held.server_id,
+            held.waited_us,
+            held.reason,
+            now_us,
+            effects,
+        )
 
 
 def _close_send(state: RelayState, send_id: int) -> OpenSend:
     send = state.sends.pop(send_id)
     send.record.open_sends.pop(send_id, None)
     send.part.sends.remove(send_id)
+    if send.ran_alone:
+        send.record.reserved_until_us = 0
     if state.waiting.get(send.part.service):
         state.services_to_dispatch.add(send.part.service)
     return send
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -11,12 +11,13 @@
 from mimosapost.model.effects import SendPeer
 from mimosapost.model.peer_messages import GatherCancel
 from mimosapost.relay.effects import AbandonSend, StartSend
-from mimosapost.relay.registry import Effects, TimerKind
+from mimosapost.relay.eligibility import is_usable
+from mimosapost.relay.registry import Effects, TimerKind, handles_timer
 from mimosapost.relay.repeats import get_hedge_delay_us
 from mimosapost.relay.server_selection import ServerRecord, choose_server, rank_servers
-from mimosapost.relay.service_discovery import is_usable
 from mimosapost.relay.state import HedgeDue, OpenRequest, OpenSend, Part, RelayState
 from mimosapost.relay.warmup import ColdAllowance
+from mimosapost.suspects.tracker import SuspicionState
 
 __all__ = [
     "StartResult",
@@ -25,6 +26,7 @@
     "dispatch_waiting",
     "emit_send",
     "hedge_stragglers",
+    "is_restricted",
     "list_usable",
     "queue_hedge",
     "rank_warm_servers",
@@ -49,6 +51,9 @@
 # Time for which the connection of an abandoned send stays open. When a caller leaves, servers
 # must stop working for it within half a second.
 ABANDON_GRACE_US = 300_000
+# Time for which a suspect has a server for itself. A request that crashes servers does so when
+# it begins to run; a slow one must not keep the others waiting.
+_RESERVATION_US = 100_000
 
 
 class StartResult(Enum):
@@ -86,11 +91,57 @@
 ) -> StartResult:
     """Send a part to the server that is expected to answer first.
 
-    :returns: whether the part was sent, waits for a server with room, or has no usable server.
+    The first part of a suspect is sent alone, and the others follow once it is answered.
+
+    :returns: whether the part was sent, waits for a server with room or for another part, or
+        has no usable server.
     """
+    if is_restricted(state, open_request, now_us):
+        return _start_restricted(state, open_request, part, now_us, effects)
     usable = list_usable(state, open_request, part, now_us)
     if not usable:
         return StartResult.NO_SERVER
+    return _start_at_best(state, open_request, part, usable, now_us, effects)
+
+
+def is_restricted(state: RelayState, open_request: OpenRequest, now_us: int) -> bool:
+    """Return whether a request may crash servers, so that its sends are restricted."""
+    suspicion = state.suspects.classify(open_request.request.fingerprint, now_us)
+    if suspicion is SuspicionState.SUSPECT:
+        return not open_request.passed_trial
+    return suspicion is SuspicionState.REFUSED
+
+
+def _start_restricted(
+    state: RelayState, open_request: OpenRequest, part: Part, now_us: int, effects: Effects
+) -> StartResult:
+    fingerprint = open_request.request.fingerprint
+    if state.suspects.classify(fingerprint, now_us) is SuspicionState.REFUSED:
+        return StartResult.NO_SERVER
+    if open_request.trial not in (None, part):
+        part.waiting = True
+        open_request.parts_after_trial.append(part)
+        return StartResult.WAITING
+    usable = list_usable(state, open_request, part, now_us)
+    # A service of its own would be down if the request crashed its last server. A query can be
+    # answered without one of its shards.
+    spare = sum(is_usable(state, r, now_us) for r in state.by_service.get(part.service, ()))
+    if not usable or (spare < 2 and not open_request.route.shards):
+        return StartResult.NO_SERVER
+    open_request.trial = part
+    idle = [record for record in usable if not record.open_sends]
+    return _start_at_best(state, open_request, part, idle, now_us, effects, ran_alone=True)
+
+
+def _start_at_best(
+    state: RelayState,
+    open_request: OpenRequest,
+    part: Part,
+    usable: list[ServerRecord],
+    now_us: int,
+    effects: Effects,
+    ran_alone: bool = False,
+) -> StartResult:
     limit = _get_cold_limit(state, part.service)
     warm = _list_warm(state, part, usable, now_us)
     record = choose_server(warm, state.get_pools(open_request.route), now_us, state.rng)
@@ -100,7 +151,7 @@
     if record is None:
         _enqueue(state, open_request, part)
         return StartResult.WAITING
-    emit_send(state, open_request, part, record, now_us, effects)
+    emit_send(state, open_request, part, record, now_us, effects, ran_alone)
     return StartResult.SENT
 
 
@@ -132,6 +183,7 @@
         for record in usable
         if (not limit or record.cold_until_us <= now_us)
         and len(record.open_sends) < connections
+        and record.reserved_until_us <= now_us
     ]
 
 
@@ -163,8 +215,12 @@
     record: ServerRecord,
     now_us: int,
     effects: Effects,
+    ran_alone: bool = False,
 ) -> None:
-    """Send a part to a server."""
+    """Send a part to a server.
+
+    :param ran_alone: whether the request is a suspect, to which the server is reserved.
+    """
     send_id, state.next_send_id = state.next_send_id, state.next_send_id + 1
     pool = state.get_pools(open_request.route)[record.distance]
     is_repeat = bool(part.tried_servers)
@@ -180,7 +236,11 @@
         now_us,
         open_request.request.fingerprint,
         is_repeat,
+        ran_alone=ran_alone,
     )
+    if ran_alone:
+        record.reserved_until_us = now_us + _RESERVATION_US
+        state.timers.add(record.reserved_until_us, TimerKind.DISPATCH, send_id)
     state.sends[send_id] = send
     record.open_sends[send_id] = now_us
     part.sends.append(send_id)
@@ -302,6 +362,14 @@
         state.waiting.setdefault(part.service, []).append(entry)
 
 
+@handles_timer(TimerKind.DISPATCH)
+def end_reservation(state: RelayState, key: int, _now_us: int, _effects: Effects) -> None:
+    """Let the parts that wait for a reserved server start."""
+    send = state.sends.get(key)
+    if send is not None:
+        state.services_to_dispatch.add(send.part.service)
+
+
 def dispatch_waiting(state: RelayState, now_us: int, effects: Effects) -> None:
     """Send waiting parts to servers with room, ordered by urgency and then by age."""
     while state.services_to_dispatch:
--- a/mimosapost/relay/served_gathers.py
+++ b/mimosapost/relay/served_gathers.py
@@ -11,20 +11,19 @@
 
 from mimosapost.model.effects import IncrementCounter, SendPeer, WriteLog
 from mimosapost.model.events import PeerMessageArrived
-from mimosapost.model.peer_messages import Gather, GatherAnswer, GatherCancel
+from mimosapost.model.peer_messages import Gather, GatherAnswer, GatherCancel, ServerNotes
 from mimosapost.relay.catalog import Route
-from mimosapost.relay.completion import fail_part, report_outcomes
+from mimosapost.relay.completion import CRASHED_REASON, fail_part, report_outcomes
 from mimosapost.relay.messages import RelayRequest
 from mimosapost.relay.registry import Effects, TimerKind, handles_message, handles_timer
 from mimosapost.relay.repeats import get_hedge_delay_us, get_report_delay_us
 from mimosapost.relay.sends import StartResult, abandon_request, start_send
+from mimosapost.relay.server_notes import LAST_STAGE, create_suspect_notes
 from mimosapost.relay.state import OpenRequest, Part, RelayState, ServedGather
 from mimosapost.suspects.tracker import SuspicionState
 
-__all__ = ["SUSPECT_REFUSAL", "cancel_gathers_for"]
+__all__ = ["cancel_gathers_for"]
 
-#: Reason of a refusal that the other instance must respect too: the request crashes servers.
-SUSPECT_REFUSAL = "crashed_servers"
 # Gathers that may be open at once; a burst at the largest deployment opens some hundreds.
 _MAX_SERVED = 1_000
 
@@ -40,6 +39,11 @@
     route = _find_gather_route(state, message)
     refusal = _find_refusal(state, message, route, now_us)
     if route is None or refusal:
+        notes = create_suspect_notes(state, {message.fingerprint}, now_us)
+        if notes:
+            # The other instance learns why before it sends the parts itself.
+            told = ServerNotes(LAST_STAGE, (), notes)
+            effects.append(SendPeer(event.peer, member.peer_address, told))
         answer = GatherAnswer(message.gather_id, refusal=refusal)
         effects.append(SendPeer(event.peer, member.peer_address, answer))
         fields = (
@@ -87,9 +91,10 @@
         return "stopping"
     if len(state.served_gathers) >= _MAX_SERVED:
         return "too_many_gathers"
-    if state.suspects.classify(message.fingerprint, now_us) is SuspicionState.REFUSED:
-        return SUSPECT_REFUSAL
-    return ""
+    suspicion = state.suspects.classify(message.fingerprint, now_us)
+    if suspicion is SuspicionState.REFUSED:
+        return CRASHED_REASON
+    return "suspect" if suspicion is SuspicionState.SUSPECT else ""
 
 
 def _start_served(
--- a/mimosapost/relay/server_notes.py
+++ b/mimosapost/relay/server_notes.py
@@ -1,17 +1,22 @@
-"""Notes on backend servers in trouble, from the instances near them to all others.
+"""Notes to all instances: backend servers in trouble, and requests that crash servers.
 
 Load pattern: at dozens of instances each one sends to a server about once a second, and avoids
 it after two slow answers. When many servers turn slow or dark at once, the hedges of these
 seconds are spent before the servers are known, and answers come late. Instances of the region
 of a server see it first and most often, and cut links between regions don't disturb what they
 see, so they tell the others. Own observations that are newer are kept.
+
+A request that crashes servers comes again at any instance, so notes on suspects are sent at
+once. Gossip repeats them, for instances that start later or missed a note.
 """
 
 from __future__ import annotations
 
+from collections.abc import Collection, Iterable
+
 from mimosapost.model.effects import IncrementCounter, SendPeer, WriteLog
 from mimosapost.model.events import PeerMessageArrived
-from mimosapost.model.peer_messages import ServerNote, ServerNotes
+from mimosapost.model.peer_messages import ServerNote, ServerNotes, SuspectNote
 from mimosapost.relay.feed_choices import list_followers, list_readers
 from mimosapost.relay.registry import Effects, TimerKind, handles_message, handles_timer
 from mimosapost.relay.server_selection import (
@@ -20,13 +25,16 @@
     get_trouble_level,
 )
 from mimosapost.relay.state import RelayState
+from mimosapost.relay.suspicion import merge_suspects
 
-__all__ = ["note_server"]
+__all__ = ["LAST_STAGE", "create_suspect_notes", "note_server", "note_suspects"]
 
 # Notes that follow each other within this time are sent together, because many servers change
 # at once and a reader passes on the notes of all its followers.
 _FLUSH_DELAY_US = 80_000
 _MAX_NOTES = 500
+#: Stage of notes that are not passed on.
+LAST_STAGE = 2
 # A server that is still in trouble is noted again after this time.
 _RENEWAL_US = 1_000_000
 # Distance class of servers in another region, of which an instance sends no notes.
@@ -45,6 +53,26 @@
     _queue(state, record.server.server_id, 0, now_us)
 
 
+def note_suspects(
+    state: RelayState, fingerprints: Iterable[int], stage: int, now_us: int
+) -> None:
+    """Queue notes on requests that may crash servers; they are sent at once."""
+    if state.peers is None or stage >= LAST_STAGE:
+        return
+    for fingerprint in fingerprints:
+        known = state.pending_suspects.get(fingerprint, stage)
+        state.pending_suspects[fingerprint] = min(stage, known)
+        state.timers.add(now_us, TimerKind.NOTES)
+
+
+def create_suspect_notes(
+    state: RelayState, fingerprints: Collection[int], now_us: int
+) -> tuple[SuspectNote, ...]:
+    """Return the notes on some requests, without those that are clear."""
+    notes = state.suspects.export(now_us, _MAX_NOTES)
+    return tuple(note for note in notes if note.fingerprint in fingerprints)
+
+
 def _queue(state: RelayState, server_id: str, stage: int, now_us: int) -> None:
     if not state.pending_notes:
         state.timers.add(now_us + _FLUSH_DELAY_US, TimerKind.NOTES)
@@ -55,21 +83,26 @@
 def send_notes(state: RelayState, _key: int, now_us: int, effects: Effects) -> None:
     """Send the queued notes on their way to the other instances."""
     pending, state.pending_notes = state.pending_notes, {}
+    pending_suspects, state.pending_suspects = state.pending_suspects, {}
     notes = {
         server_id: _create_note(state.servers[server_id], now_us)
         for server_id in list(pending)[:_MAX_NOTES]
         if server_id in state.servers
     }
     new = tuple(notes[server_id] for server_id in notes if pending[server_id] == 0)
+    suspects = create_suspect_notes(state, pending_suspects, now_us)
+    new_suspects = tuple(s for s in suspects if pending_suspects[s.fingerprint] == 0)
     feed, peers = state.feed, state.peers
     if feed.reader is not None and feed.reader.name not in feed.followers:
-        if new:
-            _send(effects, [(feed.reader.name, feed.reader.peer_address)], 0, new)
-    elif new:
+        receivers = [(feed.reader.name, feed.reader.peer_address)]
+        _send(effects, receivers, 0, new, new_suspects)
+    elif new or new_suspects:
         members = peers.members.list_members()
         readers = list_readers(peers.own, members, feed.blocked_until_us)
-        _send(effects, [(reader.name, reader.peer_address) for reader in readers], 1, new)
-    _send(effects, list_followers(feed, now_us), 2, tuple(notes.values()))
+        receivers = [(reader.name, reader.peer_address) for reader in readers]
+        _send(effects, receivers, 1, new, new_suspects)
+    followers = list_followers(feed, now_us)
+    _send(effects, followers, LAST_STAGE, tuple(notes.values()), suspects)
 
 
 def _send(
@@ -77,12 +110,13 @@
     receivers: list[tuple[str, str]],
     stage: int,
     notes: tuple[ServerNote, ...],
+    suspects: tuple[SuspectNote, ...],
 ) -> None:
-    if not notes:
+    if not (notes or suspects) or not receivers:
         return
     for name, address in receivers:
-        effects.append(SendPeer(name, address, ServerNotes(stage, notes)))
-    _count(effects, "sent", len(notes) * len(receivers))
+        effects.append(SendPeer(name, address, ServerNotes(stage, notes, suspects)))
+    _count(effects, "sent", (len(notes) + len(suspects)) * len(receivers))
 
 
 def _create_note(record: ServerRecord, now_us: int) -> ServerNote:
@@ -101,6 +135,8 @@
 def handle_notes(state: RelayState, event: PeerMessageArrived, effects: Effects) -> None:
     """Adopt notes of another instance, and queue them for those that follow this one."""
     now_us, stage = event.now_us, event.message.stage
+    learned = merge_suspects(state, event.message.suspects, now_us, effects)
+    note_suspects(state, learned, stage, now_us)
     adopted = 0
     for note in event.message.notes:
         record = state.servers.get(note.server_id)
@@ -116,7 +152,7 @@
             continue
         adopted += 1
         record.noted_level, record.noted_us = get_trouble_level(record, now_us), now_us
-        if stage < 2:
+        if stage < LAST_STAGE:
             _queue(state, note.server_id, stage, now_us)
     if not adopted:
         return
--- a/mimosapost/relay/server_selection.py
+++ b/mimosapost/relay/server_selection.py
@@ -78,8 +78,8 @@
     :param cold_until_us: time until which the server is cold; 0 if it is warm.
     :param noted_level: trouble level that other instances were last told, or told this one.
     :param noted_us: time of that note.
-    :param broken_us_by_fingerprint: time at which a connection broke, by the fingerprint of
-        the request on it.
+    :param reserved_until_us: time until which a request that may crash servers runs alone
+        there.
     """
 
     server: BackendServer
@@ -100,7 +100,7 @@
     cold_until_us: int = 0
     noted_level: int = 0
     noted_us: int = 0
-    broken_us_by_fingerprint: dict[int, int] = field(default_factory=dict)
+    reserved_until_us: int = 0
     misdirected: bool = False
 
     def is_blocked(self, now_us: int) -> bool:
--- a/mimosapost/relay/service_discovery.py
+++ b/mimosapost/relay/service_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from mimosapost.model.effects import IncrementCounter, WriteLog
+from mimosapost.relay.crashes import RESTART_WINDOW_US, record_crash
 from mimosapost.relay.effects import ForgetServer
 from mimosapost.relay.events import (
     CatalogRead,
@@ -19,7 +20,7 @@
 from mimosapost.relay.server_selection import ServerRecord
 from mimosapost.relay.state import RelayState
 
-__all__ = ["is_usable"]
+__all__: list[str] = []
 
 # Entries that expired while the source was unreachable are written again within about two
 # seconds of its recovery. A server that is still not listed after this time is removed.
@@ -126,6 +127,8 @@
         _drop_server(state, server.server_id, "restarted", effects)
         record = None
     if record is None:
+        # A new process at the address of an earlier one shows that the earlier one has ended.
+        record_crash(state, server.address, "restarted", RESTART_WINDOW_US, now_us, effects)
         region = instance_settings.regions.get(server.domain, "")
         distance = get_distance(
             instance_settings.domain, instance_settings.region, server.domain, region
@@ -202,13 +205,3 @@
     )
     effects.append(WriteLog(event, fields))
     effects.append(IncrementCounter(_CHANGES_METRIC, (("change", event),)))
-
-
-def is_usable(state: RelayState, record: ServerRecord, now_us: int) -> bool:
-    """Return whether a server may receive sends now, regardless of its load."""
-    return not (
-        record.server.draining
-        or record.misdirected
-        or record.server.domain in state.domains_out
-        or record.is_blocked(now_us)
-    )
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -23,6 +23,7 @@
 __all__ = [
     "GatheredParts",
     "HedgeDue",
+    "HeldPart",
     "InstanceSettings",
     "OpenGather",
     "OpenRequest",
@@ -30,6 +31,7 @@
     "Part",
     "RelayState",
     "ServedGather",
+    "UnansweredSend",
     "create_relay_state",
 ]
 
@@ -135,6 +137,34 @@
     is_direct: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class UnansweredSend:
+    """A send that ended without an answer, until its server answers another one or ends.
+
+    :param ended_us: time at which the send ended.
+    :param is_broken: whether the connection broke; otherwise the server was silent.
+    :param ran_alone: whether no other send of this instance was open at the server.
+    """
+
+    ended_us: int
+    is_broken: bool
+    ran_alone: bool
+
+
+@dataclass(frozen=True, slots=True)
+class HeldPart:
+    """A part that is not repeated before a probe shows whether its server crashed.
+
+    :param waited_us: time for which the part waited for the answer, in microseconds.
+    """
+
+    request_number: int
+    part: Part
+    server_id: str
+    waited_us: int
+    reason: str
+
+
 @dataclass(slots=True)
 class OpenGather:
     """Parts of one query that another instance gathers.
@@ -196,6 +226,9 @@
     :param gather_ids: numbers of the gathers that were started for the request.
     :param gathered_parts: answers that other instances gathered.
     :param served: for parts that are gathered for another instance.
+    :param trial: part of a suspect that runs alone before the others are sent.
+    :param parts_after_trial: parts that are sent once the trial is answered.
+    :param passed_trial: whether the trial was answered.
     """
 
     request: RelayRequest
@@ -214,6 +247,9 @@
     gather_ids: list[int] = field(default_factory=list)
     gathered_parts: list[GatheredParts] = field(default_factory=list)
     served: ServedGather | None = None
+    trial: Part | None = None
+    parts_after_trial: list[Part] = field(default_factory=list)
+    passed_trial: bool = False
 
 
 @dataclass(slots=True)
@@ -222,6 +258,7 @@
 
     :param is_repeat: whether the send is a hedge or a retry, paid from the budget for repeats.
     :param abandoned_us: time at which the send was given up, or 0.
+    :param ran_alone: whether the request is a suspect and runs alone at the server.
     """
 
     send_id: int
@@ -233,6 +270,7 @@
     fingerprint: int
     is_repeat: bool
     abandoned_us: int = 0
+    ran_alone: bool = False
 
 
 @dataclass(slots=True)
@@ -254,6 +292,10 @@
     :param peers: other instances, or ``None`` for an instance that works alone.
     :param feed: what was read of the source, and who reads it for whom.
     :param pending_notes: stage of each queued note on a server, by server id.
+    :param unanswered: sends without an answer that may have crashed their server, by address
+        of the server and by fingerprint.
+    :param held_parts: parts that wait for the probe of a server, by its address.
+    :param pending_suspects: stage of each queued note on a suspect, by fingerprint.
     :param gathers: open gathers at other instances, by number.
     :param served_gathers: request number of each open gather for another instance, by the name
         of that instance and the number of the gather.
@@ -288,6 +330,9 @@
     peers: PeerState | None = None
     feed: FeedState = field(default_factory=FeedState)
     pending_notes: dict[str, int] = field(default_factory=dict)
+    unanswered: dict[str, dict[int, UnansweredSend]] = field(default_factory=dict)
+    held_parts: dict[str, list[HeldPart]] = field(default_factory=dict)
+    pending_suspects: dict[int, int] = field(default_factory=dict)
     gathers: dict[int, OpenGather] = field(default_factory=dict)
     served_gathers: dict[tuple[str, int], int] = field(default_factory=dict)
     next_gather_id: int = 1
--- a/mimosapost/relay/tests/relay_harness.py
+++ b/mimosapost/relay/tests/relay_harness.py
@@ -8,11 +8,13 @@
 from mimosapost.model.effects import Effect, SetTimer
 from mimosapost.model.events import Event
 from mimosapost.relay.catalog import Route, ServiceRules, create_catalog
-from mimosapost.relay.effects import AbandonSend, SendReply, StartSend
+from mimosapost.relay.effects import AbandonSend, ProbeServer, SendReply, StartSend
 from mimosapost.relay.events import (
     AnswerArrived,
     CatalogRead,
     ExchangeFailed,
+    ProbeEnded,
+    ProbeOutcome,
     RequestArrived,
     ServersReplaced,
     TimerFired,
@@ -67,7 +69,10 @@
 
 
 class Relay:
-    """A relay under test that collects effects and has a manual clock."""
+    """A relay under test that collects effects and has a manual clock.
+
+    :ivar probe_outcome: outcome of all probes; ``None`` if the test ends them.
+    """
 
     def __init__(
         self, routes, servers, rules=(), domain="a1", seed=1, name="n1", **settings
@@ -76,6 +81,7 @@
         self.state = create_relay_state(instance_settings, seed)
         self.now_us = 1_000_000
         self.effects: list[Effect] = []
+        self.probe_outcome: ProbeOutcome | None = ProbeOutcome.OPEN
         self._request_numbers = itertools.count(1)
         names = {server.service for server in servers}
         self.rules = {rule.name: rule for rule in rules}
@@ -85,9 +91,13 @@
         self.effects.clear()
 
     def apply_event(self, event: Event) -> list[Effect]:
-        """Apply one event and return the new effects."""
+        """Apply one event and the end of probes that it starts; return the new effects."""
         new = reduce(self.state, event)
         self.effects += new
+        for effect in new:
+            if isinstance(effect, ProbeServer) and self.probe_outcome is not None:
+                ended = ProbeEnded(self.now_us, effect.server, self.probe_outcome)
+                new = new + self.apply_event(ended)
         return new
 
     def advance(self, milliseconds: float) -> None:
--- a/mimosapost/relay/tests/server_simulation.py
+++ b/mimosapost/relay/tests/server_simulation.py
@@ -10,8 +10,14 @@
 
 from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.model.effects import WriteLog
-from mimosapost.relay.effects import AbandonSend, SendReply, StartSend
-from mimosapost.relay.events import ExchangeFailed, ServerListed, ServerUnlisted
+from mimosapost.relay.effects import AbandonSend, ProbeServer, SendReply, StartSend
+from mimosapost.relay.events import (
+    ExchangeFailed,
+    ProbeEnded,
+    ProbeOutcome,
+    ServerListed,
+    ServerUnlisted,
+)
 from mimosapost.relay.messages import BackendServer
 from mimosapost.relay.tests.fleet_harness import Fleet
 from mimosapost.relay.tests.relay_harness import MS
@@ -50,6 +56,8 @@
         seed: int = 1,
     ) -> None:
         self.fleet = fleet
+        for relay in fleet.relays.values():
+            relay.probe_outcome = None
         self.running = {server.address: server for server in servers}
         self.crashing = set(crashing)
         self.down_us = down_ms * MS
@@ -88,6 +96,16 @@
             failure = (FailureKind.WITHDRAWN, RunState.UNKNOWN)
             until_us = max(now_us, effect.until_us)
             self._add(until_us, lambda: self._fail(name, relay, effect.send_id, *failure))
+        elif isinstance(effect, ProbeServer):
+            outcome = ProbeOutcome.SILENT if self.is_silent else ProbeOutcome.REFUSED
+            if effect.server.address in self.running:
+                outcome = ProbeOutcome.OPEN
+            self._add(
+                now_us + ROUND_TRIP_US,
+                lambda: relay.apply_event(
+                    ProbeEnded(self.fleet.now_us, effect.server, outcome)
+                ),
+            )
         elif isinstance(effect, WriteLog):
             self.logs.append((now_us, name, effect))
 
--- a/mimosapost/relay/tests/test_server_state.py
+++ b/mimosapost/relay/tests/test_server_state.py
@@ -13,6 +13,7 @@
     CatalogRead,
     DomainsOut,
     ExchangeFailed,
+    ProbeOutcome,
     ServerListed,
     ServersReplaced,
     ServerUnlisted,
@@ -36,6 +37,7 @@
 
 def test_a_request_that_crashes_servers_is_refused_after_the_second():
     relay = create_single_relay(("a1", "b1", "c1"), repeatable=False)
+    relay.probe_outcome = ProbeOutcome.SILENT
     for _ in range(2):
         relay.request("/look/x", fingerprint=7)
         (send,) = relay.pop_sends()
