Keep the limits that servers name, over all instances together (LIMIT)

Cause: the header Server-Limit was read nowhere. Class of fault: a limit for all instances together needs a share for each one; only cold servers had one.

Change: an answer's limit is kept with the record of its server, so that a new process starts without one. Each instance sends at 0.85 of the limit divided by the instances that it knows, as a token bucket that starts with a random part of a token (limits/rates.py). First sends, hedges, repeats and gathered sends count. Load goes to other servers; what no server allows within half of the latency objective is refused at once, with the time until the next send. Parts that waited and then lost all servers fail at once too; they waited until their deadline before.

test_load_patterns uses SendRate in place of the removed ColdAllowance, with the same bound. The simulation of servers lost peer messages that followed an answer; it delivers them now.

--- a/mimosapost/platform/http_codec.py
+++ b/mimosapost/platform/http_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable
 
 import xxhash
@@ -49,7 +50,10 @@
 # Signature that the server makes of its answer; it does not cover the caller's request.
 _SIGNATURE_HEADER = b"x-response-seal"
 _LOAD_HEADER = b"x-server-load"
-_NOT_FORWARDED = _HOP_BY_HOP.union((_LOAD_HEADER,))
+# Requests per second that a server takes from all instances together.
+_LIMIT_HEADER = b"server-limit"
+_LIMIT_VALUE = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+_NOT_FORWARDED = _HOP_BY_HOP.union((_LOAD_HEADER, _LIMIT_HEADER))
 _MISDIRECTED_STATUS = 421
 _DEFAULT_REMAINING_MS = 10_000
 
@@ -142,6 +146,7 @@
             misdirected,
             b"close" in header_values.get(b"connection", b"").lower(),
             _decode_load(header_values.get(_LOAD_HEADER)),
+            *_decode_limit(headers) if _LIMIT_HEADER in header_values else (None, ()),
         )
         return answer, header_values.get(_REQUEST_ID_HEADER, b"").decode("latin-1")
 
@@ -173,6 +178,16 @@
     return get_http_status(code)
 
 
+def _decode_limit(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> tuple[float | None, tuple[str, ...]]:
+    """Return the limit that the headers name, and the name of the header if it is malformed."""
+    values = [value.strip() for name, value in headers if name == _LIMIT_HEADER]
+    if len(values) == 1 and _LIMIT_VALUE.fullmatch(values[0]):
+        return float(values[0]), ()
+    return None, (_LIMIT_HEADER.decode(),)
+
+
 def _decode_load(value: bytes | None) -> LoadReport | None:
     if not value:
         return None
--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -20,9 +20,9 @@
 from mimosapost.relay.sends import (
     StartResult,
     abandon_request,
+    can_start,
     emit_send,
     is_restricted,
-    list_usable,
     rank_warm_servers,
     start_send,
 )
@@ -102,7 +102,7 @@
         refusal = Refusal(ResultCode.DEADLINE_TOO_SHORT, _MIN_REMAINING_US, "no time left")
         refuse_request(state, request.request_number, request.request_id, refusal, effects)
         return
-    usable_parts = sum(1 for part in parts if list_usable(state, open_request, part, now_us))
+    usable_parts = sum(can_start(state, open_request, part, now_us) for part in parts)
     if usable_parts < max(1.0, len(parts) * route.min_coverage - 1e-9):
         retry_us = get_retry_after_us(state, open_request, now_us)
         refusal = Refusal(
--- a/mimosapost/relay/completion.py
+++ b/mimosapost/relay/completion.py
@@ -32,6 +32,7 @@
     "count_answered",
     "end_request",
     "fail_part",
+    "fail_unsent_parts",
     "is_sufficient",
     "refuse_request",
     "report_outcomes",
@@ -99,6 +100,15 @@
     check_progress(state, open_request, now_us, effects)
 
 
+def fail_unsent_parts(state: RelayState, now_us: int, effects: Effects) -> None:
+    """Mark the waiting parts as failed that turned out to have no server."""
+    while state.unsent_parts:
+        request_number, part = state.unsent_parts.pop()
+        open_request = state.requests.get(request_number)
+        if open_request is not None and not part.done:
+            fail_part(state, open_request, part, "no_server", now_us, effects)
+
+
 def check_progress(
     state: RelayState, open_request: OpenRequest, now_us: int, effects: Effects
 ) -> None:
--- a/mimosapost/relay/gathers.py
+++ b/mimosapost/relay/gathers.py
@@ -30,6 +30,7 @@
     record_heard,
     record_peer_failure,
 )
+from mimosapost.relay.rate_limits import take_send
 from mimosapost.relay.registry import (
     Effects,
     TimerKind,
@@ -131,6 +132,7 @@
         part.gather_ids.append(gather.gather_id)
         part.possible_runs += 1
         part.tried_servers.append(record.server.server_id)
+        take_send(state, record, now_us)
         if not part.is_counted:
             part.is_counted = True
             state.get_budget(part.service).earn()
--- a/mimosapost/relay/messages.py
+++ b/mimosapost/relay/messages.py
@@ -83,6 +83,9 @@
     :param misdirected: whether the address now belongs to another server; the request did not
         run.
     :param closing: whether the server asked to close the connection.
+    :param limit_per_second: requests per second that the server takes from all instances
+        together; ``None`` if it names no limit.
+    :param malformed_headers: names of headers that were ignored because of their values.
     """
 
     status: int
@@ -93,6 +96,8 @@
     misdirected: bool = False
     closing: bool = False
     load: LoadReport | None = None
+    limit_per_second: float | None = None
+    malformed_headers: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/mimosapost/relay/rate_limits.py
@@ -0,0 +1,127 @@
+"""Limits on the rate of sends to a server: of a cold server, and named by the server itself.
+
+Both hold for all instances together. Instances see only their own sends, so each one uses its
+share of the limit. Load that does not fit goes to other servers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from mimosapost.limits.rates import SendRate
+from mimosapost.model.effects import IncrementCounter, WriteLog
+from mimosapost.relay.messages import ServerAnswer
+from mimosapost.relay.registry import Effects
+from mimosapost.relay.server_selection import ServerRecord
+from mimosapost.relay.state import OpenSend, RelayState
+
+__all__ = [
+    "ASSUMED_INSTANCES",
+    "get_rate_wait_us",
+    "may_send",
+    "record_named_limit",
+    "take_cold_send",
+    "take_send",
+]
+
+#: Number of instances assumed to share a cold server: it may be new to instances that have met
+#: no others yet. The largest known deployment has 33, and 6 more may be added.
+ASSUMED_INSTANCES = 40
+# Share of a named limit that all instances together use, because the sum of their sends varies.
+_USED_SHARE = 0.85
+# Lowest rate in requests per second at which all instances together try a server that names a
+# lower limit. Only an answer of the server can end its limit.
+_MIN_PER_SECOND = 0.25
+
+
+def record_named_limit(
+    state: RelayState, send: OpenSend, answer: ServerAnswer, now_us: int, effects: Effects
+) -> None:
+    """Record the limit that a server names in an answer, or that it names none any more."""
+    record = send.record
+    for name in answer.malformed_headers:
+        fields = (("server", record.server.server_id), ("header", name))
+        effects.append(WriteLog("answer_header_malformed", fields))
+        labels = (("header", name),)
+        metric = "mimosapost_relay_malformed_headers_total"
+        effects.append(IncrementCounter(metric, labels))
+    limit = answer.limit_per_second
+    if limit is None:
+        # An answer to an earlier send may have been written before the limit was named.
+        is_older = send.sent_us <= record.limit_heard_us
+        if record.named_limit is None or is_older or answer.not_run or answer.malformed_headers:
+            return
+    if limit != record.named_limit:
+        fields = (
+            ("server", record.server.server_id),
+            ("service", record.server.service),
+            ("per_second", limit if limit is not None else -1),
+            ("before", record.named_limit if record.named_limit is not None else -1),
+            ("instances", _count_instances(state)),
+        )
+        effects.append(WriteLog("server_limit_named", fields))
+    if limit is not None and record.send_rate is None:
+        record.send_rate = SendRate(now_us, state.rng)
+    record.named_limit, record.limit_heard_us = limit, now_us
+
+
+def may_send(state: RelayState, record: ServerRecord, now_us: int) -> bool:
+    """Return whether the limit that a server names allows a send of this instance now."""
+    return record.named_limit is None or not _get_wait_us(state, record, now_us)
+
+
+def take_send(state: RelayState, record: ServerRecord, now_us: int) -> None:
+    """Count a send to a server that :func:`may_send` allows."""
+    if record.named_limit is not None:
+        record.send_rate.try_take(_get_share(state, record), now_us)
+
+
+def get_rate_wait_us(
+    state: RelayState, records: Collection[ServerRecord], queued: int, now_us: int
+) -> int | None:
+    """Return the time until one of some servers allows another send of this instance.
+
+    :param queued: number of sends that wait for the same servers.
+    :returns: time in microseconds, or ``None`` if a server has no limit or allows a send.
+    """
+    if not records or any(may_send(state, record, now_us) for record in records):
+        return None
+    per_second = sum(_get_share(state, record) for record in records)
+    first_us = min(_get_wait_us(state, record, now_us) for record in records)
+    return first_us + int(queued / per_second * 1e6)
+
+
+def take_cold_send(
+    state: RelayState, record: ServerRecord, per_second: float, now_us: int
+) -> bool:
+    """Count a send to a cold server, and return whether its limit allows it.
+
+    :param per_second: limit of the cold server for all instances, in requests per second.
+    """
+    server_id = record.server.server_id
+    rate = state.cold_rates.get(server_id)
+    if rate is None:
+        rate = state.cold_rates[server_id] = SendRate(now_us, state.rng)
+    return may_send(state, record, now_us) and rate.try_take(
+        per_second / ASSUMED_INSTANCES, now_us
+    )
+
+
+def _get_wait_us(state: RelayState, record: ServerRecord, now_us: int) -> int:
+    return record.send_rate.get_wait_us(_get_share(state, record), now_us)
+
+
+def _get_share(state: RelayState, record: ServerRecord) -> float:
+    """Return the part of a named limit that this instance may use, in requests per second."""
+    limit = max(record.named_limit, _MIN_PER_SECOND)
+    return limit * _USED_SHARE / _count_instances(state)
+
+
+def _count_instances(state: RelayState) -> int:
+    """Return the number of instances, including those that were silent for a short time.
+
+    An instance that has just started knows at least how many seeds there are.
+    """
+    if state.peers is None:
+        return 1
+    return max(1 + len(state.peers.members.list_members()), len(state.peers.seed_addresses))
--- a/mimosapost/relay/reducer.py
+++ b/mimosapost/relay/reducer.py
@@ -10,6 +10,7 @@
 from mimosapost.model.events import Event
 from mimosapost.relay import (  # noqa: F401 - imported for their registered handlers
     admission,
+    completion,
     feeds,
     gathers,
     gossip,
@@ -39,6 +40,7 @@
     find_handler(type(event))(state, event, effects)
     admission.admit_held_requests(state, event.now_us, effects)
     sends.dispatch_waiting(state, event.now_us, effects)
+    completion.fail_unsent_parts(state, event.now_us, effects)
     hedges.start_hedges(state, event.now_us, effects)
     due_us = state.timers.get_next_due_us()
     if due_us is not None and due_us != state.timers.armed_us:
--- a/mimosapost/relay/retry_after.py
+++ b/mimosapost/relay/retry_after.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from mimosapost.relay.rate_limits import get_rate_wait_us
 from mimosapost.relay.state import OpenRequest, RelayState
 
 __all__ = ["NOT_CONFIGURED_RETRY_US", "get_retry_after_us"]
@@ -28,7 +29,13 @@
     for part in open_request.parts:
         if part.is_answered:
             continue
-        for record in state.by_service.get(part.service, ()):
+        records = state.by_service.get(part.service, ())
+        queued = len(state.waiting.get(part.service, ()))
+        limited_us = get_rate_wait_us(state, records, queued, now_us)
+        if limited_us is not None:
+            waits.append(limited_us)
+            continue
+        for record in records:
             if record.is_blocked(now_us):
                 waits.append(record.blocked_until_us - now_us)
             elif not record.server.draining:
--- a/mimosapost/relay/send_outcomes.py
+++ b/mimosapost/relay/send_outcomes.py
@@ -17,6 +17,7 @@
 )
 from mimosapost.relay.events import AnswerArrived, ExchangeFailed, ProbeEnded, ProbeOutcome
 from mimosapost.relay.messages import ServerAnswer
+from mimosapost.relay.rate_limits import record_named_limit
 from mimosapost.relay.record_merge import RECORD_BYTES, merge_records
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
 from mimosapost.relay.sends import StartResult, abandon_sends, hedge_stragglers, start_send
@@ -62,6 +63,8 @@
     if answer.misdirected:
         record.misdirected = True
         _log_server(effects, "server_misdirected", send, answer.status)
+    else:
+        record_named_limit(state, send, answer, now_us, effects)
     if answer.not_run:
         if not answer.misdirected:
             record_survival(state, send)
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -8,21 +8,27 @@
 from collections.abc import Collection
 from enum import Enum
 
-from mimosapost.model.effects import SendPeer
+from mimosapost.model.effects import IncrementCounter, SendPeer, WriteLog
 from mimosapost.model.peer_messages import GatherCancel
 from mimosapost.relay.effects import AbandonSend, StartSend
 from mimosapost.relay.eligibility import is_usable
+from mimosapost.relay.rate_limits import (
+    get_rate_wait_us,
+    may_send,
+    take_cold_send,
+    take_send,
+)
 from mimosapost.relay.registry import Effects, TimerKind, handles_timer
 from mimosapost.relay.repeats import get_hedge_delay_us
 from mimosapost.relay.server_selection import ServerRecord, choose_server, rank_servers
 from mimosapost.relay.state import HedgeDue, OpenRequest, OpenSend, Part, RelayState
-from mimosapost.relay.warmup import ColdAllowance
 from mimosapost.suspects.tracker import SuspicionState
 
 __all__ = [
     "StartResult",
     "abandon_request",
     "abandon_sends",
+    "can_start",
     "dispatch_waiting",
     "emit_send",
     "hedge_stragglers",
@@ -54,6 +60,9 @@
 # Time for which a suspect has a server for itself. A request that crashes servers does so when
 # it begins to run; a slow one must not keep the others waiting.
 _RESERVATION_US = 100_000
+# Share of the latency objective that a part may wait until a named limit allows its send; the
+# rest is left for the answer.
+_MAX_WAIT_SHARE = 0.5
 
 
 class StartResult(Enum):
@@ -149,12 +158,63 @@
         cold = [record for record in usable if record.cold_until_us > now_us]
         record = _choose_cold(state, cold, limit, now_us)
     if record is None:
+        if not _may_wait(state, open_request, part, usable, now_us, effects):
+            return StartResult.NO_SERVER
         _enqueue(state, open_request, part)
         return StartResult.WAITING
     emit_send(state, open_request, part, record, now_us, effects, ran_alone)
     return StartResult.SENT
 
 
+def can_start(state: RelayState, open_request: OpenRequest, part: Part, now_us: int) -> bool:
+    """Return whether a part has a server, now or soon enough for the latency objective."""
+    usable = list_usable(state, open_request, part, now_us)
+    return bool(usable) and _is_soon(open_request, _get_wait_us(state, part, usable, now_us))
+
+
+def _get_wait_us(
+    state: RelayState, part: Part, usable: list[ServerRecord], now_us: int
+) -> int | None:
+    queued = len(state.waiting.get(part.service, ()))
+    return get_rate_wait_us(state, usable, queued, now_us)
+
+
+def _is_soon(open_request: OpenRequest, wait_us: int | None) -> bool:
+    return wait_us is None or wait_us <= open_request.route.goal_us * _MAX_WAIT_SHARE
+
+
+def _may_wait(
+    state: RelayState,
+    open_request: OpenRequest,
+    part: Part,
+    usable: list[ServerRecord],
+    now_us: int,
+    effects: Effects,
+) -> bool:
+    """Return whether a part without a server is to wait, and when it is tried again."""
+    wait_us = _get_wait_us(state, part, usable, now_us)
+    if wait_us is None:
+        return True
+    if not _is_soon(open_request, now_us - open_request.arrived_us + wait_us):
+        fields = (
+            ("request", open_request.request.request_id),
+            ("service", part.service),
+            ("wait_ms", wait_us // 1_000),
+        )
+        effects.append(WriteLog("named_limits_reached", fields))
+        labels = (("outcome", "withheld"),)
+        effects.append(IncrementCounter("mimosapost_relay_limited_parts_total", labels))
+        return False
+    _schedule_dispatch(state, part.service, now_us + wait_us)
+    return True
+
+
+def _schedule_dispatch(state: RelayState, service: str, due_us: int) -> None:
+    key, state.next_timer_key = state.next_timer_key, state.next_timer_key + 1
+    state.services_by_timer[key] = service
+    state.timers.add(due_us, TimerKind.DISPATCH, key)
+
+
 def rank_warm_servers(
     state: RelayState,
     open_request: OpenRequest,
@@ -184,22 +244,16 @@
         if (not limit or record.cold_until_us <= now_us)
         and len(record.open_sends) < connections
         and record.reserved_until_us <= now_us
+        and may_send(state, record, now_us)
     ]
 
 
 def _choose_cold(
     state: RelayState, records: list[ServerRecord], limit: float, now_us: int
 ) -> ServerRecord | None:
-    for record in records:
-        server_id = record.server.server_id
-        allowance = state.cold_allowances.get(server_id)
-        if allowance is None:
-            allowance = state.cold_allowances[server_id] = ColdAllowance(
-                limit, now_us, state.rng
-            )
-        if allowance.try_take(now_us):
-            return record
-    return None
+    return next(
+        (record for record in records if take_cold_send(state, record, limit, now_us)), None
+    )
 
 
 def _get_cold_limit(state: RelayState, service: str) -> float:
@@ -221,6 +275,7 @@
 
     :param ran_alone: whether the request is a suspect, to which the server is reserved.
     """
+    take_send(state, record, now_us)
     send_id, state.next_send_id = state.next_send_id, state.next_send_id + 1
     pool = state.get_pools(open_request.route)[record.distance]
     is_repeat = bool(part.tried_servers)
@@ -240,7 +295,7 @@
     )
     if ran_alone:
         record.reserved_until_us = now_us + _RESERVATION_US
-        state.timers.add(record.reserved_until_us, TimerKind.DISPATCH, send_id)
+        _schedule_dispatch(state, part.service, record.reserved_until_us)
     state.sends[send_id] = send
     record.open_sends[send_id] = now_us
     part.sends.append(send_id)
@@ -363,11 +418,9 @@
 
 
 @handles_timer(TimerKind.DISPATCH)
-def end_reservation(state: RelayState, key: int, _now_us: int, _effects: Effects) -> None:
-    """Let the parts that wait for a reserved server start."""
-    send = state.sends.get(key)
-    if send is not None:
-        state.services_to_dispatch.add(send.part.service)
+def dispatch_service(state: RelayState, key: int, _now_us: int, _effects: Effects) -> None:
+    """Try the parts that wait for a reserved server or for a limit again."""
+    state.services_to_dispatch.add(state.services_by_timer.pop(key))
 
 
 def dispatch_waiting(state: RelayState, now_us: int, effects: Effects) -> None:
@@ -383,7 +436,10 @@
             if open_request is None or part.done or part.sends:
                 continue
             part.waiting = False
-            if start_send(state, open_request, part, now_us, effects) is StartResult.WAITING:
+            result = start_send(state, open_request, part, now_us, effects)
+            if result is StartResult.NO_SERVER:
+                state.unsent_parts.append((request_number, part))
+            elif result is StartResult.WAITING:
                 rest = [entry for entry in queue[index + 1 :] if entry[1] in state.requests]
                 state.waiting.setdefault(service, []).extend(rest)
                 break
--- a/mimosapost/relay/service_discovery.py
+++ b/mimosapost/relay/service_discovery.py
@@ -189,7 +189,7 @@
     state.by_service[service].remove(record)
     if not state.by_service[service]:
         del state.by_service[service]
-    state.cold_allowances.pop(server_id, None)
+    state.cold_rates.pop(server_id, None)
     _log_server(effects, "server_dropped", record.server, reason)
     effects.append(ForgetServer(server_id))
 
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -7,6 +7,7 @@
 
 from mimosapost.core.timers import Timers
 from mimosapost.limits.budgets import SendBudget
+from mimosapost.limits.rates import SendRate
 from mimosapost.membership.members import MemberTable
 from mimosapost.model.identities import NO_SEAT, InstanceIdentity
 from mimosapost.relay import repeats
@@ -16,7 +17,6 @@
 from mimosapost.relay.messages import RelayRequest, ServerAnswer
 from mimosapost.relay.partners import PeerState
 from mimosapost.relay.server_selection import ServerRecord
-from mimosapost.relay.warmup import ColdAllowance
 from mimosapost.relay.weighted_round_robin import WeightedRoundRobin
 from mimosapost.suspects.tracker import SuspectTracker
 
@@ -279,7 +279,7 @@
 
     :param servers_listed: whether a complete server list has been read.
     :param held_requests: requests that wait for the first configuration, by number.
-    :param cold_allowances: allowance of each cold server that was considered, by server id.
+    :param cold_rates: rate of sends to each cold server that was considered, by server id.
     :param waiting: parts that wait for servers with room, by service, with the rank of the
         route and the number of the request.
     :param parts_to_retry: parts that wait for a delayed retry, by timer key.
@@ -296,6 +296,9 @@
         of the server and by fingerprint.
     :param held_parts: parts that wait for the probe of a server, by its address.
     :param pending_suspects: stage of each queued note on a suspect, by fingerprint.
+    :param services_by_timer: services whose waiting parts are tried again, by timer key.
+    :param unsent_parts: waiting parts that turned out to have no server, with the number of the
+        request.
     :param gathers: open gathers at other instances, by number.
     :param served_gathers: request number of each open gather for another instance, by the name
         of that instance and the number of the gather.
@@ -315,7 +318,7 @@
     pools: dict[str, tuple[LatencyPool, ...]] = field(default_factory=dict)
     round_robins: dict[str, tuple[Route, WeightedRoundRobin]] = field(default_factory=dict)
     budgets: dict[str, SendBudget] = field(default_factory=dict)
-    cold_allowances: dict[str, ColdAllowance] = field(default_factory=dict)
+    cold_rates: dict[str, SendRate] = field(default_factory=dict)
     waiting: dict[str, list[tuple[int, int, Part]]] = field(default_factory=dict)
     parts_to_retry: dict[int, tuple[int, Part]] = field(default_factory=dict)
     suspects: SuspectTracker = field(default_factory=SuspectTracker)
@@ -333,6 +336,8 @@
     unanswered: dict[str, dict[int, UnansweredSend]] = field(default_factory=dict)
     held_parts: dict[str, list[HeldPart]] = field(default_factory=dict)
     pending_suspects: dict[int, int] = field(default_factory=dict)
+    services_by_timer: dict[int, str] = field(default_factory=dict)
+    unsent_parts: list[tuple[int, Part]] = field(default_factory=list)
     gathers: dict[int, OpenGather] = field(default_factory=dict)
     served_gathers: dict[tuple[str, int], int] = field(default_factory=dict)
     next_gather_id: int = 1
--- a/mimosapost/relay/tests/server_simulation.py
+++ b/mimosapost/relay/tests/server_simulation.py
@@ -9,7 +9,7 @@
 from functools import partial
 
 from mimosapost.model.codes import FailureKind, RunState
-from mimosapost.model.effects import WriteLog
+from mimosapost.model.effects import SendPeer, WriteLog
 from mimosapost.relay.effects import AbandonSend, ProbeServer, SendReply, StartSend
 from mimosapost.relay.events import (
     ExchangeFailed,
@@ -62,6 +62,10 @@
         self.crashing = set(crashing)
         self.down_us = down_ms * MS
         self.is_silent = is_silent
+        #: Limit in requests per second that a server names in its answers, by address.
+        self.limits: dict[str, float] = {}
+        #: Time at which an instance first got such an answer, by address and instance.
+        self.told_us: dict[str, dict[str, int]] = {}
         self.rng = random.Random(seed)
         self.arrivals: list[Arrival] = []
         self.crash_times_us: list[int] = []
@@ -81,7 +85,8 @@
             while self._due and self._due[0][0] <= self.fleet.now_us:
                 heapq.heappop(self._due)[2]()
             for name, relay in self.fleet.relays.items():
-                effects, relay.effects = relay.effects, []
+                effects = relay.effects
+                relay.effects = [e for e in effects if isinstance(e, SendPeer)]
                 for effect in effects:
                     self._execute(name, relay, effect)
 
@@ -128,7 +133,11 @@
 
     def _answer(self, name, relay, send: StartSend) -> None:
         if self._open.pop((name, send.send_id), None) is not None:
-            relay.answer(send)
+            limit = self.limits.get(send.server.address)
+            if limit is not None:
+                told = self.told_us.setdefault(send.server.address, {})
+                told.setdefault(name, self.fleet.now_us)
+            relay.answer(send, limit_per_second=limit)
 
     def _fail(self, name, relay, send_id: int, kind, run) -> None:
         if self._open.pop((name, send_id), None) is not None:
@@ -159,6 +168,26 @@
             relay.apply_event(ServerUnlisted(now_us, server.server_id, "removed"))
             relay.apply_event(ServerListed(now_us, new))
 
+    def count_limited(self, address: str, window_us: int, delay_us: int) -> int:
+        """Return the largest number of arrivals at a server in a window.
+
+        Counted are those from instances that had an answer with its limit before.
+
+        :param window_us: length of the window in microseconds.
+        :param delay_us: time in microseconds between that answer and the arrival.
+        """
+        told_us = self.told_us.get(address, {})
+        times_us = [
+            arrival.at_us
+            for arrival in self.arrivals
+            if arrival.server.address == address
+            and arrival.at_us >= told_us.get(arrival.instance, arrival.at_us + 1) + delay_us
+        ]
+        return max(
+            (sum(start <= t < start + window_us for t in times_us) for start in times_us),
+            default=0,
+        )
+
     def count_arrivals(self, fingerprint: int, since_us: int = 0) -> int:
         """Return how often a request arrived at running servers since a time."""
         return sum(
--- a/mimosapost/relay/tests/test_load_patterns.py
+++ b/mimosapost/relay/tests/test_load_patterns.py
@@ -9,8 +9,10 @@
 
 import pytest
 
+from mimosapost.limits.rates import SendRate
 from mimosapost.relay.latency_pools import LatencyPool, get_distance
 from mimosapost.relay.messages import GatheredReply
+from mimosapost.relay.rate_limits import ASSUMED_INSTANCES
 from mimosapost.relay.repeats import REPEAT_BURST, REPEAT_RATIO, get_hedge_delay_us
 from mimosapost.relay.server_selection import (
     ServerRecord,
@@ -27,7 +29,6 @@
     create_single_relay,
     create_single_route,
 )
-from mimosapost.relay.warmup import ColdAllowance
 from mimosapost.relay.weighted_round_robin import WeightedRoundRobin
 
 
@@ -228,10 +229,11 @@
 @pytest.mark.parametrize("per_second", [1.0, 8.0, 30.0])
 def test_all_instances_together_stay_within_the_limit_of_a_cold_server(per_second):
     rng = random.Random(3)
-    instances = [ColdAllowance(per_second, 0, rng) for _ in range(33)]
+    instances = [SendRate(0, rng) for _ in range(33)]
+    share = per_second / ASSUMED_INSTANCES
     sent = []
     for now_us in range(0, 30_000_000, 7_000):
-        sent += [now_us for instance in instances if instance.try_take(now_us)]
+        sent += [now_us for instance in instances if instance.try_take(share, now_us)]
     busiest = max(sum(1 for b in sent if a <= b < a + 1_000_000) for a in sent)
     # The platform tolerates 1.5 times the limit of a cold server plus 5 requests.
     assert 0 < busiest <= 1.5 * per_second + 5
