Let an odd entry of the store cost that entry alone

What operators of systems like ours saw: one entry of another writer, nested very deeply, with a number too large or with a port out of range, ended the machines that read the list, or they stopped following it. It happens here: RecursionError and OverflowError left the decoder and ended the reader; ports out of range, slots and start times of any size were accepted and failed later, where a connection was opened or a note was encoded.

Cause: the decoder checked types, not ranges, and the reader caught only one kind of error. Class of fault: values of others that are used without bounds.

An entry that is refused is logged and counted (mimosapost_relay_odd_entries_total), its server isn't used, the last good configuration stays, all others are followed. A page of the store that is nested too deeply is a failed call. Elsewhere: X-Server-Load with numbers of many digits made the estimate of the server fail; such a header is ignored. The wait for a rate next to 0 is bounded.

--- a/mimosapost/limits/rates.py
+++ b/mimosapost/limits/rates.py
@@ -10,6 +10,8 @@
 _BURST_SECONDS = 1.0
 # Sums of floating-point refills may miss a whole token by rounding.
 _ROUNDING = 1e-6
+# Bound of a wait for rates next to 0: a day.
+_MAX_WAIT_US = 86_400e6
 
 
 class SendRate:
@@ -41,7 +43,9 @@
         """
         self._refill(per_second, now_us)
         missing = 1 - self._tokens - _ROUNDING
-        return int(missing / per_second * 1e6) + 1 if missing > 0 else 0
+        if missing <= 0:
+            return 0
+        return int(min(missing / per_second * 1e6, _MAX_WAIT_US)) + 1
 
     def try_take(self, per_second: float, now_us: int) -> bool:
         """Take the token of one send, and return whether there was one.
--- a/mimosapost/platform/http_codec.py
+++ b/mimosapost/platform/http_codec.py
@@ -50,6 +50,7 @@
 # Signature that the server makes of its answer; it does not cover the caller's request.
 _SIGNATURE_HEADER = b"x-response-seal"
 _LOAD_HEADER = b"x-server-load"
+_LOAD_VALUE = re.compile(rb" *\d{1,6} *, *\d{1,6} *, *\d{1,6} *")
 # Requests per second that a server takes from all instances together.
 _LIMIT_HEADER = b"server-limit"
 _LIMIT_VALUE = re.compile(rb"\d{1,9}(\.\d{1,9})?")
@@ -189,10 +190,6 @@
 
 
 def _decode_load(value: bytes | None) -> LoadReport | None:
-    if not value:
+    if not value or not _LOAD_VALUE.fullmatch(value):
         return None
-    try:
-        running, waiting, slots = map(int, value.split(b","))
-    except ValueError:
-        return None
-    return LoadReport(running, waiting, slots)
+    return LoadReport(*map(int, value.split(b",")))
--- a/mimosapost/platform/store_entries.py
+++ b/mimosapost/platform/store_entries.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Any
+import ipaddress
+import re
+from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
 from mimosapost.relay.catalog import (
     CallerLimits,
@@ -18,6 +21,20 @@
 __all__ = ["EntryError", "decode_catalog", "decode_server"]
 
 _SERVER_STATES = ("ready", "draining")
+# Ids are sent in a header; the store's keys have at most 200 bytes.
+_SERVER_ID = re.compile(r"[!-~]{1,200}")
+_PORT = re.compile(r"[0-9]{1,5}")
+_MAX_PORT = 65_535
+_MAX_REASON_LENGTH = 200
+
+# Bounds of numbers: other instances and JSON readers store integers of at most 53 bits, and no
+# time of the platform is longer than a day.
+_Integer = Annotated[int, Meta(ge=0, le=2**53)]
+_Count = Annotated[int, Meta(ge=1, le=1_000_000)]
+_DayMs = Annotated[int, Meta(ge=0, le=86_400_000)]
+_PerSecond = Annotated[float, Meta(ge=0, le=1e9)]
+# Lowest limit of a cold server in requests per second that differs from no limit.
+_MIN_COLD_PER_SECOND = 1e-6
 
 
 class EntryError(Exception):
@@ -28,16 +45,16 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: _Count
     state: str
-    # Time that the server stays cold after it wrote the entry.
-    warmupLeftMs: float = 0  # noqa: N815
-    born: int = 0
+    # Time that the server stays cold after it wrote the entry; it may have passed.
+    warmupLeftMs: Annotated[float, Meta(ge=-86_400_000, le=86_400_000)] = 0  # noqa: N815
+    born: _Integer = 0
 
 
 class _Target(msgspec.Struct):
     service: str
-    weight: float
+    weight: _PerSecond
 
 
 class _Route(msgspec.Struct):
@@ -46,35 +63,35 @@
     pathPrefix: str  # noqa: N815
     # "idempotent" or "non_idempotent", regardless of the HTTP method.
     routeKind: str  # noqa: N815
-    timeoutMs: int  # noqa: N815
-    goalMs: int  # noqa: N815
+    timeoutMs: _DayMs  # noqa: N815
+    goalMs: _DayMs  # noqa: N815
     # 0 is the most urgent priority.
-    priority: int
+    priority: Annotated[int, Meta(ge=-(2**31), le=2**31)]
     # Counts the sends that may have run; a send that the server rejected is not counted.
-    maxAttempts: int  # noqa: N815
+    maxAttempts: Annotated[int, Meta(ge=0, le=1_000_000)]  # noqa: N815
     service: str | None = None
     split: list[_Target] | None = None
     gather: list[str] | None = None
-    topK: int = 0  # noqa: N815
+    topK: _Integer = 0  # noqa: N815
     minCoverage: float = 0.0  # noqa: N815
     allowedRegions: list[str] | None = None  # noqa: N815
 
 
 class _Service(msgspec.Struct):
     name: str
-    maxConns: int  # noqa: N815
-    warmupPerS: float = 0.0  # noqa: N815
+    maxConns: _Integer  # noqa: N815
+    warmupPerS: _PerSecond = 0.0  # noqa: N815
 
 
 class _Limits(msgspec.Struct):
-    maxHeaderBytes: int = 32_768  # noqa: N815
-    maxBodyBytes: int = 1_048_576  # noqa: N815
-    headerTimeoutMs: int = 10_000  # noqa: N815
-    idleTimeoutMs: int = 60_000  # noqa: N815
+    maxHeaderBytes: _Integer = 32_768  # noqa: N815
+    maxBodyBytes: _Integer = 1_048_576  # noqa: N815
+    headerTimeoutMs: _DayMs = 10_000  # noqa: N815
+    idleTimeoutMs: _DayMs = 60_000  # noqa: N815
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: _Integer
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -83,8 +100,19 @@
 def _decode_json(data: bytes, struct_type: Any) -> Any:
     try:
         return msgspec.json.decode(data, type=struct_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise EntryError(str(error)) from error
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise EntryError(str(error)[:_MAX_REASON_LENGTH]) from error
+
+
+def _check_address(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        is_valid = bool(_PORT.fullmatch(port)) and 0 < int(port) <= _MAX_PORT
+    except ValueError:
+        is_valid = False
+    if not is_valid:
+        raise EntryError(f"address is {address[:40]!r}, expected ip:port")
 
 
 def decode_server(server_id: str, data: bytes) -> BackendServer:
@@ -95,13 +123,11 @@
     :raises EntryError: if the entry does not describe a usable server.
     """
     entry = _decode_json(data, _Server)
-    host, colon, port = entry.address.rpartition(":")
-    if not (host and colon and port.isdigit()):
-        raise EntryError(f"address is {entry.address[:40]!r}, expected ip:port")
+    if not _SERVER_ID.fullmatch(server_id):
+        raise EntryError(f"id is {server_id[:40]!r}, expected 1 to 200 visible characters")
+    _check_address(entry.address)
     if entry.state not in _SERVER_STATES:
         raise EntryError(f"state is {entry.state[:40]!r}, expected ready or draining")
-    if entry.slots < 1:
-        raise EntryError(f"slots is {entry.slots}, expected at least 1")
     return BackendServer(
         server_id,
         entry.service,
@@ -127,6 +153,9 @@
         config.limits.headerTimeoutMs * 1_000,
         config.limits.idleTimeoutMs * 1_000,
     )
+    for service in config.services:
+        if 0 < service.warmupPerS < _MIN_COLD_PER_SECOND:
+            raise EntryError(f"warmupPerS of {service.name[:40]!r} is {service.warmupPerS}")
     services = [ServiceRules(s.name, s.maxConns, s.warmupPerS) for s in config.services]
     return create_catalog(config.version, map(_create_route, config.routes), services, limits)
 
--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -31,6 +31,7 @@
 from mimosapost.relay.events import (
     CatalogRead,
     DomainsOut,
+    EntryIgnored,
     ServerListed,
     ServersReplaced,
     ServerUnlisted,
@@ -73,6 +74,16 @@
 _MAX_FED_BACKOFF_SECONDS = 1.2
 
 
+# Errors of a call to the store; JSON that is nested too deeply raises RecursionError.
+_CALL_ERRORS = (
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    msgspec.MsgspecError,
+    RecursionError,
+)
+
+
 class _StaleAnswer(aiohttp.ClientError):
     """The store sent an answer that is older than what was read from it before."""
 
@@ -173,7 +184,7 @@
                 self._is_list_needed = True
                 await asyncio.sleep(_MAX_BACKOFF_SECONDS)
                 continue
-            except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError) as error:
+            except _CALL_ERRORS as error:
                 self._report_source_lost(error)
                 await self._wait_for_feed(backoff)
                 longest = _MAX_FED_BACKOFF_SECONDS if self._was_fed else _MAX_BACKOFF_SECONDS
@@ -357,7 +368,7 @@
         try:
             return decode_server(server_id, _get_value(entry))
         except EntryError as error:
-            self._logs.write("entry_ignored", {"key": entry.key, "reason": str(error)})
+            self._report_odd_entry(entry, error)
             # The entry may have replaced a valid one. The current address and state of its
             # server are unknown, so the server must not be used any longer.
             event = ServerUnlisted(self._read_clock_us(), server_id, "unreadable")
@@ -368,10 +379,14 @@
         try:
             catalog = decode_catalog(_get_value(entry))
         except EntryError as error:
-            self._logs.write("entry_ignored", {"key": entry.key, "reason": str(error)})
+            self._report_odd_entry(entry, error)
             return
         self._handle(CatalogRead(self._read_clock_us(), catalog))
 
+    def _report_odd_entry(self, entry: SourceEntry, error: EntryError) -> None:
+        self._logs.write("entry_ignored", {"key": entry.key, "reason": str(error)})
+        self._handle(EntryIgnored(self._read_clock_us(), entry.key.partition("/")[0]))
+
     def _report_source_lost(self, error: Exception) -> None:
         if not self._source_lost:
             reason = f"{type(error).__name__} {error}"[:200]
--- a/mimosapost/platform/tests/test_translation.py
+++ b/mimosapost/platform/tests/test_translation.py
@@ -151,8 +151,20 @@
         (b"1,2", None),
         (b"a,b,c", None),
         (b"", None),
+        (b"1,-2,3", None),
+        (b"9" * 400 + b",2,3", None),
+        (b"1_0,2,3", None),
+    ],
+    ids=[
+        "plain",
+        "spaces",
+        "two-values",
+        "not-numbers",
+        "empty",
+        "negative",
+        "400-digits",
+        "underscore",
     ],
-    ids=["plain", "spaces", "two-values", "not-numbers", "empty"],
 )
 def test_load_is_decoded(load, expected):
     answer, _ = CODEC.decode_answer(200, [(b"x-server-load", load)], b"")
--- a/mimosapost/relay/events.py
+++ b/mimosapost/relay/events.py
@@ -16,6 +16,7 @@
     "CallerLeft",
     "CatalogRead",
     "DomainsOut",
+    "EntryIgnored",
     "ExchangeFailed",
     "InstanceStarted",
     "ProbeEnded",
@@ -127,6 +128,16 @@
     domains: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class EntryIgnored(Event):
+    """An entry of the source can't be read or has a value out of range.
+
+    :param group: first part of its key.
+    """
+
+    group: str
+
+
 @dataclass(frozen=True, slots=True)
 class SourceLost(Event):
     """The source of the configuration and the server list is unreachable."""
--- a/mimosapost/relay/service_discovery.py
+++ b/mimosapost/relay/service_discovery.py
@@ -8,6 +8,7 @@
 from mimosapost.relay.events import (
     CatalogRead,
     DomainsOut,
+    EntryIgnored,
     ServerListed,
     ServersReplaced,
     ServerUnlisted,
@@ -95,6 +96,13 @@
         effects.append(WriteLog("domains_out", fields))
 
 
+@handles(EntryIgnored)
+def count_ignored_entry(_state: RelayState, event: EntryIgnored, effects: Effects) -> None:
+    """Count an entry that was ignored; the reader of the source has logged it."""
+    labels = (("group", event.group),)
+    effects.append(IncrementCounter("mimosapost_relay_odd_entries_total", labels))
+
+
 @handles(SourceLost)
 def handle_source_lost(state: RelayState, event: SourceLost, effects: Effects) -> None:
     """Record the loss of the source; the last known configuration and servers stay in use."""
