Tell requests to different hosts apart when they are suspects

Cause: the fingerprint held method, target and body. The host selects the route, so the same path at another host is another request, and it would have been refused with the one that crashes servers. The test of another host failed before.

--- a/mimosapost/model/peer_messages.py
+++ b/mimosapost/model/peer_messages.py
@@ -198,7 +198,7 @@
     :param route: name of the route in that version.
     :param request_id: id that the caller gave this attempt.
     :param head: request line and headers for backend servers.
-    :param fingerprint: hash of method, target and body.
+    :param fingerprint: hash of method, target, host and body.
     :param remaining_us: time left until the deadline, in microseconds.
     :param shards: indexes of the shards within the route, ascending.
     :param is_hedge: whether the shards were asked before, so that little time is left.
--- a/mimosapost/platform/http_codec.py
+++ b/mimosapost/platform/http_codec.py
@@ -97,7 +97,8 @@
                 head_lines.append(name + b": " + value)
         if body or b"content-length" in header_values or b"transfer-encoding" in header_values:
             head_lines.append(b"Content-Length: %d" % len(body))
-        digest = xxhash.xxh3_64(f"{method} {target}".encode("latin-1", "replace"))
+        host = header_values.get(b"host", b"").lower()
+        digest = xxhash.xxh3_64(f"{method} {target} ".encode("latin-1", "replace") + host)
         digest.update(body)
         return RelayRequest(
             request_number,
--- a/mimosapost/platform/tests/test_translation.py
+++ b/mimosapost/platform/tests/test_translation.py
@@ -308,3 +308,25 @@
     assert len(pauses) <= max_calls
     assert max(pauses) <= apply_limit_ms / 2_000
     assert get_next_pause(pause_seconds, 2_000_000, max_pause_seconds) == 0.1
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "host", "body", "is_same"),
+    [
+        pytest.param("POST", "/a", b"shop", b"x", True, id="another attempt"),
+        pytest.param("POST", "/a", b"SHOP", b"x", True, id="case of the host"),
+        pytest.param("POST", "/a", b"desk", b"x", False, id="another host"),
+        pytest.param("POST", "/b", b"shop", b"x", False, id="another target"),
+        pytest.param("PUT", "/a", b"shop", b"x", False, id="another method"),
+        pytest.param("POST", "/a", b"shop", b"y", False, id="another body"),
+    ],
+)
+def test_only_attempts_of_the_same_request_share_a_fingerprint(
+    method, target, host, body, is_same
+):
+    def decode(number, method, target, host, body):
+        headers = [(b"Host", host), (b"X-Request-Id", b"id-%d" % number)]
+        return CODEC.decode_request(number, method, target, headers, body, 0)
+
+    first = decode(1, "POST", "/a", b"shop", b"x")
+    assert (decode(2, method, target, host, body).fingerprint == first.fingerprint) == is_same
--- a/mimosapost/relay/messages.py
+++ b/mimosapost/relay/messages.py
@@ -51,7 +51,7 @@
     :param target: path and query string as the caller sent them.
     :param deadline_us: monotonic time by which the caller expects the reply.
     :param head: request line and headers sent to servers, without the final blank line.
-    :param fingerprint: hash of method, target and body; repeats of a request share it.
+    :param fingerprint: hash of method, target, host and body; repeats of a request share it.
     """
 
     request_number: int
