Let the soak send a request that crashes servers

The same request comes every 0.1 s at one instance after the other; each server that gets it resets its connections and refuses new ones for 0.8 s. Signals, restarts and faults of connections go on. The instances that were restarted or frozen in the time before an attempt are excused, as in the users' rule.

--- a/mimosapost/platform/tests/soak.py
+++ b/mimosapost/platform/tests/soak.py
@@ -22,6 +22,7 @@
 from collections import Counter
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 import aiohttp
@@ -40,6 +41,12 @@
 _START_TIMEOUT_SECONDS = 10.0
 # Time within which a change of the configuration must be in force, as in the settings.
 _APPLY_LIMIT_SECONDS = 3.0
+# Time between requests that crash servers, for which a crashed server is down, and the users'
+# rule for them: so many in a longer time than the instances need to learn of the third crash.
+_CRASH_INTERVAL_SECONDS = 0.1
+_DOWN_SECONDS = 0.8
+_CONTACT_SECONDS = 2.0
+_MAX_LATE_CRASHES = 3
 
 
 @dataclass
@@ -53,22 +60,37 @@
     target: str
     mode: str = "pass"
     address: str = ""
+    listener: asyncio.Server | None = None
+    writers: set = field(default_factory=set)
 
     async def start(self, stack: AsyncExitStack) -> str:
         """Listen on a free port and return the address."""
-        listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        stack.callback(listener.close)
-        self.address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+        self.listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        stack.callback(lambda: self.listener.close())
+        self.address = f"127.0.0.1:{self.listener.sockets[0].getsockname()[1]}"
         return self.address
 
+    async def crash(self, seconds: float) -> None:
+        """Reset all connections, and refuse new ones for a time."""
+        if not self.listener.is_serving():
+            return
+        self.listener.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await asyncio.sleep(seconds)
+        host, _, port = self.address.rpartition(":")
+        self.listener = await asyncio.start_server(self._serve, host, int(port))
+
     async def _serve(self, reader, writer) -> None:
         host, _, port = self.target.rpartition(":")
+        self.writers.add(writer)
         try:
             if self.mode == "reset":
                 writer.transport.abort()
                 return
             upstream_reader, upstream_writer = await asyncio.open_connection(host, int(port))
         except OSError:
+            self.writers.discard(writer)
             writer.transport.abort()
             return
         try:
@@ -79,6 +101,7 @@
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.transport.abort()
             upstream_writer.transport.abort()
 
@@ -161,6 +184,9 @@
     :ivar refused_ids: ids of non-idempotent requests that were refused as not run.
     :ivar gather_count: number of gathers that the instances served for each other.
     :ivar feed_count: how often an instance began to follow another one.
+    :ivar crashes: time and request id of each crash by the request that crashes servers.
+    :ivar disturbed_seconds: time at which each instance last ran again after a restart or a
+        freeze, by its number.
     """
 
     seed: int
@@ -172,6 +198,8 @@
     refused_ids: set[str] = field(default_factory=set)
     gather_count: int = 0
     feed_count: int = 0
+    crashes: list[tuple[float, str]] = field(default_factory=list)
+    disturbed_seconds: dict[int, float] = field(default_factory=dict)
 
     async def run(self) -> None:
         """Inject faults under a steady load, then check that all requests are served again."""
@@ -196,8 +224,12 @@
             self.session = await stack.enter_async_context(aiohttp.ClientSession())
             await self._wait_ready()
             requests = asyncio.create_task(self._send_steady_load(rng))
+            crashing = asyncio.create_task(self._send_crashing_requests())
             await self._inject_faults(rng, store, servers, proxies)
             await requests
+            await crashing
+            self._check_crashes()
+            await asyncio.sleep(_DOWN_SECONDS)
             await self._check_recovery()
             await self._check_versions(store)
             self._check_logs(directory)
@@ -212,15 +244,48 @@
         for service in _SERVICES:
             for domain in ("a1", "b1"):
                 server = StandinServer(f"{service}-{domain}", service, domain)
-                server.respond = self._record_run
                 await server.start(stack)
                 proxy = proxies[server.server_id] = Proxy(server.address)
+                server.respond = partial(self._run, proxy)
                 server.address = await proxy.start(stack)
                 await store.put(f"servers/{server.server_id}", server.create_entry())
                 servers.append(server)
         await store.put("op/config", create_config(1, _SERVICES))
         return store, servers, proxies
 
+    async def _run(self, proxy: Proxy, request: web.BaseRequest) -> None:
+        if request.path.endswith("/crash"):
+            loop = asyncio.get_running_loop()
+            self.crashes.append((loop.time(), request.headers["X-Request-Id"]))
+            await proxy.crash(_DOWN_SECONDS)
+        self._record_run(request)
+
+    async def _send_crashing_requests(self) -> None:
+        """Send the same request, which crashes its servers, to one instance after another."""
+        for number in range(int(self.seconds / _CRASH_INTERVAL_SECONDS)):
+            process = self.processes[number % len(self.processes)]
+            await self._send_request(process, "search", f"c{number}-{process.index}", "crash")
+            await asyncio.sleep(_CRASH_INTERVAL_SECONDS)
+
+    def _check_crashes(self) -> None:
+        """Check that the request reaches servers at most three times after the third crash.
+
+        Counted from the time in which instances must learn of it, without instances that were
+        disturbed in that time.
+        """
+        if len(self.crashes) < 3:
+            return
+        times = sorted(at for at, _ in self.crashes)
+        late = {
+            request_id
+            for at, request_id in self.crashes
+            if at > times[2] + _CONTACT_SECONDS
+            and at - self.disturbed_seconds.get(int(request_id.rpartition("-")[2]), 0.0)
+            > _CONTACT_SECONDS
+        }
+        if len(late) > _MAX_LATE_CRASHES:
+            self.broken.append(f"the crashing request ran late: {sorted(late)}")
+
     def _record_run(self, request: web.BaseRequest) -> None:
         if request.path.startswith("/order/"):
             request_id = request.headers["X-Request-Id"]
@@ -256,10 +321,12 @@
             await asyncio.sleep(1 / _REQUESTS_PER_SECOND)
         await asyncio.gather(*requests)
 
-    async def _send_request(self, process: Process, kind: str, request_id: str) -> None:
+    async def _send_request(
+        self, process: Process, kind: str, request_id: str, path: str = ""
+    ) -> None:
         headers = {"Host": "shop.example", "X-Request-Id": request_id}
         headers["X-Deadline-Ms"] = str(_DEADLINE_MS)
-        url = f"http://{process.caller_address}/{kind}/{request_id}"
+        url = f"http://{process.caller_address}/{kind}/{path or request_id}"
         timeout = aiohttp.ClientTimeout(total=_DEADLINE_MS / 1_000 + 1)
         method = "POST" if kind == "order" else "GET"
         try:
@@ -345,6 +412,8 @@
                 )
             await process.start()
         process.is_disturbed = False
+        if signal_number is not signal.SIGHUP:
+            self.disturbed_seconds[process.index] = asyncio.get_running_loop().time()
 
     async def _change_store_entries(self, rng, store, servers, _proxies) -> None:
         server = rng.choice(servers)
@@ -422,7 +491,7 @@
         failed += bool(soak.broken)
         sys.stdout.write(
             f"seed {seed}: {dict(soak.result_counts)} gathers {soak.gather_count} "
-            f"feeds {soak.feed_count} broken {soak.broken[:5]}\n"
+            f"feeds {soak.feed_count} crashes {len(soak.crashes)} broken {soak.broken[:5]}\n"
         )
         sys.stdout.flush()
     return 1 if failed else 0
