Forget unanswered sends after the time in which a server comes back

Seen in reading: sends to servers that neither answered again nor came back were kept for good, so the table grew with every server that left in silence. The test failed before (200 entries).

--- a/mimosapost/relay/crashes.py
+++ b/mimosapost/relay/crashes.py
@@ -23,6 +23,8 @@
 REFUSAL_WINDOW_US = 1_000_000
 #: Time in which a server that crashed in silence starts again, which takes some seconds.
 RESTART_WINDOW_US = 15_000_000
+# Time between two searches for unanswered sends that are too old.
+_DISCARD_INTERVAL_US = 1_000_000
 # A probe that takes longer than a round trip between regions and the work on a handshake does
 # not delay the retry any further.
 _PROBE_TIMEOUT_US = 60_000
@@ -42,6 +44,7 @@
     is_silent = event.kind is FailureKind.WITHDRAWN and not send.part.is_answered
     if event.run is RunState.NOT_RUN or not (is_broken or is_silent):
         return
+    _discard_old(state, event.now_us)
     address = send.record.server.address
     unanswered = UnansweredSend(event.now_us, is_broken, send.ran_alone)
     state.unanswered.setdefault(address, {})[send.fingerprint] = unanswered
@@ -56,6 +59,20 @@
         record_crash(state, address, "suspect_hung", RESTART_WINDOW_US, event.now_us, effects)
 
 
+def _discard_old(state: RelayState, now_us: int) -> None:
+    """Forget the sends to servers that neither answered again nor came back in time."""
+    if now_us - state.unanswered_checked_us < _DISCARD_INTERVAL_US:
+        return
+    state.unanswered_checked_us = now_us
+    oldest_us = now_us - RESTART_WINDOW_US
+    for address, entries in list(state.unanswered.items()):
+        recent = {f: entry for f, entry in entries.items() if entry.ended_us > oldest_us}
+        if recent:
+            state.unanswered[address] = recent
+        else:
+            del state.unanswered[address]
+
+
 def record_survival(state: RelayState, send: OpenSend) -> None:
     """Forget the unanswered sends to a server that has answered one that started later."""
     address = send.record.server.address
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -294,6 +294,7 @@
     :param pending_notes: stage of each queued note on a server, by server id.
     :param unanswered: sends without an answer that may have crashed their server, by address
         of the server and by fingerprint.
+    :param unanswered_checked_us: time at which old ones were last discarded.
     :param held_parts: parts that wait for the probe of a server, by its address.
     :param pending_suspects: stage of each queued note on a suspect, by fingerprint.
     :param services_by_timer: services whose waiting parts are tried again, by timer key.
@@ -334,6 +335,7 @@
     feed: FeedState = field(default_factory=FeedState)
     pending_notes: dict[str, int] = field(default_factory=dict)
     unanswered: dict[str, dict[int, UnansweredSend]] = field(default_factory=dict)
+    unanswered_checked_us: int = 0
     held_parts: dict[str, list[HeldPart]] = field(default_factory=dict)
     pending_suspects: dict[int, int] = field(default_factory=dict)
     services_by_timer: dict[int, str] = field(default_factory=dict)
--- a/mimosapost/relay/tests/test_crashing_requests.py
+++ b/mimosapost/relay/tests/test_crashing_requests.py
@@ -190,3 +190,14 @@
     number = relay.request("/look/x", fingerprint=7)
     assert relay.pop_sends() == []
     assert relay.get_reply(number).code is ResultCode.OVERLOADED
+
+
+def test_unanswered_sends_are_forgotten_after_a_time():
+    relay = create_simulation(SMALL).fleet["n1"]
+    relay.probe_outcome = ProbeOutcome.SILENT
+    for fingerprint in range(200):
+        relay.request("/order/x", fingerprint=fingerprint)
+        (send,) = relay.pop_sends()
+        relay.fail(send)
+        relay.advance(1_000)
+    assert sum(len(entries) for entries in relay.state.unanswered.values()) <= 16
