Divide the limit of a cold server by the instances that are known

Cause: a fixed division by 40, the class of fault of named limits: at 78 instances the sum was nearly twice the limit. Where more than 40 instances are known, their number divides it. The test with 78 instances failed before (20 sends of 10).

--- a/mimosapost/relay/rate_limits.py
+++ b/mimosapost/relay/rate_limits.py
@@ -24,8 +24,8 @@
     "take_send",
 ]
 
-#: Number of instances assumed to share a cold server: it may be new to instances that have met
-#: no others yet. The largest known deployment has 33, and 6 more may be added.
+#: Lowest number of instances assumed to share a cold server: it may be new to instances that
+#: have met no others yet. Most known deployments have up to 33, and 6 more may be added.
 ASSUMED_INSTANCES = 40
 # Share of a named limit that all instances together use, because the sum of their sends varies.
 _USED_SHARE = 0.85
@@ -102,9 +102,8 @@
     rate = state.cold_rates.get(server_id)
     if rate is None:
         rate = state.cold_rates[server_id] = SendRate(now_us, state.rng)
-    return may_send(state, record, now_us) and rate.try_take(
-        per_second / ASSUMED_INSTANCES, now_us
-    )
+    instances = max(ASSUMED_INSTANCES, _count_instances(state))
+    return may_send(state, record, now_us) and rate.try_take(per_second / instances, now_us)
 
 
 def _get_wait_us(state: RelayState, record: ServerRecord, now_us: int) -> int:
--- a/mimosapost/relay/tests/test_load_patterns.py
+++ b/mimosapost/relay/tests/test_load_patterns.py
@@ -10,9 +10,10 @@
 import pytest
 
 from mimosapost.limits.rates import SendRate
+from mimosapost.model.identities import NO_SEAT, InstanceIdentity
 from mimosapost.relay.latency_pools import LatencyPool, get_distance
 from mimosapost.relay.messages import GatheredReply
-from mimosapost.relay.rate_limits import ASSUMED_INSTANCES
+from mimosapost.relay.rate_limits import ASSUMED_INSTANCES, take_cold_send
 from mimosapost.relay.repeats import REPEAT_BURST, REPEAT_RATIO, get_hedge_delay_us
 from mimosapost.relay.server_selection import (
     ServerRecord,
@@ -239,6 +240,23 @@
     assert 0 < busiest <= 1.5 * per_second + 5
 
 
+@pytest.mark.parametrize(("others", "interval_seconds"), [(0, 4), (38, 4), (77, 7.8)])
+def test_a_larger_fleet_shares_the_limit_of_a_cold_server(others, interval_seconds):
+    relay = Relay(
+        [create_single_route()], create_servers("one", ("a1",)), peer_address="10.0.0.1:7380"
+    )
+    for number in range(others):
+        address = f"10.9.0.{number}:7380"
+        identity = InstanceIdentity(f"m{number}", 1, NO_SEAT, "a1", "north", address)
+        relay.state.peers.members.record_hello(identity, relay.now_us)
+    (record,) = relay.state.by_service["one"]
+    taken = sum(
+        take_cold_send(relay.state, record, 10.0, relay.now_us + at_ms * MS)
+        for at_ms in range(0, 78_000, 10)
+    )
+    assert taken == pytest.approx(78 / interval_seconds, abs=1)
+
+
 @pytest.mark.parametrize(
     "weights",
     [(1.0,), (3.0, 1.0), (0.2, 0.3, 0.5), (1.0, 0.0)],
