--- a/mimosapost/relay/crashes.py
+++ b/mimosapost/relay/crashes.py
@@ -17,7 +17,14 @@
 from mimosapost.relay.state import HeldPart, OpenSend, RelayState, UnansweredSend
 from mimosapost.relay.suspicion import apply_suspicion
 
-__all__ = ["hold_for_probe", "record_crash", "record_survival", "record_unanswered"]
+__all__ = [
+    "REFUSAL_WINDOW_US",
+    "RESTART_WINDOW_US",
+    "hold_for_probe",
+    "record_crash",
+    "record_survival",
+    "record_unanswered",
+]
 
 #: Time between a broken connection and a refused one in which they count as one crash.
 REFUSAL_WINDOW_US = 1_000_000
