--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,10 @@
 """A late second copy of a rejection makes a request run twice (TWICE).
 
-Servers that are full reject requests with 503 and ``X-Not-Executed``; these answers name no
-request. A faulty server sends one of them a second time, late, where the answer to the next
-request on the connection is expected. The instance takes it as the answer to that request,
-which the server runs, and sends the request to another server.
+A server rejects some requests with 503 and ``X-Not-Executed``. It is the only one that the
+route may use, so the instance sends the request to it again, on the same connection. The server
+sends the rejection a second time there, where the answer to the next request is expected, and
+runs the request. The instance takes the copy, which names the same request, as the answer: the
+request counts as not run. It is sent once more and runs twice, or it is answered 503.
 """
 
 from __future__ import annotations
@@ -20,21 +21,24 @@
 from review.standins.harness import Caller, Fleet, is_troubled, run_case  # noqa: E402
 from review.standins.server import Server  # noqa: E402
 
-ZONES = ("poa-a", "flo-a")
-SERVICE = "billing"
-SERVER_ZONES = ("poa-a", "poa-a", "flo-a", "flo-a", "cwb-a")
+ZONES = ("poa-a", "poa-a", "flo-a", "cwb-a")
+SERVICE = "courier"
+SERVER_ZONES = ("poa-a", "flo-a", "cwb-a")
+# The route is bound to the region of flo-a, so that one of the three servers may serve it.
+REGIONS = ["catarina"]
+FAULTY_SERVER = 1
 PATH = "/booking/2f"
 DEADLINE_MS = 1_500
-LENGTH_SECONDS = 70
-# A garbling that sends answers a second time, late, as in the list of troubles of acervo-sul:
-# this share of the servers, this share of their answers, for this time. It comes again.
-FAULTY_SERVERS = 3
-EXTRA_SHARE = 0.03
-FAULT_SECONDS = 5.0
-PAUSE_SECONDS = 2.0
-# Callers send in small bursts, which fill the servers now and then.
-BURST = 14
-BURSTS_PER_SECOND = 3.0
+REQUESTS_PER_SECOND = 60
+LENGTH_SECONDS = 88
+# A ``srv_grey shed``: share of the requests that the server rejects, and its time.
+SHED_SHARE = 0.2
+SHED_SECONDS = 6.5
+# A ``garble extra late``: share of the answers that it sends a second time, late, and its time.
+EXTRA_SHARE = 0.04
+EXTRA_SECONDS = 5.0
+# Both begin together and come again after this time.
+PERIOD_SECONDS = 8.0
 
 
 def create_config() -> dict:
@@ -49,7 +53,7 @@
         "priority": 2,
         "maxAttempts": 2,
         "service": SERVICE,
-        "allowedRegions": [],
+        "allowedRegions": REGIONS,
     }
     limits = {
         "maxHeaderBytes": 8192,
@@ -68,9 +72,9 @@
         loop = asyncio.get_running_loop()
         started = loop.time()
 
-        def repeats_shed() -> bool:
-            phase = (loop.time() - started) % (FAULT_SECONDS + PAUSE_SECONDS)
-            return is_troubled() and phase < FAULT_SECONDS and random.random() < EXTRA_SHARE
+        def happens(seconds: float, share: float) -> bool:
+            phase = (loop.time() - started) % PERIOD_SECONDS
+            return is_troubled() and phase < seconds and random.random() < share
 
         for number, zone in enumerate(SERVER_ZONES):
             server = Server(
@@ -79,12 +83,11 @@
                 f"i-{number}",
                 SERVICE,
                 zone,
-                lambda _message: min(0.36, random.lognormvariate(0, 0.5) * 0.06),
-                slots=3,
-                queue=2,
+                lambda _message: min(0.36, random.lognormvariate(0, 0.5) * 0.02),
             )
-            if number < FAULTY_SERVERS:
-                server.repeats_shed = repeats_shed
+            if number == FAULTY_SERVER:
+                server.sheds = lambda: happens(SHED_SECONDS, SHED_SHARE)
+                server.repeats_shed = lambda: happens(EXTRA_SECONDS, EXTRA_SHARE)
             await server.start()
         await fleet.start()
         until = loop.time() + LENGTH_SECONDS
@@ -96,12 +99,10 @@
             caller.close()
 
         while loop.time() < until:
-            for _ in range(BURST):
-                for instance in fleet.instances:
-                    task = asyncio.create_task(ask(instance.caller_address))
-                    tasks.add(task)
-                    task.add_done_callback(tasks.discard)
-            await asyncio.sleep(random.expovariate(BURSTS_PER_SECOND))
+            task = asyncio.create_task(ask(random.choice(fleet.instances).caller_address))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(random.expovariate(REQUESTS_PER_SECOND))
         await asyncio.gather(*tasks)
         return find_breaches(fleet)
 
@@ -110,16 +111,16 @@
     """Return the requests that ran more than once, though their route allows one run."""
     record = fleet.record
     runs = Counter(fields["id"] for _, fields in record.list_events("server_run"))
-    extras = {fields["before"] for _, fields in record.list_events("server_sent_extra")}
     refused = {
         fields["id"]
         for _, fields in record.list_events("caller_got")
         if fields["status"] == 503
     }
+    extras = len(record.list_events("server_sent_extra"))
     print(
         f"{len(runs)} requests ran, {len(record.list_events('server_shed'))} answers were "
-        f"rejections, {len(extras)} of them came twice; "
-        f"{len(refused & runs.keys())} requests ran and were answered 503"
+        f"rejections, {extras} of them came twice; {len(refused & runs.keys())} requests ran "
+        f"and were answered 503 (REFUSED)"
     )
     return [f"TWICE: {name} ran {count} times" for name, count in runs.items() if count > 1]
 
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -44,6 +44,7 @@
 }
 _METRICS_PORT = 9464
 _START_SECONDS = 15.0
+_CASE_SECONDS = 110.0
 
 
 class CaseError(Exception):
@@ -347,9 +348,17 @@
 
     :param main: coroutine function that returns a list of breaches of the rule.
     """
-    limit_s = 110
+
+    async def run_main() -> list[str]:
+        # The instances are ended also if the case itself is told to end.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await asyncio.wait_for(main(), _CASE_SECONDS)
+
     try:
-        breaches = asyncio.run(asyncio.wait_for(main(), limit_s))
+        breaches = asyncio.run(run_main())
+    except asyncio.CancelledError:
+        sys.exit(2)
     except Exception as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -24,6 +24,7 @@
     :param record: function that records an event.
     :param work: returns the seconds of work of a request.
     :ivar extra_headers: headers that are added to each answer.
+    :ivar sheds: returns whether a request is rejected although there is room.
     :ivar repeats_shed: returns whether a shed answer is sent a second time, late: where the
         next answer on the connection is expected.
     :ivar crashes_on: returns whether a request crashes the server when it begins to run.
@@ -45,6 +46,7 @@
         self.server_id, self.service, self.zone, self.slots = server_id, service, zone, slots
         self.state = "ready"
         self.extra_headers: dict[str, str] = {}
+        self.sheds: Callable[[], bool] = lambda: False
         self.repeats_shed: Callable[[], bool] = lambda: False
         self.crashes_on: Callable[[Message], bool] = lambda _message: False
         self.on_crash: Callable[[], None] = lambda: None
@@ -131,11 +133,11 @@
                     self.record("server_sent_extra", before=next_id, server=self.server_id)
                     writer.write(extra)
                     extra = b""
-                if self._held >= self._limit:
-                    # As in the examples of the platform, a shed answer names no request.
+                if self._held >= self._limit or self.sheds():
                     shed_id = message.headers.get("x-request-id", "")
                     self.record("server_shed", id=shed_id, server=self.server_id)
-                    answer = encode_response(503, {"X-Not-Executed": "1"})
+                    headers = {"X-Not-Executed": "1", "X-Request-Id": shed_id}
+                    answer = encode_response(503, headers | {"Keep-Alive": "timeout=10"})
                     writer.write(answer)
                     extra = answer if self.repeats_shed() else b""
                     continue
