--- a/review/1/standins/__init__.py
+++ b/review/1/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the platform, servers and callers, and a harness, for all cases of the review."""
+"""Stand-ins for the platform, servers and callers, and a harness, for all cases."""
