Let a connection carry each request at most once (TWICE)

Cause: a server sent a rejection a second time, in the place of the next answer. The retry of the rejected request went out on the same connection, so the copy named the right request and counted as the rejection of the retry, which the server ran.

Fix: the id tells answers apart if a connection never carries the same request twice. A connection remembers its requests until their deadlines, after which they are not sent again. A rejection without an id counts only on a connection on which it can't belong to an earlier exchange. Gathers and own requests use the same connections.

--- a/mimosapost/edge/relay_connections.py
+++ b/mimosapost/edge/relay_connections.py
@@ -4,6 +4,10 @@
 a reused connection closes. The request could then run twice although the relay did not decide
 to retry it. Here each exchange writes its request exactly once, and bytes that belong to no
 exchange are discarded. ``httptools`` parses the answers.
+
+A server may send an answer a second time, in the place of the next one. The request id tells
+such a copy from the answer to another request, but not from the answer to the same request. So
+a connection carries each request at most once.
 """
 
 from __future__ import annotations
@@ -95,6 +99,10 @@
         self.close_timer: asyncio.TimerHandle | None = None
         #: Number of bytes received in the current exchange.
         self.received = 0
+        # Deadlines of the requests that were written, by request id and in order. A request is
+        # not sent again after its deadline.
+        self._deadlines_us: dict[str, int] = {}
+        self._exchanges = 0
         self._reset_response()
         self.channel = Channel(self, host, int(port), connect_seconds)
 
@@ -206,7 +214,22 @@
         """Write a request; after this call it may have run."""
         self._reset_response()
         self.send = send
-        self.channel.write(self.owner.codec.encode_send(send, self.owner.read_clock_us()))
+        self._exchanges += 1
+        now_us = self.owner.read_clock_us()
+        self._remember_request(send, now_us)
+        self.channel.write(self.owner.codec.encode_send(send, now_us))
+
+    def _remember_request(self, send: StartSend, now_us: int) -> None:
+        while self._deadlines_us:
+            oldest = next(iter(self._deadlines_us))
+            if self._deadlines_us[oldest] > now_us:
+                break
+            del self._deadlines_us[oldest]
+        self._deadlines_us[send.request.request_id] = send.deadline_us
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request that is still open was written to this connection."""
+        return request_id in self._deadlines_us
 
     def abandon(self, delay_seconds: float) -> None:
         """Abandon the exchange: at once if nothing was written, else after the delay."""
@@ -261,10 +284,10 @@
         unsent = self.channel.has_unsent
         body = b"".join(self._chunks)
         answer, echoed_id = self.owner.codec.decode_answer(self._status, self._headers, body)
-        # An answer that states that the request was not run may omit the request id; all
-        # other answers must echo it.
+        # Only an answer that states that the request was not run may omit the request id, and
+        # only on a connection on which it can't be a copy of an earlier one.
         is_mismatched = echoed_id != send.request.request_id and (
-            echoed_id or not answer.not_run
+            echoed_id or not answer.not_run or self._exchanges > 1
         )
         may_keep_alive = self._keep_alive and not answer.closing
         if (
@@ -341,15 +364,11 @@
 
     def start_send(self, effect: StartSend) -> None:
         """Execute a ``StartSend`` effect over an idle or a new connection."""
-        now = asyncio.get_running_loop().time()
-        idle = self._idle.get(effect.server.server_id, ())
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable(now, effect.repeatable):
-                self._connections_by_send[effect.send_id] = connection
-                connection.start(effect)
-                return
-            connection.close()
+        connection = self._take_idle_connection(effect)
+        if connection is not None:
+            self._connections_by_send[effect.send_id] = connection
+            connection.start(effect)
+            return
         connection = self._open(effect.server, effect, effect.connect_deadline_us)
         if connection is None:
             # The request has not been written.
@@ -357,6 +376,21 @@
             return
         self._connections_by_send[effect.send_id] = connection
 
+    def _take_idle_connection(self, effect: StartSend) -> _Connection | None:
+        """Return the most recently used idle connection that may carry the request.
+
+        Connections that have been idle for too long are closed.
+        """
+        now = asyncio.get_running_loop().time()
+        idle = self._idle.get(effect.server.server_id, [])
+        for connection in idle[::-1]:
+            if not connection.is_usable(now, effect.repeatable):
+                connection.close()
+            elif not connection.has_carried(effect.request.request_id):
+                idle.remove(connection)
+                return connection
+        return None
+
     def probe_server(self, effect: ProbeServer) -> None:
         """Execute a ``ProbeServer`` effect over a new connection."""
         if self._open(effect.server, None, effect.connect_deadline_us) is None:
--- a/mimosapost/edge/tests/test_relay_connections.py
+++ b/mimosapost/edge/tests/test_relay_connections.py
@@ -41,9 +41,10 @@
         self.events = events
         self.server = BackendServer("i-1", "one", address, "a1", 2)
 
-    def start(self, send_id: int, body: bytes = b"") -> None:
-        """Start a send whose request id is ``r<send_id>``."""
-        headers = [(b"Host", b"h"), (b"X-Request-Id", b"r%d" % send_id)]
+    def start(self, send_id: int, body: bytes = b"", request_id: str = "") -> None:
+        """Start a send whose request id is ``r<send_id>`` unless another one is given."""
+        name = (request_id or f"r{send_id}").encode()
+        headers = [(b"Host", b"h"), (b"X-Request-Id", name)]
         if body:
             headers.append((b"Content-Length", b"%d" % len(body)))
         now_us = read_clock_us()
