Believe rejections without an id only on new connections (own path)

Nobody has reported it on this path; the test shows it.

Each send has its own id here, so a copy that names its request is told apart, but a 503 or 409 that names none was taken as "not run" on any connection, and may be a copy of the response to an earlier request.

Fix: such a response proves something only if it is the first on its connection. The connector knows which connections it has handed out before.

Tests: edge/tests/test_sends.py, 4 cases, of which the 2 without an id failed before.

--- a/mimosapost/edge/backend_client.py
+++ b/mimosapost/edge/backend_client.py
@@ -5,7 +5,8 @@
 - the body was never written to a connection: the connection was refused, or the send ended
   while it waited for a connection;
 - the server stated that it did not run the request: status 409, or status 503 with
-  ``X-Run-State: not-run``, in a response without the identifier of another request.
+  ``X-Run-State: not-run``, in a response that names the request, or that names none and is the
+  first one on its connection: on others it may be a copy of the response to an earlier request.
 
 In all other cases a failed send reports ``UNKNOWN``. Sub-requests and cancellations use only
 POST, because aiohttp automatically sends idempotent methods again when a reused connection
@@ -333,7 +334,14 @@
             response.close()
         not_run_proven = response.headers.get("X-Run-State") == "not-run"
         cancel_requested = send.cancellation is not None
-        return classify_response(status, raw, effect.request, not_run_proven, cancel_requested)
+        return classify_response(
+            status,
+            raw,
+            effect.request,
+            not_run_proven,
+            cancel_requested,
+            may_be_copy=send.server.connector.is_reused(send.body.protocol),
+        )
 
     async def _send_cancellation(self, send: OpenSend, body: SubRequestBody) -> None:
         """Send a cancellation; wait for a connection until the deadline of the send."""
--- a/mimosapost/edge/backend_responses.py
+++ b/mimosapost/edge/backend_responses.py
@@ -125,6 +125,7 @@
     request: SubRequest,
     not_run_proven: bool,
     cancel_requested: bool,
+    may_be_copy: bool = False,
 ) -> ClassifiedResponse:
     """Derive outcome and run state from the response to a sub-request.
 
@@ -133,6 +134,8 @@
     :param request: the sub-request.
     :param not_run_proven: whether a header states that the server did not run the request.
     :param cancel_requested: whether a cancellation of the request was sent to the server.
+    :param may_be_copy: whether the connection has carried other requests, so that a response
+        that names none may be a copy of the response to one of these.
     """
     if raw is None:
         return ClassifiedResponse(FailureKind.TOO_LARGE, RunState.UNKNOWN)
@@ -144,6 +147,8 @@
     rejection = parse_rejection(raw, request.request_id)
     if rejection is None:
         return ClassifiedResponse(FailureKind.MALFORMED, RunState.UNKNOWN)
+    if may_be_copy and not rejection.request_id:
+        return ClassifiedResponse(FailureKind.MALFORMED, RunState.UNKNOWN, rejection.boot_id)
     if status == 409:
         if rejection.held_index_version > 0:
             return ClassifiedResponse(rejection, RunState.NOT_RUN)
--- a/mimosapost/edge/connectors.py
+++ b/mimosapost/edge/connectors.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
+from weakref import WeakSet
 
 import aiohttp
 
 if TYPE_CHECKING:
+    from aiohttp.client_proto import ResponseHandler
     from aiohttp.client_reqrep import ConnectionKey
 
 __all__ = ["ServerConnector"]
@@ -33,12 +35,17 @@
             local_addr=(local_host, 0) if local_host else None,
             happy_eyeballs_delay=None,
         )
+        self._reused: WeakSet[ResponseHandler] = WeakSet()
 
     @property
     def in_use_count(self) -> int:
         """Number of connections in use."""
         return len(self._acquired)
 
+    def is_reused(self, protocol: ResponseHandler | None) -> bool:
+        """Return whether a connection has carried an exchange before the current one."""
+        return protocol in self._reused
+
     def set_limit(self, connections: int) -> None:
         """Change the limit and close the idle connections that exceed it."""
         connections = max(1, connections)
@@ -65,7 +72,10 @@
         idle = self._conns.get(key)
         while idle and idle[0][0].should_close:
             idle.popleft()[0].close()
-        return await super()._get(key, traces)
+        connection = await super()._get(key, traces)
+        if connection is not None:
+            self._reused.add(connection.protocol)
+        return connection
 
     async def _wait_for_available_connection(
         self, key: ConnectionKey, traces: list[Any]
--- a/mimosapost/edge/sub_requests.py
+++ b/mimosapost/edge/sub_requests.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from aiohttp import hdrs, payload
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import StreamWriter
 
 __all__ = ["SubRequestBody", "SubRequestPost"]
@@ -17,11 +18,13 @@
 
     aiohttp delays the headers until the first byte of the body, so no byte of the request
     is written before ``started`` is set. Once a send has been reported as not run,
-    ``blocked`` prevents its body from being written.
+    ``blocked`` prevents its body from being written. ``protocol`` is the connection that the
+    request was written to, or ``None``.
     """
 
     started = False
     blocked = False
+    protocol: ResponseHandler | None = None
 
     async def write_with_length(
         self,
@@ -63,6 +66,7 @@
         iteration of the event loop. Errors while writing reach the response through the
         protocol, as in aiohttp.
         """
+        self._body.protocol = conn.protocol
         writer = StreamWriter(conn.protocol, self.loop)
         await writer.write_headers(f"POST {self.url.raw_path} HTTP/1.1", self.headers)
         await self.write_bytes(writer, conn)
--- a/mimosapost/edge/tests/test_sends.py
+++ b/mimosapost/edge/tests/test_sends.py
@@ -411,6 +411,43 @@
     assert len(writers) == 2
 
 
+@pytest.mark.parametrize(
+    ("copy", "kind", "run"),
+    [
+        pytest.param(SHED, FailureKind.MALFORMED, RunState.UNKNOWN, id="shed_without_an_id"),
+        pytest.param(
+            b'HTTP/1.1 409 x\r\nContent-Length: 24\r\n\r\n{"held_index_version":8}',
+            FailureKind.MALFORMED,
+            RunState.UNKNOWN,
+            id="conflict_without_an_id",
+        ),
+        pytest.param(
+            SHED[:-5] + b'19\r\n\r\n{"request_id":"r1"}',
+            FailureKind.SHED,
+            RunState.NOT_RUN,
+            id="with_the_own_id",
+        ),
+        pytest.param(
+            SHED[:-5] + b'19\r\n\r\n{"request_id":"r0"}',
+            FailureKind.MALFORMED,
+            RunState.UNKNOWN,
+            id="with_another_id",
+        ),
+    ],
+)
+async def test_a_rejection_on_a_reused_connection_must_name_its_request(
+    client, events, copy, kind, run
+):
+    """It may be a copy of an earlier rejection, while the server runs the request."""
+    server = RawServer(9, copy)
+    async with server.run():
+        client.execute(create_send(1, server.address, request_id="r0"))
+        await events.wait_for(1)
+        client.execute(create_send(2, server.address, request_id="r1"))
+        await events.wait_for(2)
+    assert (events[1].kind, events[1].run) == (kind, run)
+
+
 async def test_withdrawn_sends_free_silent_connections(client, events):
     """Closing a server's connections must also end withdrawn sends.
 
