Discard answers to other requests instead of failing the send

What callers saw: requests that may run once were answered 504 although a server ran and answered them.

Cause: an answer that named another request ended the exchange and closed the connection, and the own answer was lost with it.

Fix: the id says that such an answer is one too many, so it is discarded and the send waits for its own answer, which follows because a server answers in order. A connection carries each request once, so an answer with the own id can't be a copy of an earlier one. The bytes of discarded answers count against the bounds of the exchange, and the connection is closed afterwards.

--- a/mimosapost/edge/relay_connections.py
+++ b/mimosapost/edge/relay_connections.py
@@ -6,8 +6,8 @@
 exchange are discarded. ``httptools`` parses the answers.
 
 A server may send an answer a second time, in the place of the next one. The request id tells
-such a copy from the answer to another request, but not from the answer to the same request. So
-a connection carries each request at most once.
+such a copy from the answer to another request, which still follows, but not from the answer to
+the same request. So copies are discarded, and a connection carries each request at most once.
 """
 
 from __future__ import annotations
@@ -117,11 +117,22 @@
         self._has_extra_bytes = False
         self._keep_alive = False
         self._status = 0
+        self._decoded: tuple[ServerAnswer, str] | None = None
+
+    def _discard_message(self) -> None:
+        """Forget a complete message that is not the answer to the request."""
+        self._headers, self._chunks, self._has_framing = [], [], False
+        self._has_headers = False
+
+    def _decode_answer(self) -> tuple[ServerAnswer, str]:
+        return self.owner.codec.decode_answer(
+            self._status, self._headers, b"".join(self._chunks)
+        )
 
     # Callbacks of ``httptools.HttpResponseParser``.
 
     def on_message_begin(self) -> None:
-        self._has_extra_bytes = self._is_complete
+        self._has_extra_bytes |= self._is_complete
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._is_complete:
@@ -150,8 +161,15 @@
             return
         if self._status < 200:
             # Interim answers such as 100 Continue precede the final one.
-            self._headers, self._chunks, self._has_framing = [], [], False
-            self._has_headers = False
+            self._discard_message()
+            return
+        self._decoded = self._decode_answer()
+        _, named_id = self._decoded
+        if named_id not in ("", self.send.request.request_id):
+            if not self._has_extra_bytes:
+                self.owner.log_extra_answer(self, named_id, self._status)
+            self._has_extra_bytes = True
+            self._discard_message()
             return
         self._is_complete = True
 
@@ -282,8 +300,7 @@
         # If the server answered before the whole body was sent, it would parse the remaining
         # bytes as the next request.
         unsent = self.channel.has_unsent
-        body = b"".join(self._chunks)
-        answer, echoed_id = self.owner.codec.decode_answer(self._status, self._headers, body)
+        answer, echoed_id = self._decoded if self._is_complete else self._decode_answer()
         # Only an answer that states that the request was not run may omit the request id, and
         # only on a connection on which it can't be a copy of an earlier one.
         is_mismatched = echoed_id != send.request.request_id and (
@@ -458,6 +475,16 @@
         }
         self._logs.write("answer_too_large", fields)
 
+    def log_extra_answer(self, connection: _Connection, named_id: str, status: int) -> None:
+        """Log that a server sent an answer to another request than the one that waits."""
+        fields = {
+            "request": connection.send.request.request_id,
+            "server": connection.server_id,
+            "named": named_id,
+            "status": status,
+        }
+        self._logs.write("extra_answer_discarded", fields)
+
     def report_probe(self, server: BackendServer, outcome: ProbeOutcome) -> None:
         """Report the end of a probe."""
         self._handle(ProbeEnded(self.read_clock_us(), server, outcome))
--- a/mimosapost/edge/tests/test_second_answers.py
+++ b/mimosapost/edge/tests/test_second_answers.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+import io
+
 import pytest
 
+from mimosapost.edge.logs import Logs
 from mimosapost.edge.tests.test_relay_connections import (
     create_answer,
     open_exchange,
@@ -100,3 +104,73 @@
             exchange.start(send_id, request_id=name)
             assert isinstance(await exchange.next_event(), AnswerArrived)
         assert numbers == [0, 1, 1, 1, 2]
+
+
+def send_before_own_answer(extra: bytes, is_split: bool, numbers: list[int]):
+    """Return a script that sends extra bytes before the second answer on the first connection.
+
+    :param is_split: whether the extra bytes arrive before the own answer.
+    :param numbers: receives the number of the connection of each request.
+    """
+
+    async def script(reader, writer, number):
+        while True:
+            head = await read_head(reader)
+            name = head.partition(b"X-Request-Id: ")[2].partition(b"\r\n")[0].decode()
+            numbers.append(number)
+            if name == "r2":
+                writer.write(extra)
+                if is_split:
+                    await writer.drain()
+                    await asyncio.sleep(0.02)
+            writer.write(create_answer(name, b"own " + name.encode()))
+
+    return script
+
+
+@pytest.mark.parametrize(
+    "is_split", [pytest.param(True, id="apart"), pytest.param(False, id="in_the_same_bytes")]
+)
+@pytest.mark.parametrize(
+    "extra",
+    [
+        pytest.param(create_answer("r1"), id="answer"),
+        pytest.param(create_answer("r1", b"", REJECTION, 503), id="rejection"),
+        pytest.param(create_answer("r1", b"failed", status=500), id="failure"),
+        pytest.param(create_answer("r1") * 3, id="several"),
+        pytest.param(create_answer("r1", b"x" * 200_000), id="large"),
+    ],
+)
+async def test_an_extra_answer_does_not_fail_the_request_that_waits(extra, is_split):
+    """The caller of a request that may run once would get 504 for a request that runs."""
+    numbers: list[int] = []
+    async with open_exchange(send_before_own_answer(extra, is_split, numbers)) as exchange:
+        log = io.StringIO()
+        exchange.connections._logs = Logs(log)
+        for send_id in (1, 2, 3):
+            exchange.start(send_id, b"body")
+            event = await exchange.next_event()
+            assert isinstance(event, AnswerArrived)
+            assert event.answer.body == b"own r%d" % send_id
+            assert event.answer.signature == f"s-r{send_id}"
+        # The server sends bytes that belong to no request, so its connection is given up.
+        assert numbers == [0, 0, 1]
+        assert log.getvalue().count('event="extra_answer_discarded" request="r2"') == 1
+
+
+async def test_extra_answers_without_end_are_bounded():
+    """Answers to other requests must not keep a send open for ever."""
+    sent = []
+
+    async def script(reader, writer, number):
+        await read_head(reader)
+        while sum(sent) < 64 * 1024 * 1024:
+            writer.write(create_answer("other", b"") * 100)
+            await writer.drain()
+            sent.append(100)
+
+    async with open_exchange(script) as exchange:
+        exchange.start(1)
+        event = await exchange.next_event()
+        assert (event.kind, event.run) == (FailureKind.TOO_LARGE, RunState.UNKNOWN)
+        assert exchange.connections.held_bytes == 0
