Bound the time in which a caller's head must arrive

What callers could cause: a connection whose head never became complete stayed open for the idle limit and 5 s, whatever headerTimeoutMs said; only bodies were bounded by it.

Cause: the HTTP library has no timer for heads, and the limit was applied where bodies are read. Fix: the check for idle connections also closes those whose head has taken longer than the limit in force.

--- a/mimosapost/edge/caller_connections.py
+++ b/mimosapost/edge/caller_connections.py
@@ -25,7 +25,7 @@
 # Connections are closed this long after the published idle limit, so that a caller
 # that respects the limit never sends a request on a connection that is being closed.
 _IDLE_MARGIN_SECONDS = 5.0
-# Time between two checks for connections that have been idle for too long.
+# Time between two checks for connections that have been idle or incomplete for too long.
 _CHECK_SECONDS = 0.5
 # After a refusal the rest of the request is discarded for this time, so that the caller can
 # read the refusal before the connection is reset.
@@ -57,6 +57,7 @@
     :param loop: event loop of the connection.
     :param get_limits: returns the limits in force.
     :ivar head_bytes: bytes of the head that is arriving; 0 if none is.
+    :ivar head_since: time of the event loop at which that head began, in seconds.
     """
 
     def __init__(
@@ -76,10 +77,12 @@
             auto_decompress=False,
             max_msg_queue_size=protocol._max_msg_queue_size,
         )
+        self._event_loop = loop
         self._get_limits = get_limits
         self._last_payload = EMPTY_PAYLOAD
         self._body_bytes = 0
         self.head_bytes = 0
+        self.head_since = 0.0
 
     def feed_data(self, data: bytes) -> _ParsedMessages:
         """Parse received bytes.
@@ -104,6 +107,8 @@
         return parsed
 
     def _check_head(self, size: int) -> None:
+        if not self.head_bytes:
+            self.head_since = self._event_loop.time()
         self.head_bytes += size
         limit = self._get_limits().header_bytes
         # The limit holds for the request line and for the header fields.
@@ -180,7 +185,7 @@
         return response
 
     def close_if_overdue(self) -> None:
-        """Close the connection if it has been idle for too long.
+        """Close the connection if a head or the next request has taken too long.
 
         A limit that is lowered while the connection is idle holds from its next request on:
         the caller may not know of it yet.
@@ -188,6 +193,13 @@
         if self._parser is None or self._request_count > self._answered:
             return
         limits, now = self._get_limits(), self._loop.time()
+        if self._parser.head_bytes:
+            since = max(self._parser.head_since, self._idle_since)
+            if now - since > limits.header_timeout_us / 1e6:
+                reason = "the head takes longer than the published limit"
+                self._logs.write("request_malformed", {"status": 408, "reason": reason})
+                self.force_close()
+            return
         limit_us = max(self._idle_limit_us, limits.idle_timeout_us)
         if now - self._idle_since > limit_us / 1e6 + _IDLE_MARGIN_SECONDS:
             self.force_close()
--- a/mimosapost/edge/tests/test_changed_limits.py
+++ b/mimosapost/edge/tests/test_changed_limits.py
@@ -239,6 +239,33 @@
         assert await connection.ask(create_request()) == 0
 
 
+@pytest.mark.parametrize(
+    ("before_us", "after_us", "is_open"),
+    [
+        pytest.param(SECOND_US // 5, SECOND_US, True, id="raised"),
+        pytest.param(SECOND_US, SECOND_US // 5, False, id="lowered"),
+        pytest.param(SECOND_US // 5, SECOND_US // 5, False, id="unchanged"),
+    ],
+)
+@pytest.mark.parametrize(
+    "is_reused", [pytest.param(False, id="new"), pytest.param(True, id="reused")]
+)
+async def test_a_head_must_arrive_within_the_limit_in_force(
+    quick_checks, callers, before_us, after_us, is_open, is_reused
+):
+    """A caller that sends a head byte by byte must not keep its connection for ever."""
+    callers.change(header_timeout_us=before_us)
+    request = create_request()
+    async with callers.connect() as connection:
+        if is_reused:
+            assert await connection.ask(request) == 200
+        connection.write(request[:20])
+        await asyncio.sleep(0.05)
+        callers.change(header_timeout_us=after_us)
+        await asyncio.sleep(0.5)
+        assert await connection.ask(request[20:]) == (200 if is_open else 0)
+
+
 async def test_a_body_must_arrive_within_the_limit_in_force(callers):
     """The caller is told that its request has not run."""
     callers.change(header_timeout_us=SECOND_US // 5)
