Bound the memory of unfinished answers, not only their bytes on the wire

What callers could see: while servers send bytes without end, an instance takes up to five times its memory limit, is killed, and the requests of all other callers end with it. Reported by operators of similar systems; a test with real processes shows it here.

Cause: the bound counted bytes on the wire. Each chunk was an object of its own (a body in chunks of 2 bytes: nine times the wire), short header fields take twenty times their size, and an exchange that failed stopped being counted while its pieces stayed in memory until the garbage collector ran, because connection, parser and channel refer to each other.

Fix: one buffer for a body, at most 512 header fields, and the response and its parser are freed when the exchange ends, also on connections that stay open. Answers of the store are collected in one buffer too.

--- a/mimosapost/edge/relay_connections.py
+++ b/mimosapost/edge/relay_connections.py
@@ -37,6 +37,9 @@
 # trailers. A chunk of one byte takes five further bytes.
 _MAX_HEAD_BYTES = 64 * 1024
 _MAX_FRAMING_RATIO = 8
+# Maximum number of header fields of an answer, with its trailers. A short field takes some
+# twenty times its size on the wire.
+_MAX_HEADER_FIELDS = 512
 #: Default for the bytes of all unfinished answers together.
 DEFAULT_HELD_BYTES = 64 * 1024 * 1024
 # Assumed idle timeout of a server that does not state one in a ``Keep-Alive`` header.
@@ -109,7 +112,7 @@
     def _reset_response(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
-        self._chunks: list[bytes] = []
+        self._body = bytearray()
         self._size = 0
         self._has_framing = False
         self._has_headers = False
@@ -121,13 +124,21 @@
 
     def _discard_message(self) -> None:
         """Forget a complete message that is not the answer to the request."""
-        self._headers, self._chunks, self._has_framing = [], [], False
+        self._headers, self._body, self._has_framing = [], bytearray(), False
         self._has_headers = False
 
+    def _release_response(self) -> None:
+        """Free the memory of a response and stop counting it.
+
+        The connection, its parser and its channel refer to each other, so that without this
+        the response would stay in memory until the next garbage collection.
+        """
+        self._headers, self._body, self._decoded = [], bytearray(), None
+        self._parser = None
+        self.owner.release_received(self)
+
     def _decode_answer(self) -> tuple[ServerAnswer, str]:
-        return self.owner.codec.decode_answer(
-            self._status, self._headers, b"".join(self._chunks)
-        )
+        return self.owner.codec.decode_answer(self._status, self._headers, bytes(self._body))
 
     # Callbacks of ``httptools.HttpResponseParser``.
 
@@ -153,7 +164,8 @@
 
     def on_body(self, body: bytes) -> None:
         if not self._is_complete:
-            self._chunks.append(body)
+            # One buffer for all chunks: each object of its own would take 40 bytes more.
+            self._body += body
             self._size += len(body)
 
     def on_message_complete(self) -> None:
@@ -208,6 +220,8 @@
             self._finish()
         elif self.received - self._size > _MAX_HEAD_BYTES + _MAX_FRAMING_RATIO * self._size:
             self.fail_too_large("bytes outside the body", _MAX_HEAD_BYTES)
+        elif len(self._headers) > _MAX_HEADER_FIELDS:
+            self.fail_too_large("header fields", _MAX_HEADER_FIELDS)
 
     def channel_ended(self, error: OSError | None) -> None:
         if not self.is_connected:
@@ -261,14 +275,14 @@
         """Fail the exchange because of the size of its answer.
 
         :param what: part of the answer that is too large, for the log.
-        :param limit: limit in bytes that was exceeded.
+        :param limit: limit that was exceeded, in bytes or in header fields.
         """
         self.owner.log_too_large(self, what, limit)
         self._fail(FailureKind.TOO_LARGE)
 
     def close(self) -> None:
         """Close the connection without reporting an event."""
-        self.owner.release_received(self)
+        self._release_response()
         self.owner.drop_connection(self)
         self.channel.abort()
 
@@ -316,8 +330,8 @@
         ):
             self.close()
         else:
-            self.owner.release_received(self)
             self._read_idle_time()
+            self._release_response()
             self.idle_since = asyncio.get_running_loop().time()
             self.owner.add_idle_connection(self)
         if is_mismatched:
@@ -469,7 +483,7 @@
             "request": connection.send.request.request_id if connection.send else "",
             "server": connection.server_id,
             "what": what,
-            "limit_bytes": limit,
+            "limit": limit,
             "received_bytes": connection.received,
             "held_bytes": self.held_bytes,
         }
--- a/mimosapost/platform/store_calls.py
+++ b/mimosapost/platform/store_calls.py
@@ -94,13 +94,12 @@
         if response.status == 410:
             raise HistoryLost
         response.raise_for_status()
-        chunks, size = [], 0
+        body = bytearray()
         async for chunk in response.content.iter_any():
-            size += len(chunk)
-            if size > _MAX_ANSWER_BYTES:
+            body += chunk
+            if len(body) > _MAX_ANSWER_BYTES:
                 raise AnswerTooLarge(f"answer of {url} exceeds {_MAX_ANSWER_BYTES} bytes")
-            chunks.append(chunk)
-        return b"".join(chunks)
+        return bytes(body)
 
 
 def create_entry(item: Item) -> SourceEntry:
--- a/mimosapost/platform/tests/soak.py
+++ b/mimosapost/platform/tests/soak.py
@@ -122,6 +122,7 @@
 class Process:
     """One instance in a process of its own; signals are sent only to the id of this process.
 
+    :ivar more_settings: further lines of the settings file.
     :ivar is_disturbed: whether a signal fault is in progress for this process.
     """
 
@@ -130,6 +131,7 @@
     store_address: str
     host: str
     places: tuple[tuple[str, str], ...]
+    more_settings: str = ""
     handle: asyncio.subprocess.Process | None = None
     is_disturbed: bool = False
 
@@ -149,6 +151,7 @@
             f"portRange=7380,7395\nseeds={seed}\n"
             f"listenAddrs.front={self.caller_address}\nlistenAddrs.readyAddr={self.host}:8108\n"
             f"platform.address={self.store_address}\nbounds.graceS=4\nbounds.contactMs=2000\n"
+            f"{self.more_settings}"
         )
         with (self.directory / f"log-{self.index}.txt").open("ab") as log:
             self.handle = await asyncio.create_subprocess_exec(
