Let the soak's servers reject requests and send answers twice

Half of the servers reject 0.3 of their requests at times, and send some answers a second time before the next one; a route that may run once has a single server, so that a retry goes back to it. Limits on callers change with each configuration, and a reply that denies a request breaks the run.

--- a/mimosapost/platform/tests/soak.py
+++ b/mimosapost/platform/tests/soak.py
@@ -36,6 +36,11 @@
 # Places of enough instances in one region for one of them to read the store for the others.
 FEED_PLACES = (*PLACES, *(("a1", "north"),) * 4)
 _SERVICES = [f"s{n}" for n in range(6)]
+# Service with one server, so that a rejected request is sent to the same server again.
+_LONE_SERVICE = "lone"
+# Paths of requests that may run once.
+_RUN_ONCE_PREFIXES = ("/order/", "/book/")
+_BOOKING_INTERVAL_SECONDS = 0.05
 _REQUESTS_PER_SECOND = 40
 _DEADLINE_MS = 900
 _START_TIMEOUT_SECONDS = 10.0
@@ -55,10 +60,15 @@
 
     :ivar mode: ``pass``, ``delay``, ``reset``, ``silent`` (no bytes in either direction) or
         ``one_way`` (no bytes from the target to the client).
+    :ivar repeat_share: share of the answers that are sent a second time, before the next one on
+        the same connection.
+    :ivar reject_share: share of the requests that the server at the target rejects.
     """
 
     target: str
     mode: str = "pass"
+    repeat_share: float = 0.0
+    reject_share: float = 0.0
     address: str = ""
     listener: asyncio.Server | None = None
     writers: set = field(default_factory=set)
@@ -106,6 +116,7 @@
             upstream_writer.transport.abort()
 
     async def _copy(self, reader, writer, from_upstream: bool) -> None:
+        earlier = b""
         while data := await reader.read(65_536):
             if self.mode == "delay":
                 await asyncio.sleep(0.05)
@@ -113,6 +124,10 @@
                 raise ConnectionResetError
             while self.mode == "silent" or (self.mode == "one_way" and from_upstream):
                 await asyncio.sleep(0.05)
+            if from_upstream:
+                if earlier and random.random() < self.repeat_share:
+                    writer.write(earlier)
+                earlier = data
             writer.write(data)
             await writer.drain()
         writer.close()
@@ -228,9 +243,13 @@
             await self._wait_ready()
             requests = asyncio.create_task(self._send_steady_load(rng))
             crashing = asyncio.create_task(self._send_crashing_requests())
+            repeating = asyncio.create_task(self._repeat_answers(servers, proxies))
+            booking = asyncio.create_task(self._send_bookings())
             await self._inject_faults(rng, store, servers, proxies)
             await requests
             await crashing
+            await repeating
+            await booking
             self._check_crashes()
             await asyncio.sleep(_DOWN_SECONDS)
             await self._check_recovery()
@@ -253,15 +272,37 @@
                 server.address = await proxy.start(stack)
                 await store.put(f"servers/{server.server_id}", server.create_entry())
                 servers.append(server)
-        await store.put("op/config", create_config(1, _SERVICES))
+        lone = StandinServer("lone-a1", _LONE_SERVICE, "a1")
+        await lone.start(stack)
+        proxy = proxies[lone.server_id] = Proxy(lone.address)
+        lone.respond = partial(self._run, proxy)
+        lone.address = await proxy.start(stack)
+        await store.put(f"servers/{lone.server_id}", lone.create_entry(slots=8))
+        await store.put("op/config", _create_config(1))
         return store, servers, proxies
 
-    async def _run(self, proxy: Proxy, request: web.BaseRequest) -> None:
+    async def _run(self, proxy: Proxy, request: web.BaseRequest) -> web.Response | None:
+        if random.random() < proxy.reject_share:
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
         if request.path.endswith("/crash"):
             loop = asyncio.get_running_loop()
             self.crashes.append((loop.time(), request.headers["X-Request-Id"]))
             await proxy.crash(_DOWN_SECONDS)
         self._record_run(request)
+        return None
+
+    async def _repeat_answers(self, servers, proxies) -> None:
+        """Let some servers reject requests and send answers a second time, again and again."""
+        rng = random.Random(f"answers {self.seed}")
+        end_time = asyncio.get_running_loop().time() + self.seconds - 1
+        while asyncio.get_running_loop().time() < end_time:
+            chosen = [proxies[s.server_id] for s in rng.sample(servers, len(servers) // 2)]
+            chosen.append(proxies["lone-a1"])
+            for proxy in chosen:
+                proxy.repeat_share, proxy.reject_share = rng.uniform(0.05, 0.3), 0.3
+            await asyncio.sleep(rng.uniform(0.5, 2.0))
+            for proxy in chosen:
+                proxy.repeat_share = proxy.reject_share = 0.0
 
     async def _send_crashing_requests(self) -> None:
         """Send the same request, which crashes its servers, to one instance after another."""
@@ -270,6 +311,16 @@
             await self._send_request(process, "search", f"c{number}-{process.index}", "crash")
             await asyncio.sleep(_CRASH_INTERVAL_SECONDS)
 
+    async def _send_bookings(self) -> None:
+        """Send requests that may run once to the lone server."""
+        requests = []
+        for number in range(int(self.seconds / _BOOKING_INTERVAL_SECONDS)):
+            process = self.processes[number % len(self.processes)]
+            request = self._send_request(process, "book", f"b{number}")
+            requests.append(asyncio.create_task(request))
+            await asyncio.sleep(_BOOKING_INTERVAL_SECONDS)
+        await asyncio.gather(*requests)
+
     def _check_crashes(self) -> None:
         """Check that the request reaches servers at most three times after the third crash.
 
@@ -290,7 +341,7 @@
             self.broken.append(f"the crashing request ran late: {sorted(late)}")
 
     def _record_run(self, request: web.BaseRequest) -> None:
-        if request.path.startswith("/order/"):
+        if request.path.startswith(_RUN_ONCE_PREFIXES):
             request_id = request.headers["X-Request-Id"]
             self.run_counts[request_id] += 1
             if self.run_counts[request_id] > 1:
@@ -331,7 +382,7 @@
         headers["X-Deadline-Ms"] = str(_DEADLINE_MS)
         url = f"http://{process.caller_address}/{kind}/{path or request_id}"
         timeout = aiohttp.ClientTimeout(total=_DEADLINE_MS / 1_000 + 1)
-        method = "POST" if kind == "order" else "GET"
+        method = "GET" if kind == "search" else "POST"
         try:
             async with self.session.request(
                 method, url, headers=headers, timeout=timeout
@@ -342,11 +393,13 @@
 
     def _check_reply(self, kind: str, request_id: str, response, body: bytes) -> None:
         self.result_counts[response.status] += 1
-        if response.status in (429, 503) and kind == "order":
+        if response.status in (400, 404, 413, 431):
+            self.broken.append(f"{request_id} was denied with status {response.status}")
+        if response.status in (429, 503) and kind != "search":
             self.refused_ids.add(request_id)
         if response.status != 200:
             return
-        if kind == "order":
+        if kind != "search":
             if not response.headers.get("X-Response-Seal") or len(body) != 16:
                 self.broken.append(
                     f"{request_id}: status 200 without the signature or the complete body"
@@ -375,7 +428,7 @@
             )
 
     async def _disturb_connections(self, rng, _store, _servers, proxies) -> None:
-        names = rng.sample(sorted(proxies), rng.randrange(1, 4))
+        names = rng.sample(sorted(proxies.keys() - {"lone-a1"}), rng.randrange(1, 4))
         for name in names:
             proxies[name].mode = rng.choice(["delay", "reset", "silent", "one_way"])
         await asyncio.sleep(rng.uniform(0.2, 1.5))
@@ -426,7 +479,15 @@
         if rng.random() < 0.5 and key in store.items:
             await store.remove(key)
         await store.put(key, server.create_entry())
-        await store.put("op/config", create_config(store.revision, _SERVICES))
+        # A generator of their own keeps the faults of seeds that have failed.
+        chosen = random.Random(f"limits {self.seed} {store.revision}")
+        limits = {
+            "maxHeaderBytes": chosen.choice([1_024, 8_192, 32_768]),
+            "maxBodyBytes": chosen.choice([1_024, 65_536]),
+            "headerTimeoutMs": chosen.choice([1_000, 5_000]),
+            "idleTimeoutMs": chosen.choice([2_000, 20_000]),
+        }
+        await store.put("op/config", _create_config(store.revision, limits=limits))
 
     async def _check_recovery(self) -> None:
         await self._wait_ready()
@@ -445,7 +506,7 @@
     async def _check_versions(self, store: StandinStore) -> None:
         """Check that the last version of the configuration is in force on all instances."""
         version = store.revision + 1
-        await store.put("op/config", create_config(version, _SERVICES))
+        await store.put("op/config", _create_config(version))
         await asyncio.sleep(_APPLY_LIMIT_SECONDS)
         for process in self.processes:
             url = f"http://{process.host}:{METRICS_PORT}/status"
@@ -465,6 +526,16 @@
                     self.broken.append(f"{path.name}: {line[:300]}")
 
 
+def _create_config(version: int, **changes) -> dict:
+    """Return a configuration with a further route, to the lone server."""
+    config = create_config(version, _SERVICES, **changes)
+    order = config["routes"][1]
+    booking = order | {"name": "r-book", "pathPrefix": "/book/", "service": _LONE_SERVICE}
+    config["routes"].append(booking)
+    config["services"].append({"name": _LONE_SERVICE, "maxConns": 200})
+    return config
+
+
 async def run_seed(seed: int, seconds: float, places=PLACES) -> Soak:
     """Run the soak test with one seed.
 
