Reproduce a query that crashes the servers of all shards (BUDGET), red

In simulation the rule is broken: the same query at several instances at the same moment, again when the crashed servers are back, reaches servers 4 to 6 times more than 4 s after the third crash where 3 are allowed, in all six cases with servers that crash in silence.

--- a/mimosapost/relay/tests/server_simulation.py
+++ b/mimosapost/relay/tests/server_simulation.py
@@ -44,6 +44,8 @@
     :param crashing: fingerprints of requests that crash each server that begins to run them.
     :param down_ms: time in milliseconds until a crashed server runs again with a new id.
     :param is_silent: whether a crashed server answers nothing instead of breaking connections.
+    :param crash_delay_ms: shortest and longest time in milliseconds from the arrival of such a
+        request until its server crashes.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         down_ms: int = 3_000,
         is_silent: bool = False,
         seed: int = 1,
+        crash_delay_ms: tuple[int, int] = (0, 0),
     ) -> None:
         self.fleet = fleet
         for relay in fleet.relays.values():
@@ -62,6 +65,7 @@
         self.crashing = set(crashing)
         self.down_us = down_ms * MS
         self.is_silent = is_silent
+        self.crash_delay_ms = crash_delay_ms
         #: Limit in requests per second that a server names in its answers, by address.
         self.limits: dict[str, float] = {}
         #: Time at which an instance first got such an answer, by address and instance.
@@ -127,7 +131,11 @@
         fingerprint = send.request.fingerprint
         self.arrivals.append(Arrival(now_us, name, server, fingerprint))
         if fingerprint in self.crashing:
-            self.crash(server.address)
+            delay_us = self.rng.randint(*self.crash_delay_ms) * MS
+            if delay_us:
+                self._add(now_us + delay_us, partial(self._crash_process, server))
+            else:
+                self.crash(server.address)
             return
         self._add(now_us + ANSWER_US, lambda: self._answer(name, relay, send))
 
@@ -143,6 +151,11 @@
         if self._open.pop((name, send_id), None) is not None:
             relay.apply_event(ExchangeFailed(self.fleet.now_us, send_id, kind, run))
 
+    def _crash_process(self, server: BackendServer) -> None:
+        """Crash a server unless it has crashed already."""
+        if self.running.get(server.address) is server:
+            self.crash(server.address)
+
     def crash(self, address: str) -> None:
         """Crash a server with all requests that it runs."""
         now_us, server = self.fleet.now_us, self.running.pop(address)
