Hold the hedges of a query that no server has answered

Cause: the parts of such a query are all late together, so each is hedged to the second server of its shard before the first crash is seen. A crash comes 30 to 120 ms after the arrival. Why this works: silence of all servers is a sign of the query and not of a server. One hedge is sent; the others follow the first answer of any part.

--- a/mimosapost/relay/gathers.py
+++ b/mimosapost/relay/gathers.py
@@ -45,6 +45,7 @@
     abandon_sends,
     hedge_stragglers,
     queue_hedge,
+    queue_held_hedges,
     start_send,
 )
 from mimosapost.relay.served_gathers import cancel_gathers_for
@@ -246,6 +247,7 @@
     if not _is_open(state, open_request):
         return
     hedge_stragglers(state, open_request, now_us)
+    queue_held_hedges(state, open_request)
     if answer.is_overdue:
         _hedge_gathered_parts(state, open_request, gather, now_us)
 
--- a/mimosapost/relay/hedges.py
+++ b/mimosapost/relay/hedges.py
@@ -4,6 +4,9 @@
 parts at the same moment, and the other servers of these shards are often in another region. The
 hedges of a moment are decided together, so that those for one failure domain share one message
 to an instance there.
+
+A query that no server has answered may be the cause: it may crash or hang every server that runs
+it. Only one of its hedges is sent then, and the others follow its first answer.
 """
 
 from __future__ import annotations
@@ -63,6 +66,9 @@
         part = hedge.part
         if part.shard in due_by_shard or not _may_hedge(open_request, part):
             continue
+        if _is_unanswered_query(open_request) and (open_request.hedges or due_by_shard):
+            open_request.held_hedges.append(hedge)
+            continue
         choices = rank_warm_servers(state, open_request, part, linked_domains, now_us)
         if not choices or not state.get_budget(part.service).try_spend():
             continue
@@ -88,6 +94,10 @@
         effects.append(IncrementCounter("mimosapost_relay_repeats_total", labels))
 
 
+def _is_unanswered_query(open_request: OpenRequest) -> bool:
+    return len(open_request.parts) > 1 and not open_request.answered
+
+
 def _may_hedge(open_request: OpenRequest, part: Part) -> bool:
     return (
         open_request.route.repeatable
--- a/mimosapost/relay/send_outcomes.py
+++ b/mimosapost/relay/send_outcomes.py
@@ -20,7 +20,13 @@
 from mimosapost.relay.rate_limits import record_named_limit
 from mimosapost.relay.record_merge import RECORD_BYTES, merge_records
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
-from mimosapost.relay.sends import StartResult, abandon_sends, hedge_stragglers, start_send
+from mimosapost.relay.sends import (
+    StartResult,
+    abandon_sends,
+    hedge_stragglers,
+    queue_held_hedges,
+    start_send,
+)
 from mimosapost.relay.server_notes import note_server
 from mimosapost.relay.server_selection import (
     record_failure,
@@ -116,6 +122,7 @@
         open_request.passed_trial = True
     check_progress(state, open_request, now_us, effects)
     hedge_stragglers(state, open_request, now_us)
+    queue_held_hedges(state, open_request)
     _start_after_trial(state, open_request, now_us, effects)
 
 
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -35,6 +35,7 @@
     "is_restricted",
     "list_usable",
     "queue_hedge",
+    "queue_held_hedges",
     "rank_warm_servers",
     "start_send",
 ]
@@ -339,6 +340,14 @@
     state.hedges_due.setdefault(open_request.request.request_number, []).append(due)
 
 
+def queue_held_hedges(state: RelayState, open_request: OpenRequest) -> None:
+    """Queue the hedges that waited for the first answer of their query."""
+    if open_request.held_hedges and open_request.answered:
+        held, open_request.held_hedges = open_request.held_hedges, []
+        due = state.hedges_due.setdefault(open_request.request.request_number, [])
+        due.extend(held)
+
+
 def hedge_stragglers(state: RelayState, open_request: OpenRequest, now_us: int) -> None:
     """Schedule early hedges of the last parts of a query once the others are answered.
 
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -222,6 +222,7 @@
     :param open_parts: number of parts that were neither answered nor failed.
     :param past_goal: whether the latency goal has passed.
     :param stragglers_hedged: whether early hedges of the last parts were scheduled.
+    :param held_hedges: hedges of a query that wait for its first answer.
     :param failed_answer: last signed answer with a server error.
     :param gather_ids: numbers of the gathers that were started for the request.
     :param gathered_parts: answers that other instances gathered.
@@ -243,6 +244,7 @@
     retries: int = 0
     past_goal: bool = False
     stragglers_hedged: bool = False
+    held_hedges: list[HedgeDue] = field(default_factory=list)
     failed_answer: ServerAnswer | None = None
     gather_ids: list[int] = field(default_factory=list)
     gathered_parts: list[GatheredParts] = field(default_factory=list)
