--- a/mimosapost/membership/codec.py
+++ b/mimosapost/membership/codec.py
@@ -32,6 +32,8 @@
     SubtreeRequest,
     SuspectNote,
     TreeVersion,
+    TrialMessage,
+    TrialStep,
     WarmupNote,
 )
 
@@ -569,3 +571,27 @@
     if value > 100:
         raise CodecError(f"failurePercent is {value}; at most 100 allowed")
     return value
+
+
+@_register_writer(TrialMessage, "trialMessage")
+def _write_trial_message(message: TrialMessage) -> dict[str, Any]:
+    return {
+        "step": int(message.step),
+        "fingerprint": message.fingerprint,
+        "trialId": message.trial_id,
+        "retryAfterUs": message.retry_after_us,
+        "suspects": _write_suspects(message.suspects),
+    }
+
+
+@_register_reader("trialMessage")
+def _read_trial_message(reader: Any) -> TrialMessage:
+    if reader.step > max(TrialStep):
+        raise CodecError(f"step of a trial is {reader.step}; at most {max(TrialStep)} allowed")
+    return TrialMessage(
+        TrialStep(reader.step),
+        reader.fingerprint,
+        reader.trialId,
+        reader.retryAfterUs,
+        _read_suspects(reader.suspects),
+    )
--- a/mimosapost/membership/peer.capnp
+++ b/mimosapost/membership/peer.capnp
@@ -151,6 +151,15 @@
   suspects @2 :List(SuspectNote);
 }
 
+# The step is the value of TrialStep in mimosapost/model/peer_messages.py.
+struct TrialMessage {
+  step @0 :UInt8;
+  fingerprint @1 :UInt64;
+  trialId @2 :UInt64;
+  retryAfterUs @3 :UInt64;
+  suspects @4 :List(SuspectNote);
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -167,6 +176,7 @@
     feedRequest @11 :FeedRequest;
     feedUpdate @12 :FeedUpdate;
     serverNotes @13 :ServerNotes;
+    trialMessage @14 :TrialMessage;
   }
 }
 
--- a/mimosapost/membership/tests/test_codec.py
+++ b/mimosapost/membership/tests/test_codec.py
@@ -34,6 +34,8 @@
     SubtreeRequest,
     SuspectNote,
     TreeVersion,
+    TrialMessage,
+    TrialStep,
 )
 
 OWN_IDENTITY = InstanceIdentity("entry-1", 2**64 - 1, 3, "zone-a", "north", "127.0.0.1:7000")
@@ -63,6 +65,8 @@
         (ServerNote("i-1", 2**64 - 1, 2**32 - 1, 100, 2**32 - 1, 7),),
         (SuspectNote(2**64 - 1, 2, 60_000_000),),
     ),
+    TrialMessage(TrialStep.REQUESTED, 2**64 - 1, 2**64 - 1, 0, (SuspectNote(1, 2, 3),)),
+    TrialMessage(TrialStep.DENIED, 1, 2, 2**64 - 1),
 ]
 
 
@@ -193,14 +197,19 @@
         decode_message(frame(serverNotes={"stage": 0, **fields}))
 
 
+def test_an_unknown_step_of_a_trial_is_refused():
+    with pytest.raises(CodecError):
+        decode_message(frame(trialMessage={"step": max(TrialStep) + 1}))
+
+
 def test_messages_of_the_next_protocol_version(tmp_path):
     # While a newer release is rolled out, its instances may send message kinds and fields that
     # this release does not know. These must not break the link.
     text = Path(codec.__file__).with_name("peer.capnp").read_text()
     text = text.replace("@0xc1b6f0a93d5e7284", "@0xc1b6f0a93d5e7285")
-    last = "serverNotes @13 :ServerNotes;"
+    last = "trialMessage @14 :TrialMessage;"
     assert last in text
-    text = text.replace(last, last + " novel @14 :Hello;")
+    text = text.replace(last, last + " novel @15 :Hello;")
     text = text.replace("number @2 :UInt64;\n}", "number @2 :UInt64;\n extra @3 :Text;\n}")
     path = tmp_path / "next.capnp"
     path.write_text(text)
--- a/mimosapost/model/peer_messages.py
+++ b/mimosapost/model/peer_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import IntEnum
 
 from mimosapost.model.identities import InstanceIdentity
 
@@ -26,6 +27,8 @@
     "SubtreeReply",
     "SubtreeRequest",
     "SuspectNote",
+    "TrialMessage",
+    "TrialStep",
     "TreeVersion",
     "WarmupNote",
 ]
@@ -327,6 +330,43 @@
     suspects: tuple[SuspectNote, ...] = ()
 
 
+class TrialStep(IntEnum):
+    """Step of a trial, which is a run of a suspect alone at a server.
+
+    The first four go to the coordinator of the request, the others come from it.
+    """
+
+    REQUESTED = 0
+    #: The request was answered by all its servers.
+    PASSED = 1
+    #: The trial ended without a result.
+    ENDED = 2
+    #: A server crashed under the request.
+    FAILED = 3
+    PERMITTED = 4
+    #: Another trial of the request is running.
+    QUEUED = 5
+    #: The request is no suspect any more.
+    CLEARED = 6
+    DENIED = 7
+
+
+@dataclass(frozen=True, slots=True)
+class TrialMessage:
+    """Message between an instance that wants to run a suspect and the suspect's coordinator.
+
+    :param trial_id: number chosen by the instance that asks, echoed by the coordinator.
+    :param retry_after_us: time in microseconds until a denied trial may be asked for again.
+    :param suspects: what the sender knows of the request.
+    """
+
+    step: TrialStep
+    fingerprint: int
+    trial_id: int
+    retry_after_us: int = 0
+    suspects: tuple[SuspectNote, ...] = ()
+
+
 PeerMessage = (
     Hello
     | Heartbeat
@@ -342,4 +382,5 @@
     | FeedRequest
     | FeedUpdate
     | ServerNotes
+    | TrialMessage
 )
--- a/mimosapost/relay/completion.py
+++ b/mimosapost/relay/completion.py
@@ -282,7 +282,7 @@
         code = ResultCode.STOPPING
     return Refusal(
         code,
-        get_retry_after_us(state, open_request, now_us),
+        max(get_retry_after_us(state, open_request, now_us), open_request.retry_after_us),
         _join_missing_reasons(open_request),
     )
 
--- a/mimosapost/relay/crashes.py
+++ b/mimosapost/relay/crashes.py
@@ -13,6 +13,7 @@
 from mimosapost.relay.effects import ProbeServer
 from mimosapost.relay.events import ExchangeFailed
 from mimosapost.relay.registry import Effects
+from mimosapost.relay.sends import SUSPECT_HANG_US
 from mimosapost.relay.server_notes import LAST_STAGE, create_suspect_notes, note_suspects
 from mimosapost.relay.state import HeldPart, OpenSend, RelayState, UnansweredSend
 from mimosapost.relay.suspicion import apply_suspicion
@@ -35,9 +36,6 @@
 # A probe that takes longer than a round trip between regions and the work on a handshake does
 # not delay the retry any further.
 _PROBE_TIMEOUT_US = 60_000
-# A suspect that a server has not answered for this time counts as the cause of its silence.
-# Pauses of healthy servers last up to 250 ms.
-_SUSPECT_HANG_US = 350_000
 
 
 def record_unanswered(
@@ -53,7 +51,7 @@
         return
     _discard_old(state, event.now_us)
     address = send.record.server.address
-    unanswered = UnansweredSend(event.now_us, is_broken, send.ran_alone)
+    unanswered = UnansweredSend(event.now_us, send.sent_us, is_broken, send.ran_alone)
     state.unanswered.setdefault(address, {})[send.fingerprint] = unanswered
     fields = (
         ("fingerprint", f"{send.fingerprint:016x}"),
@@ -62,7 +60,7 @@
         ("alone", send.ran_alone),
     )
     effects.append(WriteLog("send_unanswered", fields))
-    if is_silent and send.ran_alone and event.now_us - send.sent_us > _SUSPECT_HANG_US:
+    if is_silent and send.ran_alone and event.now_us - send.sent_us > SUSPECT_HANG_US:
         record_crash(state, address, "suspect_hung", RESTART_WINDOW_US, event.now_us, effects)
 
 
@@ -156,11 +154,23 @@
     effects.append(WriteLog("server_crashed", fields))
     labels = (("evidence", evidence),)
     effects.append(IncrementCounter("mimosapost_relay_server_crashes_total", labels))
+    _fail_trials(state, entries)
     _tell_askers(state, entries, now_us, effects)
     apply_suspicion(state, entries, "crash", now_us, effects)
     note_suspects(state, entries, 0, now_us)
 
 
+def _fail_trials(state: RelayState, entries: dict[int, UnansweredSend]) -> None:
+    """End the trials under which a server crashed; their requests need another permit."""
+    for fingerprint, entry in entries.items():
+        trial = state.trials.get(fingerprint)
+        if trial is not None and trial.runner and entry.sent_us >= trial.started_us:
+            trial.has_failed = True
+    for open_request in state.requests.values():
+        if open_request.request.fingerprint in entries:
+            open_request.passed_trial = False
+
+
 def _tell_askers(
     state: RelayState, fingerprints: dict[int, UnansweredSend], now_us: int, effects: Effects
 ) -> None:
--- a/mimosapost/relay/hedges.py
+++ b/mimosapost/relay/hedges.py
@@ -5,8 +5,8 @@
 hedges of a moment are decided together, so that those for one failure domain share one message
 to an instance there.
 
-A query that no server has answered may be the cause: it may crash or hang every server that runs
-it. Only one of its hedges is sent then, and the others follow its first answer.
+A query that no server has answered may be the cause itself: it may crash or hang each server
+that runs it. Only one of its hedges is sent then, and the others follow its first answer.
 """
 
 from __future__ import annotations
--- a/mimosapost/relay/registry.py
+++ b/mimosapost/relay/registry.py
@@ -28,7 +28,8 @@
 class TimerKind(IntEnum):
     """Purpose of a timer.
 
-    The key of a timer is the number of a request or send, or ``RelayState.next_timer_key``.
+    The key of a timer is the number of a request or send, the fingerprint of a suspect, or
+    ``RelayState.next_timer_key``.
     """
 
     DEADLINE = 1
@@ -43,6 +44,7 @@
     REPORT = 10
     NOTES = 11
     DISPATCH = 12
+    TRIAL = 13
 
 
 _EVENT_HANDLERS: dict[type[Event], Callable[..., None]] = {}
--- a/mimosapost/relay/send_outcomes.py
+++ b/mimosapost/relay/send_outcomes.py
@@ -35,6 +35,7 @@
     record_success,
 )
 from mimosapost.relay.state import OpenRequest, OpenSend, Part, RelayState
+from mimosapost.relay.trials import start_parts_after_trial
 
 __all__ = ["retry_or_fail"]
 
@@ -123,21 +124,8 @@
     check_progress(state, open_request, now_us, effects)
     hedge_stragglers(state, open_request, now_us)
     queue_held_hedges(state, open_request)
-    _start_after_trial(state, open_request, now_us, effects)
-
-
-def _start_after_trial(
-    state: RelayState, open_request: OpenRequest, now_us: int, effects: Effects
-) -> None:
-    if not open_request.passed_trial:
-        return
-    parts, open_request.parts_after_trial = open_request.parts_after_trial, []
-    for part in parts:
-        part.waiting = False
-        if part.done or open_request.request.request_number not in state.requests:
-            continue
-        if start_send(state, open_request, part, now_us, effects) is StartResult.NO_SERVER:
-            fail_part(state, open_request, part, "no_server", now_us, effects)
+    if open_request.passed_trial:
+        start_parts_after_trial(state, open_request, now_us, effects)
 
 
 def _discard_surplus_records(route: Route, answer: ServerAnswer) -> ServerAnswer:
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -25,6 +25,7 @@
 from mimosapost.suspects.tracker import SuspicionState
 
 __all__ = [
+    "SUSPECT_HANG_US",
     "StartResult",
     "abandon_request",
     "abandon_sends",
@@ -58,6 +59,9 @@
 # Time for which the connection of an abandoned send stays open. When a caller leaves, servers
 # must stop working for it within half a second.
 ABANDON_GRACE_US = 300_000
+#: A suspect that a server has not answered for this time counts as the cause of its silence.
+#: Pauses of healthy servers last up to 250 ms.
+SUSPECT_HANG_US = 350_000
 # Time for which a suspect has a server for itself. A request that crashes servers does so when
 # it begins to run; a slow one must not keep the others waiting.
 _RESERVATION_US = 100_000
@@ -126,8 +130,15 @@
     state: RelayState, open_request: OpenRequest, part: Part, now_us: int, effects: Effects
 ) -> StartResult:
     fingerprint = open_request.request.fingerprint
-    if state.suspects.classify(fingerprint, now_us) is SuspicionState.REFUSED:
+    is_refused = state.suspects.classify(fingerprint, now_us) is SuspicionState.REFUSED
+    if is_refused or open_request.served is not None:
+        # The instance that asked for a gathered part tries it.
         return StartResult.NO_SERVER
+    if not _has_permit(state, open_request):
+        part.waiting = True
+        open_request.parts_after_trial.append(part)
+        state.requests_to_try.append(open_request.request.request_number)
+        return StartResult.WAITING
     if open_request.trial not in (None, part):
         part.waiting = True
         open_request.parts_after_trial.append(part)
@@ -138,9 +149,16 @@
     spare = sum(is_usable(state, r, now_us) for r in state.by_service.get(part.service, ()))
     if not usable or (spare < 2 and not open_request.route.shards):
         return StartResult.NO_SERVER
-    open_request.trial = part
     idle = [record for record in usable if not record.open_sends]
-    return _start_at_best(state, open_request, part, idle, now_us, effects, ran_alone=True)
+    result = _start_at_best(state, open_request, part, idle, now_us, effects, ran_alone=True)
+    open_request.trial = None if result is StartResult.NO_SERVER else part
+    return result
+
+
+def _has_permit(state: RelayState, open_request: OpenRequest) -> bool:
+    trial = state.trials.get(open_request.request.fingerprint)
+    number = open_request.request.request_number
+    return trial is not None and trial.runner == number and not trial.has_failed
 
 
 def _start_at_best(
@@ -393,7 +411,11 @@
         send = state.sends[send_id]
         if not send.abandoned_us:
             send.abandoned_us = now_us
-            effects.append(AbandonSend(send_id, now_us + grace_us))
+            until_us = now_us + grace_us
+            if send.ran_alone and grace_us:
+                # Shows whether the server survives, also after a short deadline.
+                until_us = max(until_us, send.sent_us + SUSPECT_HANG_US + 1)
+            effects.append(AbandonSend(send_id, until_us))
 
 
 def abandon_request(
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -31,6 +31,8 @@
     "Part",
     "RelayState",
     "ServedGather",
+    "Trial",
+    "TrialPermit",
     "UnansweredSend",
     "create_relay_state",
 ]
@@ -142,11 +144,13 @@
     """A send that ended without an answer, until its server answers another one or ends.
 
     :param ended_us: time at which the send ended.
+    :param sent_us: time at which it started.
     :param is_broken: whether the connection broke; otherwise the server was silent.
     :param ran_alone: whether no other send of this instance was open at the server.
     """
 
     ended_us: int
+    sent_us: int
     is_broken: bool
     ran_alone: bool
 
@@ -213,6 +217,50 @@
     report_due: bool = False
 
 
+@dataclass(slots=True)
+class Trial:
+    """Requests of this instance with one fingerprint, which may run one at a time.
+
+    :param trial_id: number of the last message to the coordinator.
+    :param coordinator: name of the instance that permits the trials.
+    :param requested_us: time of that message.
+    :param is_heard: whether the coordinator replied to it.
+    :param passed_over: names of coordinators that did not reply.
+    :param waiting: numbers of the requests that wait, by age.
+    :param runner: number of the request that may run, or 0.
+    :param started_us: time since which it may run.
+    :param has_failed: whether a server crashed under it.
+    """
+
+    trial_id: int
+    coordinator: str = ""
+    requested_us: int = 0
+    is_heard: bool = False
+    passed_over: list[str] = field(default_factory=list)
+    waiting: list[int] = field(default_factory=list)
+    runner: int = 0
+    started_us: int = 0
+    has_failed: bool = False
+
+
+@dataclass(slots=True)
+class TrialPermit:
+    """Permit for the trial of a request, at the coordinator of the request.
+
+    :param holder: name of the instance that may run the request, or an empty string.
+    :param trial_id: number that the holder gave the trial.
+    :param until_us: time at which a trial without a result is lost.
+    :param held_until_us: time until which no trial is permitted.
+    :param waiting: numbers that other instances gave their trials, by name of the instance.
+    """
+
+    holder: str = ""
+    trial_id: int = 0
+    until_us: int = 0
+    held_until_us: int = 0
+    waiting: dict[str, int] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class OpenRequest:
     """A request that has no reply yet.
@@ -228,8 +276,9 @@
     :param gathered_parts: answers that other instances gathered.
     :param served: for parts that are gathered for another instance.
     :param trial: part of a suspect that runs alone before the others are sent.
-    :param parts_after_trial: parts that are sent once the trial is answered.
+    :param parts_after_trial: parts that wait for the permit of the trial or for its answer.
     :param passed_trial: whether the trial was answered.
+    :param retry_after_us: time in microseconds until a denied trial may be asked for again.
     """
 
     request: RelayRequest
@@ -252,6 +301,7 @@
     trial: Part | None = None
     parts_after_trial: list[Part] = field(default_factory=list)
     passed_trial: bool = False
+    retry_after_us: int = 0
 
 
 @dataclass(slots=True)
@@ -299,6 +349,9 @@
     :param unanswered_checked_us: time at which old ones were last discarded.
     :param held_parts: parts that wait for the probe of a server, by its address.
     :param pending_suspects: stage of each queued note on a suspect, by fingerprint.
+    :param trials: requests that need to run alone, by fingerprint.
+    :param trial_permits: permits for such runs that this instance gave, by fingerprint.
+    :param requests_to_try: numbers of the requests that need a permit since this event.
     :param services_by_timer: services whose waiting parts are tried again, by timer key.
     :param unsent_parts: waiting parts that turned out to have no server, with the number of the
         request.
@@ -340,6 +393,10 @@
     unanswered_checked_us: int = 0
     held_parts: dict[str, list[HeldPart]] = field(default_factory=dict)
     pending_suspects: dict[int, int] = field(default_factory=dict)
+    trials: dict[int, Trial] = field(default_factory=dict)
+    trial_permits: dict[int, TrialPermit] = field(default_factory=dict)
+    requests_to_try: list[int] = field(default_factory=list)
+    next_trial_id: int = 1
     services_by_timer: dict[int, str] = field(default_factory=dict)
     unsent_parts: list[tuple[int, Part]] = field(default_factory=list)
     gathers: dict[int, OpenGather] = field(default_factory=dict)
@@ -391,6 +448,7 @@
             instance_settings.seed_addresses,
             MemberTable(own),
         )
-        # Answers to gathers of an earlier process must not match those of this one.
+        # Answers to gathers and trials of an earlier process must not match those of this one.
         state.next_gather_id = state.rng.getrandbits(48)
+        state.next_trial_id = state.rng.getrandbits(48)
     return state
--- a/mimosapost/relay/tests/test_crashing_queries.py
+++ b/mimosapost/relay/tests/test_crashing_queries.py
@@ -111,7 +111,7 @@
 
 def test_repeats_after_a_refusal_stay_within_the_bound():
     simulation = create_simulation(SMALL, crashing=[CRASHING], crash_delay_ms=(50, 300))
-    others = send_repeats(simulation, "/look/x", 200, 4, repeat_ms=250)
+    others = send_repeats(simulation, "/look/x", 260, 4, repeat_ms=250)
     assert count_late_arrivals(simulation) <= MAX_LATE_ARRIVALS
     assert list_refused(simulation, others) == []
 
--- a/mimosapost/relay/tests/test_crashing_requests.py
+++ b/mimosapost/relay/tests/test_crashing_requests.py
@@ -33,6 +33,8 @@
 MAX_LATE_ARRIVALS = 3
 SMALL = ("a1", "b1", "c1", "a1")
 LARGE = ("a1", "b1", "c1") * 4
+# An instance that needs no permit of another one to run a suspect.
+ALONE = ("a1",)
 
 
 def create_simulation(domains, **changes) -> SimulatedServers:
@@ -137,7 +139,7 @@
     [(8, SuspicionState.CLEAR), (7, SuspicionState.SUSPECT), (1, SuspicionState.SUSPECT)],
 )
 def test_a_suspect_is_cleared_by_the_answers_of_all_its_servers(answered, standing):
-    simulation = create_simulation(SMALL)
+    simulation = create_simulation(ALONE)
     relay = simulation.fleet["n1"]
     relay.state.suspects.record_crash("10.1.0.1:80", [7], relay.now_us)
     relay.request(fingerprint=7)
@@ -167,7 +169,7 @@
 
 @pytest.mark.parametrize("outcome", list(ProbeOutcome))
 def test_a_part_is_repeated_only_after_the_probe_of_its_server(outcome):
-    relay = create_simulation(SMALL).fleet["n1"]
+    relay = create_simulation(ALONE).fleet["n1"]
     relay.request("/look/x", fingerprint=7)
     (send,) = relay.pop_sends()
     relay.fail(send)
@@ -182,7 +184,7 @@
 
 
 def test_a_suspect_is_never_sent_to_the_last_server_of_a_service():
-    relay = create_simulation(SMALL).fleet["n1"]
+    relay = create_simulation(ALONE).fleet["n1"]
     records = relay.state.by_service["one"]
     for record in records[1:]:
         record.blocked_until_us = relay.now_us + 10_000 * MS
--- a/mimosapost/suspects/tracker.py
+++ b/mimosapost/suspects/tracker.py
@@ -15,6 +15,8 @@
 # of crashes, and only if no other request was in flight at all of them. After two crashes, a
 # harmless request that is sent often can't be distinguished from the cause.
 _MIN_JOINT_CRASHES = 3
+# A suspect is refused after this number of crashes while it ran alone, whatever else crashed.
+_MAX_FAILED_TRIALS = 2
 # Number of recent crashes that are stored, without those that a suspect running alone caused.
 _MAX_UNEXPLAINED_CRASHES = 64
 # Checking every entry of a full table takes about a millisecond, and each gossip message calls
@@ -40,7 +42,8 @@
     request a suspect again. ``crashes_at_refusal`` is the number of crashes at the start of the
     latest refusal. ``local_incidents`` counts the crashes that this instance observed since the
     request became a suspect; ``common_requests`` holds the other requests that were in flight
-    at all of them.
+    at all of them. ``failed_trials`` counts the crashes under this request alone that did not
+    lead to a refusal, because other servers crashed at the same time.
     """
 
     crashes: int = 0
@@ -52,6 +55,7 @@
     expires_us: int = 0
     local_incidents: int = 0
     common_requests: frozenset[int] | None = None
+    failed_trials: int = 0
 
 
 class SuspectTracker:
@@ -166,8 +170,25 @@
         entry.cleared_crashes = entry.crashes
         entry.local_incidents = 0
         entry.common_requests = None
+        entry.failed_trials = 0
         entry.expires_us = now_us + self._suspect_us
 
+    def record_failed_trial(self, fingerprint: int, now_us: int) -> None:
+        """Record that a suspect that ran alone was not refused although its server crashed.
+
+        Another crash at the same time excuses it once: a request that crashes many servers is
+        itself the cause of the others.
+
+        :param fingerprint: fingerprint of the request.
+        :param now_us: monotonic time in microseconds.
+        """
+        entry = self._entries.get(fingerprint)
+        if entry is None or now_us < entry.refused_until_us:
+            return
+        entry.failed_trials += 1
+        if entry.failed_trials >= _MAX_FAILED_TRIALS:
+            self._refuse(entry, now_us)
+
     def classify(self, fingerprint: int, now_us: int) -> SuspicionState:
         """Return whether a request is clear, suspect or refused now.
 
