--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -130,6 +130,37 @@
 declare_counter(
     "mimosapost_relay_server_changes_total", "Changes of the server list.", ("change",)
 )
+declare_counter(
+    "mimosapost_relay_server_crashes_total",
+    "Servers that ended with unanswered requests of this instance, by evidence.",
+    ("evidence",),
+)
+declare_counter(
+    "mimosapost_relay_suspects_total",
+    "Requests that became suspect, refused or clear.",
+    ("standing", "source"),
+)
+declare_counter(
+    "mimosapost_relay_trials_total", "Lone runs of suspects by result.", ("result",)
+)
+declare_counter(
+    "mimosapost_relay_probes_total", "Connections opened after a break.", ("outcome",)
+)
+declare_counter(
+    "mimosapost_relay_limited_parts_total",
+    "Parts withheld because of limits that servers name.",
+    ("outcome",),
+)
+declare_counter(
+    "mimosapost_relay_malformed_headers_total",
+    "Answers with a header that can't be read.",
+    ("header",),
+)
+declare_counter(
+    "mimosapost_relay_odd_entries_total",
+    "Entries of the store that were ignored, by the first part of the key.",
+    ("group",),
+)
 
 
 class Metrics:
