--- a/mimosapost/model/codes.py
+++ b/mimosapost/model/codes.py
@@ -182,7 +182,8 @@
     ),
     ResultCode.REQUEST_REFUSED: Explanation(
         (RunState.NOT_RUN, RunState.UNKNOWN),
-        "The request was in flight when backend servers crashed, and is refused for 60 s.",
+        "The request was in flight when backend servers crashed, and is refused for 60 s or"
+        " longer.",
         "Don't send it again; report it to the team of the service.",
     ),
     ResultCode.STOPPING: Explanation(
--- a/mimosapost/suspects/tests/test_tracker.py
+++ b/mimosapost/suspects/tests/test_tracker.py
@@ -17,6 +17,7 @@
 
     - "crash" and "alone": a server crashes with these requests in flight; "alone" means that
       the request was sent alone because it was a suspect.
+    - "failed": the coordinator hears that a server crashed under the request alone.
     - "answered": the first request is answered.
     - "note": a peer reports a request; its number of crashes and the remaining seconds of its
       refusal follow.
@@ -35,6 +36,8 @@
             tracker.record_crash(f"10.0.0.{number}:80", keys, now_us, ran_alone=call == "alone")
         elif call == "answered":
             tracker.record_answered(keys[0], now_us)
+        elif call == "failed":
+            tracker.record_failed_trial(keys[0], now_us)
         else:
             assert call == "note"
             crashes, refused = map(int, numbers)
@@ -100,6 +103,36 @@
     "a peer's late note of an ended refusal": (
         "0 note P 2 50; 55 note P 2 4; 56 -> suspect clear"
     ),
+    "the second refusal lasts twice as long": (
+        "0 crash P; 5 crash P; 66 alone P; 185 -> refused clear; 187 -> suspect clear"
+    ),
+    "the third refusal lasts four times as long": (
+        "0 crash P; 5 crash P; 66 alone P; 187 alone P; 426 -> refused clear; "
+        "428 -> suspect clear"
+    ),
+    "an answer after a refusal ends the doubling": (
+        "0 crash P; 5 crash P; 66 answered P; 70 crash P; 75 crash P; 134 -> refused clear; "
+        "136 -> suspect clear"
+    ),
+    "a peer's refusal is doubled": "0 note P 2 60; 61 alone P; 180 -> refused clear",
+    "a peer's longer refusal is in force here": (
+        "0 note P 3 120; 119 -> refused clear; 121 -> suspect clear"
+    ),
+    "a peer's late note does not prolong a longer refusal": (
+        "0 note P 3 120; 100 note P 3 120; 121 -> suspect clear"
+    ),
+    "a request stays suspect for as long as it was refused": (
+        "0 crash P; 5 crash P; 66 alone P; 187 alone P; 660 -> suspect clear; "
+        "670 -> clear clear"
+    ),
+    "the second crash alone while others crash is not excused": (
+        "0 crash PN; 4.5 crash QR; 5 alone N; 5 failed N; 6 -> suspect suspect; "
+        "9.5 crash QR; 10 alone N; 10 failed N; 11 -> suspect refused"
+    ),
+    "an answer clears the crash that was excused": (
+        "0 crash PN; 4.5 crash QR; 5 alone N; 5 failed N; 6 answered N; 7 crash N; "
+        "9.5 crash QR; 10 alone N; 10 failed N; 11 -> suspect suspect"
+    ),
 }
 
 
@@ -146,7 +179,7 @@
 def test_repeated_notes_do_not_prolong():
     """Notes that circulate between peers must not prolong a refusal or a suspicion.
 
-    Fails when ``entry.refused_from_us + self._refuse_us`` is dropped from the minimum.
+    Fails when ``entry.refused_from_us + entry.refusal_us`` is dropped from the minimum.
     """
     tracker = SuspectTracker()
     for second in range(59):
--- a/mimosapost/suspects/tracker.py
+++ b/mimosapost/suspects/tracker.py
@@ -40,15 +40,17 @@
     ``cleared_crashes`` is the number of crashes that no longer count, because the request was
     answered after them or they expired. Without it, older notes of peers would make the
     request a suspect again. ``crashes_at_refusal`` is the number of crashes at the start of the
-    latest refusal. ``local_incidents`` counts the crashes that this instance observed since the
-    request became a suspect; ``common_requests`` holds the other requests that were in flight
-    at all of them. ``failed_trials`` counts the crashes under this request alone that did not
-    lead to a refusal, because other servers crashed at the same time.
+    latest refusal, and ``refusal_us`` its length. ``local_incidents`` counts the crashes that
+    this instance observed since the request became a suspect; ``common_requests`` holds the
+    other requests that were in flight at all of them. ``failed_trials`` counts the crashes
+    under this request alone that did not lead to a refusal, because other servers crashed at
+    the same time.
     """
 
     crashes: int = 0
     cleared_crashes: int = 0
     crashes_at_refusal: int = 0
+    refusal_us: int = 0
     refused_from_us: int = 0
     refused_until_us: int = 0
     last_crash_us: int = 0
@@ -66,9 +68,11 @@
     in flight at all of them.
 
     :param limit: largest number of fingerprints that are stored.
-    :param refuse_us: how long a request is refused, in microseconds.
+    :param refuse_us: how long a request is refused for the first time, in microseconds. Each
+        further refusal lasts twice as long as the one before.
+    :param max_refuse_us: longest refusal in microseconds.
     :param suspect_us: time without a further crash after which a suspect is clear, in
-        microseconds.
+        microseconds. After a longer refusal it is the length of that refusal.
     :param incident_us: time within which several crashes of a request count as one, in
         microseconds. When a rack fails, many connections break at once, and several instances
         observe the same crash.
@@ -86,11 +90,13 @@
         self,
         limit: int = 4_096,
         refuse_us: int = 60_000_000,
+        max_refuse_us: int = 3_600_000_000,
         suspect_us: int = 120_000_000,
         incident_us: int = 1_000_000,
     ) -> None:
         self._limit = limit
         self._refuse_us = refuse_us
+        self._max_refuse_us = max_refuse_us
         self._suspect_us = suspect_us
         self._incident_us = incident_us
         self._entries: dict[int, _Entry] = {}
@@ -171,6 +177,7 @@
         entry.local_incidents = 0
         entry.common_requests = None
         entry.failed_trials = 0
+        entry.refusal_us = 0
         entry.expires_us = now_us + self._suspect_us
 
     def record_failed_trial(self, fingerprint: int, now_us: int) -> None:
@@ -225,8 +232,8 @@
         """Merge notes of a peer, in any order and any number of times.
 
         Crash counts merge by maximum, so a crash that several peers report counts once. A
-        refusal ends at the latest ``refuse_us`` after this instance first received it, so that
-        notes that circulate between peers can't prolong it.
+        refusal ends at the latest after its length, counted from the moment at which this
+        instance first received it, so that notes that circulate between peers can't prolong it.
 
         :param notes: notes of a peer.
         :param now_us: monotonic time in microseconds.
@@ -246,21 +253,27 @@
         self._expire_and_evict(now_us)
 
     def _merge_refusal(self, entry: _Entry, note: SuspectNote, now_us: int) -> None:
+        remaining_us = min(note.refused_for_us, self._max_refuse_us)
         if note.crashes > entry.crashes_at_refusal:
             entry.crashes_at_refusal = note.crashes
             entry.refused_from_us = now_us
         elif now_us >= entry.refused_until_us:
             # This instance already ended this refusal; the note is a late copy of it.
             return
-        until_us = min(now_us + note.refused_for_us, entry.refused_from_us + self._refuse_us)
-        entry.refused_until_us = max(entry.refused_until_us, until_us)
-        entry.expires_us = max(entry.expires_us, until_us + self._suspect_us)
+        entry.refusal_us = max(entry.refusal_us, remaining_us)
+        until_us = min(now_us + remaining_us, entry.refused_from_us + entry.refusal_us)
+        self._set_refusal(entry, max(entry.refused_until_us, until_us))
 
     def _refuse(self, entry: _Entry, now_us: int) -> None:
         entry.crashes_at_refusal = entry.crashes
         entry.refused_from_us = now_us
-        entry.refused_until_us = now_us + self._refuse_us
-        entry.expires_us = entry.refused_until_us + self._suspect_us
+        entry.refusal_us = min(max(self._refuse_us, 2 * entry.refusal_us), self._max_refuse_us)
+        self._set_refusal(entry, now_us + entry.refusal_us)
+
+    def _set_refusal(self, entry: _Entry, until_us: int) -> None:
+        entry.refused_until_us = until_us
+        suspect_us = max(self._suspect_us, entry.refusal_us)
+        entry.expires_us = max(entry.expires_us, until_us + suspect_us)
 
     def _is_suspect(self, entry: _Entry, now_us: int) -> bool:
         return entry.crashes > entry.cleared_crashes and now_us < entry.expires_us
@@ -286,6 +299,7 @@
                 del self._entries[key]
             elif now_us >= max(entry.expires_us, entry.refused_until_us):
                 entry.cleared_crashes = entry.crashes
+                entry.refusal_us = 0
         excess = len(self._entries) - self._limit
         if excess > 0:
             order = sorted(
