--- a/mimosapost/relay/hedges.py
+++ b/mimosapost/relay/hedges.py
@@ -17,12 +17,12 @@
 from mimosapost.relay.registry import Effects, TimerKind, handles_timer
 from mimosapost.relay.sends import (
     emit_send,
-    is_restricted,
     queue_hedge,
     rank_warm_servers,
 )
 from mimosapost.relay.server_selection import ServerRecord
 from mimosapost.relay.state import HedgeDue, OpenRequest, Part, RelayState
+from mimosapost.suspects.tracker import SuspicionState
 
 __all__ = ["start_hedges"]
 
@@ -55,7 +55,8 @@
     now_us: int,
     effects: Effects,
 ) -> None:
-    if is_restricted(state, open_request, now_us):
+    fingerprint = open_request.request.fingerprint
+    if state.suspects.classify(fingerprint, now_us) is not SuspicionState.CLEAR:
         return
     can_gather = state.peers is not None and bool(open_request.route.shards)
     linked_domains = list_linked_domains(state.peers, now_us) if can_gather else ()
--- a/mimosapost/relay/tests/server_simulation.py
+++ b/mimosapost/relay/tests/server_simulation.py
@@ -46,6 +46,7 @@
     :param is_silent: whether a crashed server answers nothing instead of breaking connections.
     :param crash_delay_ms: shortest and longest time in milliseconds from the arrival of such a
         request until its server crashes.
+    :param crashing_services: services whose servers crash; all of them if empty.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         is_silent: bool = False,
         seed: int = 1,
         crash_delay_ms: tuple[int, int] = (0, 0),
+        crashing_services=(),
     ) -> None:
         self.fleet = fleet
         for relay in fleet.relays.values():
@@ -66,6 +68,7 @@
         self.down_us = down_ms * MS
         self.is_silent = is_silent
         self.crash_delay_ms = crash_delay_ms
+        self.crashing_services = set(crashing_services)
         #: Limit in requests per second that a server names in its answers, by address.
         self.limits: dict[str, float] = {}
         #: Time at which an instance first got such an answer, by address and instance.
@@ -130,7 +133,8 @@
             return
         fingerprint = send.request.fingerprint
         self.arrivals.append(Arrival(now_us, name, server, fingerprint))
-        if fingerprint in self.crashing:
+        services = self.crashing_services
+        if fingerprint in self.crashing and (not services or server.service in services):
             delay_us = self.rng.randint(*self.crash_delay_ms) * MS
             if delay_us:
                 self._add(now_us + delay_us, partial(self._crash_process, server))
@@ -140,6 +144,9 @@
         self._add(now_us + ANSWER_US, lambda: self._answer(name, relay, send))
 
     def _answer(self, name, relay, send: StartSend) -> None:
+        running = self.running.get(send.server.address)
+        if running is None or running.server_id != send.server.server_id:
+            return
         if self._open.pop((name, send.send_id), None) is not None:
             limit = self.limits.get(send.server.address)
             if limit is not None:
--- a/mimosapost/relay/tests/test_crashing_queries.py
+++ b/mimosapost/relay/tests/test_crashing_queries.py
@@ -42,7 +42,11 @@
     servers = [s for shard in SHARDS for s in create_servers(shard)]
     servers += create_servers("one", ONE_SERVICE)
     servers = [replace(s, address=f"10.1.{n}.1:80") for n, s in enumerate(servers)]
-    routes = [create_route(shards=SHARDS, min_coverage=0.75), create_single_route()]
+    routes = [
+        create_route(shards=SHARDS, min_coverage=0.75),
+        create_single_route(),
+        create_single_route("order", repeatable=False),
+    ]
     fleet = Fleet(list(domains), routes, servers, delay_ms=1.0)
     simulation = SimulatedServers(fleet, servers, **changes)
     for second in range(4):
@@ -142,3 +146,33 @@
     send_repeats(simulation, "/search/x", 1, copies, repeat_ms=50)
     refused = [reply for reply in simulation.replies.values() if isinstance(reply, Refusal)]
     assert refused == []
+
+
+@pytest.mark.parametrize("is_silent", [False, True], ids=["reset", "silent"])
+@pytest.mark.parametrize("domains", [SMALL, LARGE], ids=["small", "large"])
+def test_repeats_of_requests_that_a_failing_rack_dropped_are_served(domains, is_silent):
+    simulation = create_simulation(domains, is_silent=is_silent)
+    names = sorted(simulation.fleet.relays)
+    rng = random.Random(1)
+    first, repeats = {}, []
+    for at_ms in range(4_000):
+        if at_ms == 1_003:
+            for address, server in list(simulation.running.items()):
+                if server.domain == "a1":
+                    simulation.crash(address)
+        for _ in range(40 if at_ms == 1_000 else at_ms % 10 == 0):
+            name, path = rng.choice(names), rng.choice(("/search/y", "/look/y", "/order/y"))
+            fingerprint = 10_000 + len(first) + len(repeats)
+            number = simulation.fleet[name].request(path, fingerprint=fingerprint)
+            first[name, number] = (path, fingerprint)
+        for request in [r for r in first if isinstance(simulation.replies.get(r), Refusal)]:
+            path, fingerprint = first.pop(request)
+            name = rng.choice([name for name in names if name != request[0]])
+            number = simulation.fleet[name].request(path, fingerprint=fingerprint)
+            repeats.append((name, number))
+        simulation.advance(1)
+    simulation.advance(700)
+    assert list_refused(simulation, simulation.replies) == []
+    assert len(repeats) >= 3
+    failed = [r for r in repeats if isinstance(simulation.replies[r], Refusal)]
+    assert len(failed) <= 0.1 * len(repeats), f"{len(failed)} of {len(repeats)}"
