--- a/mimosapost/platform/tests/soak.py
+++ b/mimosapost/platform/tests/soak.py
@@ -5,15 +5,17 @@
 an instance and the store or a server goes through a loopback proxy in this process. Each
 instance has a region of its own, one of them without servers, so that they gather parts of
 queries for each other. With ``--feeds`` four more share a region, so that one of them reads the
-store for the others. Links between instances are disturbed by signals only. The guarantees are
-checked from the replies to callers, from the requests that servers received, and from the
-configuration that each instance has in the end.
+store for the others, and with ``--instances`` there are so many in the same places. Links
+between instances are disturbed by signals only. The guarantees are checked from the replies to
+callers, from the requests that servers received, and from the configuration that each instance
+has in the end.
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import itertools
 import os
 import random
 import signal
@@ -49,6 +51,7 @@
 # Time between requests that crash servers, for which a crashed server is down, and the users'
 # rule for them: so many in a longer time than the instances need to learn of the third crash.
 _CRASH_INTERVAL_SECONDS = 0.1
+_CRASH_COPIES = 3
 _DOWN_SECONDS = 0.8
 _CONTACT_SECONDS = 2.0
 _MAX_LATE_CRASHES = 3
@@ -305,10 +308,15 @@
                 proxy.repeat_share = proxy.reject_share = 0.0
 
     async def _send_crashing_requests(self) -> None:
-        """Send the same request, which crashes its servers, to one instance after another."""
+        """Send the same request, which crashes its servers, to several instances at once."""
         for number in range(int(self.seconds / _CRASH_INTERVAL_SECONDS)):
-            process = self.processes[number % len(self.processes)]
-            await self._send_request(process, "search", f"c{number}-{process.index}", "crash")
+            async with asyncio.TaskGroup() as copies:
+                for copy in range(_CRASH_COPIES):
+                    process = self.processes[(number + copy) % len(self.processes)]
+                    request_id = f"c{number}-{process.index}"
+                    copies.create_task(
+                        self._send_request(process, "search", request_id, "crash")
+                    )
             await asyncio.sleep(_CRASH_INTERVAL_SECONDS)
 
     async def _send_bookings(self) -> None:
@@ -557,10 +565,13 @@
     parser.add_argument("--seeds", type=int, nargs="+", default=[1])
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--feeds", action="store_true")
+    parser.add_argument("--instances", type=int, default=0)
     arguments = parser.parse_args()
     failed = 0
+    places = FEED_PLACES if arguments.feeds else PLACES
+    if arguments.instances:
+        places = tuple(itertools.islice(itertools.cycle(PLACES), arguments.instances))
     for seed in arguments.seeds:
-        places = FEED_PLACES if arguments.feeds else PLACES
         soak = asyncio.run(run_seed(seed, arguments.seconds, places))
         failed += bool(soak.broken)
         sys.stdout.write(
--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -45,20 +45,22 @@
 @handles(RequestArrived)
 def admit(state: RelayState, event: RequestArrived, effects: Effects) -> None:
     """Start a request, hold it until the first configuration, or refuse it."""
-    if state.catalog is None or not state.servers_listed:
+    if not state.can_admit():
         hold_request(state, event.request, event.now_us, effects)
         return
     _admit(state, state.catalog, event.request, event.now_us, effects)
 
 
 def admit_held_requests(state: RelayState, now_us: int, effects: Effects) -> None:
-    """Start the requests held for the first configuration, the most urgent first.
+    """Start the requests held for the start of this instance, the most urgent first.
 
     They are refused if the configuration source has failed or has listed the servers without
     a configuration.
     """
     catalog = state.catalog
-    if not state.held_requests or not (state.servers_listed or state.source_lost_us):
+    if not state.held_requests or not state.is_introduced:
+        return
+    if not (state.servers_listed or state.source_lost_us):
         return
     held_requests, state.held_requests = list(state.held_requests.values()), {}
     if catalog is None or not state.servers_listed:
--- a/mimosapost/relay/gossip.py
+++ b/mimosapost/relay/gossip.py
@@ -40,6 +40,10 @@
 # and reads the source itself. All instances may start at the same moment under traffic.
 _FIRST_ROUND_US = 250_000
 _FIRST_ROUNDS = 12
+# Time after the start in which another instance tells which requests crash servers. Before that
+# no request is sent, because this instance may have refused the same one before its restart.
+# A read of the configuration takes about as long.
+_INTRODUCTION_US = 150_000
 # Members in one message. A report takes about 110 bytes.
 _REPORTS = 6
 # An instance that knows no member asks a seed in each round; others do so in every 16th round,
@@ -50,8 +54,23 @@
 @handles(InstanceStarted)
 def start_gossip(state: RelayState, event: InstanceStarted, effects: Effects) -> None:
     """Start the rounds of gossip if the instance has a peer address."""
-    if state.peers is not None:
-        run_gossip_round(state, 0, event.now_us, effects)
+    if state.peers is None:
+        return
+    own_address = state.peers.own.peer_address
+    if any(address != own_address for address in state.peers.seed_addresses):
+        state.is_introduced = False
+        state.timers.add(event.now_us + _INTRODUCTION_US, TimerKind.INTRODUCTION)
+    run_gossip_round(state, 0, event.now_us, effects)
+
+
+@handles_timer(TimerKind.INTRODUCTION)
+def end_introduction(state: RelayState, _key: int, _now_us: int, effects: Effects) -> None:
+    """Admit requests although no other instance has answered since the start."""
+    if not state.is_introduced:
+        state.is_introduced = True
+        effects.append(
+            WriteLog("introduction_missed", (("waited_ms", _INTRODUCTION_US // 1_000),))
+        )
 
 
 @handles_timer(TimerKind.GOSSIP)
@@ -166,6 +185,7 @@
         return
     peers.members.record_gossip(message, now_us)
     merge_suspects(state, message.suspects, now_us, effects)
+    state.is_introduced = True
     for report in message.members:
         if peers.belongs(report.identity):
             peers.members.record_report(report, now_us)
--- a/mimosapost/relay/registry.py
+++ b/mimosapost/relay/registry.py
@@ -45,6 +45,7 @@
     NOTES = 11
     DISPATCH = 12
     TRIAL = 13
+    INTRODUCTION = 14
 
 
 _EVENT_HANDLERS: dict[type[Event], Callable[..., None]] = {}
--- a/mimosapost/relay/startup_hold.py
+++ b/mimosapost/relay/startup_hold.py
@@ -1,4 +1,6 @@
-"""Hold of requests that arrive before the first configuration is read.
+"""Hold of requests that arrive before the instance can send them.
+
+It needs the configuration, and to hear from another instance which requests crash servers.
 
 If all instances restart at once under traffic, a refused caller's only retry would reach
 another instance that has just started. The configuration source answers within some tens of
@@ -32,7 +34,8 @@
 ) -> None:
     """Hold a request until the first configuration, or refuse it if a hold cannot help."""
     left_us = request.deadline_us - now_us
-    cannot_succeed = state.servers_listed or state.source_lost_us or state.stop_requested_us
+    is_unread = state.servers_listed and state.is_introduced
+    cannot_succeed = is_unread or state.source_lost_us or state.stop_requested_us
     if cannot_succeed or left_us <= 0 or len(state.held_requests) >= _MAX_HELD_REQUESTS:
         refuse_not_configured(state, request, effects)
         return
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -330,6 +330,8 @@
     """Complete state of the relay; only event and timer handlers change it.
 
     :param servers_listed: whether a complete server list has been read.
+    :param is_introduced: whether another instance has told which requests it refuses, or the
+        time for that is over.
     :param held_requests: requests that wait for the first configuration, by number.
     :param cold_rates: rate of sends to each cold server that was considered, by server id.
     :param waiting: parts that wait for servers with room, by service, with the rank of the
@@ -365,6 +367,7 @@
     timers: Timers = field(default_factory=Timers)
     catalog: Catalog | None = None
     servers_listed: bool = False
+    is_introduced: bool = True
     servers: dict[str, ServerRecord] = field(default_factory=dict)
     by_service: dict[str, list[ServerRecord]] = field(default_factory=dict)
     domains_out: frozenset[str] = frozenset()
@@ -406,7 +409,11 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send callers to this instance."""
-        return self.catalog is not None and self.servers_listed and not self.stop_requested_us
+        return self.can_admit() and not self.stop_requested_us
+
+    def can_admit(self) -> bool:
+        """Return whether requests can be sent to servers."""
+        return self.catalog is not None and self.servers_listed and self.is_introduced
 
     def get_pools(self, route: Route) -> tuple[LatencyPool, ...]:
         """Return the answer times of a route by distance class."""
--- a/mimosapost/relay/tests/fleet_harness.py
+++ b/mimosapost/relay/tests/fleet_harness.py
@@ -35,23 +35,38 @@
         self.messages: list[tuple[str, str, object]] = []
         self._in_transit: list[tuple[int, int, str, str, bytes]] = []
         self._order = itertools.count()
-        self.relays: dict[str, Relay] = {}
-        for number, domain in enumerate(domains, 1):
-            relay = Relay(
-                routes,
-                servers,
-                domain=domain,
-                seed=number,
-                name=f"n{number}",
-                peer_address=create_address(number),
-                seed_addresses=tuple(create_address(seed) for seed in seeds),
-            )
-            self.relays[f"n{number}"] = relay
+        self._routes = routes
+        self._domains = domains
+        self._seeds = seeds
+        self.relays: dict[str, Relay] = {
+            f"n{number}": self._create_relay(number, servers)
+            for number in range(1, len(domains) + 1)
+        }
         self.now_us = next(iter(self.relays.values())).now_us
         for relay in self.relays.values():
             relay.apply_event(InstanceStarted(self.now_us))
         self._collect()
 
+    def _create_relay(self, number: int, servers) -> Relay:
+        return Relay(
+            self._routes,
+            servers,
+            domain=self._domains[number - 1],
+            seed=number,
+            name=f"n{number}",
+            peer_address=create_address(number),
+            seed_addresses=tuple(create_address(seed) for seed in self._seeds),
+        )
+
+    def restart(self, name: str, servers) -> Relay:
+        """Replace an instance by one that knows only the configuration and the servers."""
+        relay = self.relays[name] = self._create_relay(int(name[1:]), servers)
+        relay.state.rng.seed(self.now_us)
+        relay.now_us = self.now_us
+        relay.apply_event(InstanceStarted(self.now_us))
+        self._collect()
+        return relay
+
     def __getitem__(self, name: str) -> Relay:
         return self.relays[name]
 
--- a/mimosapost/relay/tests/server_simulation.py
+++ b/mimosapost/relay/tests/server_simulation.py
@@ -188,6 +188,13 @@
             relay.apply_event(ServerUnlisted(now_us, server.server_id, "removed"))
             relay.apply_event(ServerListed(now_us, new))
 
+    def restart(self, name: str):
+        """Restart an instance; its open sends are lost."""
+        relay = self.fleet.restart(name, list(self.running.values()))
+        relay.probe_outcome = None
+        self._open = {key: send for key, send in self._open.items() if key[0] != name}
+        return relay
+
     def count_limited(self, address: str, window_us: int, delay_us: int) -> int:
         """Return the largest number of arrivals at a server in a window.
 
--- a/mimosapost/relay/tests/test_trials.py
+++ b/mimosapost/relay/tests/test_trials.py
@@ -177,3 +177,27 @@
         request_everywhere(simulation, "/look/x", CRASHING)
         simulation.advance(1_000)
     assert simulation.count_arrivals(CRASHING) <= 2
+
+
+@pytest.mark.parametrize("path", ["/look/x", "/search/x"])
+def test_an_instance_that_restarts_refuses_at_once_what_the_others_refuse(path):
+    simulation = create_suspects(crash_delay_ms=(30, 120))
+    simulation.fleet["n2"].request(path, 600, CRASHING)
+    simulation.advance(4_000)
+    arrivals = simulation.count_arrivals(CRASHING)
+    relay = simulation.restart("n3")
+    early = ("n3", relay.request(path, 600, CRASHING))
+    other = ("n3", relay.request(path, 600, HARMLESS))
+    simulation.advance(700)
+    assert simulation.count_arrivals(CRASHING) == arrivals
+    assert simulation.replies[early].code is ResultCode.REQUEST_REFUSED
+    assert not isinstance(simulation.replies[other], Refusal)
+
+
+def test_an_instance_that_restarts_without_others_serves_soon():
+    simulation = create_simulation(SMALL)
+    relay = simulation.restart("n3")
+    cut_off(simulation, "n3")
+    request = ("n3", relay.request("/look/x", 900, HARMLESS))
+    simulation.advance(200)
+    assert not isinstance(simulation.replies[request], Refusal)
