--- a/mimosapost/relay/tests/test_trials.py
+++ b/mimosapost/relay/tests/test_trials.py
@@ -10,7 +10,9 @@
 
 from mimosapost.model.codes import ResultCode
 from mimosapost.model.peer_messages import SuspectNote, TrialMessage, TrialStep
+from mimosapost.relay.crashes import RESTART_WINDOW_US, record_crash
 from mimosapost.relay.messages import Refusal
+from mimosapost.relay.state import UnansweredSend
 from mimosapost.relay.tests.relay_harness import MS
 from mimosapost.relay.tests.test_crashing_queries import SHARDS, create_simulation
 from mimosapost.relay.tests.test_crashing_requests import CRASHING, LARGE, SMALL
@@ -201,3 +203,32 @@
     request = ("n3", relay.request("/look/x", 900, HARMLESS))
     simulation.advance(200)
     assert not isinstance(simulation.replies[request], Refusal)
+
+
+def test_a_trial_outlives_the_deadline_of_its_caller():
+    simulation = create_suspects(is_silent=True, crash_delay_ms=(30, 120))
+    simulation.fleet["n1"].request("/look/x", 40, CRASHING)
+    simulation.advance(400)
+    assert simulation.count_arrivals(CRASHING) == 1
+    assert get_standings(simulation, CRASHING) == {SuspicionState.REFUSED}
+
+
+def test_late_evidence_of_an_earlier_crash_does_not_fail_a_trial():
+    simulation = create_suspects(fingerprint=HARMLESS)
+    relay = simulation.fleet["n1"]
+    address = next(iter(simulation.running))
+    old = UnansweredSend(relay.now_us - 1_000 * MS, relay.now_us - 1_500 * MS, False, False)
+    relay.state.unanswered[address] = {HARMLESS: old}
+    first = ("n1", relay.request("/search/x", 600, HARMLESS))
+    simulation.advance(5)
+    record_crash(
+        relay.state, address, "restarted", RESTART_WINDOW_US, relay.now_us, relay.effects
+    )
+    simulation.advance(300)
+    later = [
+        (name, r.request("/look/x", 600, HARMLESS))
+        for name, r in simulation.fleet.relays.items()
+    ]
+    simulation.advance(300)
+    replies = [simulation.replies[request] for request in (first, *later)]
+    assert [reply for reply in replies if isinstance(reply, Refusal)] == []
