--- a/mimosapost/model/peer_messages.py
+++ b/mimosapost/model/peer_messages.py
@@ -27,9 +27,9 @@
     "SubtreeReply",
     "SubtreeRequest",
     "SuspectNote",
+    "TreeVersion",
     "TrialMessage",
     "TrialStep",
-    "TreeVersion",
     "WarmupNote",
 ]
 
--- a/mimosapost/relay/trials.py
+++ b/mimosapost/relay/trials.py
@@ -168,12 +168,10 @@
         _handle_reply(state, peer, message, now_us, effects)
 
 
-# The coordinator's part.
-
-
 def _handle_request(
     state: RelayState, peer: str, message: TrialMessage, now_us: int, effects: Effects
 ) -> None:
+    """Permit, queue or deny a trial, as the coordinator of its request."""
     fingerprint, trial_id = message.fingerprint, message.trial_id
     suspicion = state.suspects.classify(fingerprint, now_us)
     if suspicion is SuspicionState.CLEAR:
@@ -226,6 +224,7 @@
 def _handle_result(
     state: RelayState, peer: str, message: TrialMessage, now_us: int, effects: Effects
 ) -> None:
+    """Pass on the result of a trial, as the coordinator of its request."""
     fingerprint = message.fingerprint
     permit = state.trial_permits.get(fingerprint)
     if permit is None or (permit.holder, permit.trial_id) != (peer, message.trial_id):
@@ -282,12 +281,10 @@
         _fail_waiting(state, trial, _REPLY_US, now_us, effects)
 
 
-# The part of the instance that has the request.
-
-
 def _handle_reply(
     state: RelayState, peer: str, message: TrialMessage, now_us: int, effects: Effects
 ) -> None:
+    """Run, start or refuse the waiting requests, as the coordinator decided."""
     fingerprint = message.fingerprint
     trial = state.trials.get(fingerprint)
     if trial is None or (trial.coordinator, trial.trial_id) != (peer, message.trial_id):
