--- a/mimosapost/relay/catalog.py
+++ b/mimosapost/relay/catalog.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from types import MappingProxyType
 
-__all__ = ["CallerLimits", "Catalog", "Route", "ServiceRules", "create_catalog"]
+__all__ = ["CallerLimits", "Catalog", "Route", "ServiceRules", "Workspace", "create_catalog"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +44,23 @@
     regions: frozenset[str] = frozenset()
 
 
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """A customer of the operator, identified by the keys of its callers.
+
+    :param rank: priority of its requests in place of the route's; ``None`` for the route's.
+    :param per_second: requests per second over all instances together; 0 for no limit.
+    :param burst: requests beyond that rate that may come at once.
+    :param regions: regions whose servers may be used; empty for all.
+    """
+
+    name: str
+    rank: int | None = None
+    per_second: float = 0.0
+    burst: float = 0.0
+    regions: frozenset[str] = frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceRules:
     """Limits that apply to each server of one service.
