Find the workspace of each request by its key and tell servers its name

Callers' keys and names were passed on to servers, and requests without a known key ran. Keys are held as digests, in the feed between instances too; gathers carry the name of the workspace; its priority and regions apply.

--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -156,6 +156,22 @@
     "Answers with a header that can't be read.",
     ("header",),
 )
+declare_counter(
+    "mimosapost_relay_workspace_requests_total", "Requests with a known key.", ("workspace",)
+)
+declare_counter(
+    "mimosapost_relay_workspace_replies_total",
+    "Replies to started requests of a workspace by result code.",
+    ("workspace", "code"),
+)
+declare_counter(
+    "mimosapost_relay_key_refusals_total", "Requests without a known key.", ("reason",)
+)
+declare_counter(
+    "mimosapost_relay_workspace_faults_total",
+    "Workspaces and keys that a configuration lost.",
+    ("kind",),
+)
 declare_counter(
     "mimosapost_relay_odd_entries_total",
     "Entries of the store that were ignored, by the first part of the key.",
--- a/mimosapost/membership/codec.py
+++ b/mimosapost/membership/codec.py
@@ -50,6 +50,7 @@
 MAX_FRAME_BYTES = 2 * 2**20
 MAX_SUBTREE_TEXT_BYTES = 2**20
 _MAX_NAME_BYTES = 64
+_MAX_WORKSPACE_BYTES = 200
 # The published settings allow at most 1,000 teams and 10,000 seats. The subtree ``fleet`` is
 # announced in addition to those of the teams.
 _MAX_SUBTREES = 1_001
@@ -423,6 +424,7 @@
         "remainingUs": message.remaining_us,
         "shards": _write_bitmap(message.shards, "shards"),
         "hedge": message.is_hedge,
+        "workspace": _check_name(message.workspace, "workspace", _MAX_WORKSPACE_BYTES),
     }
 
 
@@ -439,6 +441,7 @@
         remaining_us=reader.remainingUs,
         shards=_read_bitmap(reader.shards, "shards"),
         is_hedge=reader.hedge,
+        workspace=_check_name(reader.workspace, "workspace", _MAX_WORKSPACE_BYTES),
     )
 
 
--- a/mimosapost/membership/peer.capnp
+++ b/mimosapost/membership/peer.capnp
@@ -104,6 +104,7 @@
   remainingUs @7 :UInt64;
   shards @8 :Data;
   hedge @9 :Bool;
+  workspace @10 :Text;
 }
 
 # The signatures follow the order of the shards and are separated by commas.
--- a/mimosapost/model/peer_messages.py
+++ b/mimosapost/model/peer_messages.py
@@ -205,6 +205,7 @@
     :param remaining_us: time left until the deadline, in microseconds.
     :param shards: indexes of the shards within the route, ascending.
     :param is_hedge: whether the shards were asked before, so that little time is left.
+    :param workspace: name of the caller's workspace in that version; empty for none.
     """
 
     gather_id: int
@@ -217,6 +218,7 @@
     remaining_us: int
     shards: tuple[int, ...]
     is_hedge: bool = False
+    workspace: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/mimosapost/platform/http_codec.py
+++ b/mimosapost/platform/http_codec.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict
 
 from mimosapost.model.codes import ResultCode, get_http_status
+from mimosapost.platform.workspace_entries import digest_key
 from mimosapost.relay.effects import StartSend
 from mimosapost.relay.messages import (
     ForwardedReply,
@@ -46,6 +47,10 @@
 # Id of the server process that the request is meant for. A process with another id, for example
 # one that now uses the same address, answers with status 421.
 _EXPECTED_SERVER_HEADER = b"x-expect-instance"
+# Key of the caller's workspace; servers never receive it where workspaces are configured.
+_KEY_HEADER = b"x-key"
+# Name of the workspace, which only the relay may state.
+_WORKSPACE_HEADER = b"x-tenant"
 _NOT_RUN_HEADER = b"x-not-executed"
 # Signature that the server makes of its answer; it does not cover the caller's request.
 _SIGNATURE_HEADER = b"x-response-seal"
@@ -89,12 +94,16 @@
         if not header_values.get(_REQUEST_ID_HEADER):
             raise ValueError("header X-Request-Id is missing or empty")
         head_lines = [f"{method} {target} HTTP/1.1".encode("latin-1")]
+        workspace_lines = []
         for lower_name, name, value in pairs:
             if lower_name not in dropped and lower_name not in (
                 _REMAINING_TIME_HEADER,
                 _EXPECTED_SERVER_HEADER,
             ):
-                head_lines.append(name + b": " + value)
+                is_withheld = lower_name in (_KEY_HEADER, _WORKSPACE_HEADER)
+                lines = workspace_lines if is_withheld else head_lines
+                lines.append(name + b": " + value)
+        keys = [value for lower_name, _, value in pairs if lower_name == _KEY_HEADER]
         if body or b"content-length" in header_values or b"transfer-encoding" in header_values:
             head_lines.append(b"Content-Length: %d" % len(body))
         host = header_values.get(b"host", b"").lower()
@@ -109,6 +118,9 @@
             b"\r\n".join(head_lines),
             body,
             digest.intdigest(),
+            # Of several keys none is certain to be the caller's.
+            digest_key(keys[0]) if len(keys) == 1 and keys[0] else b"",
+            b"\r\n".join(workspace_lines),
         )
 
     def encode_send(self, send: StartSend, now_us: int) -> bytes:
@@ -118,8 +130,10 @@
             is computed.
         """
         remaining_ms = max(1, (send.deadline_us - now_us) // 1_000)
-        return b"%s\r\nX-Deadline-Ms: %d\r\nX-Expect-Instance: %s\r\n\r\n%s" % (
+        workspace = send.workspace.encode()
+        return b"%s%s\r\nX-Deadline-Ms: %d\r\nX-Expect-Instance: %s\r\n\r\n%s" % (
             send.request.head,
+            b"\r\nX-Tenant: " + workspace if workspace else b"",
             remaining_ms,
             send.server.server_id.encode(),
             send.request.body,
--- a/mimosapost/platform/store_calls.py
+++ b/mimosapost/platform/store_calls.py
@@ -12,8 +12,10 @@
 import msgspec
 
 from mimosapost.model.peer_messages import SourceEntry
+from mimosapost.platform.workspace_entries import seal_config
 
 __all__ = [
+    "CONFIG_KEY",
     "AnswerTooLarge",
     "Changes",
     "HistoryLost",
@@ -23,6 +25,8 @@
     "fetch_answer",
 ]
 
+#: Key of the operator's configuration.
+CONFIG_KEY = "op/config"
 # Longest wait for the next bytes of an answer. A slow store takes up to 250 ms until an answer
 # begins. The whole answer may take longer: when 300 instances start at once, a list of one
 # megabyte takes seconds.
@@ -103,9 +107,14 @@
 
 
 def create_entry(item: Item) -> SourceEntry:
-    """Return an item with its value decoded; a value that is not valid is left empty."""
+    """Return an item with its value decoded; a value that is not valid is left empty.
+
+    The configuration has digests in the place of keys.
+    """
     try:
         value = base64.b64decode(item.value or "", validate=True)
     except (binascii.Error, ValueError):
         value = b""
+    if item.key == CONFIG_KEY:
+        value = seal_config(value)
     return SourceEntry(item.key, item.revision, value, item.removed)
--- a/mimosapost/platform/store_entries.py
+++ b/mimosapost/platform/store_entries.py
@@ -9,6 +9,7 @@
 import msgspec
 from msgspec import Meta
 
+from mimosapost.platform.workspace_entries import decode_workspaces, seal_config
 from mimosapost.relay.catalog import (
     CallerLimits,
     Catalog,
@@ -75,6 +76,7 @@
     topK: _Integer = 0  # noqa: N815
     minCoverage: float = 0.0  # noqa: N815
     allowedRegions: list[str] | None = None  # noqa: N815
+    public: bool | None = False
 
 
 class _Service(msgspec.Struct):
@@ -95,6 +97,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: Any = msgspec.UNSET
 
 
 def _decode_json(data: bytes, struct_type: Any) -> Any:
@@ -144,9 +147,9 @@
     """Decode a version of the operator's configuration.
 
     :param data: the configuration as JSON.
-    :raises EntryError: if any part of the configuration is unusable.
+    :raises EntryError: if any part of the configuration but its workspaces is unusable.
     """
-    config = _decode_json(data, _Config)
+    config = _decode_json(seal_config(data), _Config)
     limits = CallerLimits(
         config.limits.maxHeaderBytes,
         config.limits.maxBodyBytes,
@@ -157,7 +160,13 @@
         if 0 < service.warmupPerS < _MIN_COLD_PER_SECOND:
             raise EntryError(f"warmupPerS of {service.name[:40]!r} is {service.warmupPerS}")
     services = [ServiceRules(s.name, s.maxConns, s.warmupPerS) for s in config.services]
-    return create_catalog(config.version, map(_create_route, config.routes), services, limits)
+    return create_catalog(
+        config.version,
+        map(_create_route, config.routes),
+        services,
+        limits,
+        None if config.tenants is msgspec.UNSET else decode_workspaces(config.tenants),
+    )
 
 
 def _create_route(route: _Route) -> Route:
@@ -183,4 +192,5 @@
         route.topK,
         route.minCoverage,
         frozenset(route.allowedRegions or ()),
+        bool(route.public),
     )
--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -19,6 +19,7 @@
 from mimosapost.model.events import Event
 from mimosapost.model.peer_messages import SourceEntry
 from mimosapost.platform.store_calls import (
+    CONFIG_KEY,
     AnswerTooLarge,
     Changes,
     HistoryLost,
@@ -43,7 +44,6 @@
 __all__ = ["StoreReader", "get_next_pause"]
 
 _SERVER_PREFIX = "servers/"
-_CONFIG_KEY = "op/config"
 _DOMAIN_OUT_PREFIX = "op/evacuate/"
 # Part of the detection time that is reserved for detecting a lost answer and reading the whole
 # list again; a watch waits for changes during the rest.
@@ -281,7 +281,7 @@
         self._is_list_needed = False
         self._revisions = {entry.key: entry.revision for entry in entries}
         for entry in entries:
-            if entry.key == _CONFIG_KEY:
+            if entry.key == CONFIG_KEY:
                 self._apply_config(entry)
         domains_out = (
             entry.key.removeprefix(_DOMAIN_OUT_PREFIX)
@@ -356,7 +356,7 @@
             self._set_domains_out(
                 self._domains_out - domain if entry.is_removed else self._domains_out | domain
             )
-        elif entry.key == _CONFIG_KEY and not entry.is_removed:
+        elif entry.key == CONFIG_KEY and not entry.is_removed:
             self._apply_config(entry)
 
     def _set_domains_out(self, domains: frozenset[str]) -> None:
@@ -404,5 +404,5 @@
 
 def _get_value(entry: SourceEntry) -> bytes:
     if not entry.value:
-        raise EntryError("value is empty or not valid base64")
+        raise EntryError("value is empty, or not valid base64 or JSON")
     return entry.value
--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 from mimosapost.model.codes import ResultCode
-from mimosapost.model.effects import WriteLog
-from mimosapost.relay.catalog import Catalog, Route
+from mimosapost.model.effects import IncrementCounter, WriteLog
+from mimosapost.relay.catalog import Catalog, Route, choose_rank
 from mimosapost.relay.completion import check_progress, end_request, fail_part, refuse_request
 from mimosapost.relay.events import CallerLeft, RequestArrived
 from mimosapost.relay.gathers import PlannedPart, assign_domains, start_gather
@@ -29,6 +29,12 @@
 from mimosapost.relay.startup_hold import hold_request, refuse_not_configured
 from mimosapost.relay.state import OpenRequest, Part, RelayState
 from mimosapost.relay.weighted_round_robin import WeightedRoundRobin
+from mimosapost.relay.workspaces import (
+    UnknownKeyError,
+    find_workspace,
+    refuse_unknown_key,
+    settle_head,
+)
 from mimosapost.suspects.tracker import SuspicionState
 
 __all__ = ["admit_held_requests"]
@@ -70,7 +76,11 @@
 
     def get_rank(request: RelayRequest) -> int:
         route = catalog.find_route(request.host, request.target)
-        return route.rank if route is not None else 0
+        try:
+            workspace = find_workspace(catalog, route, request)
+        except UnknownKeyError:
+            return 0
+        return choose_rank(route, workspace) if route is not None else 0
 
     for request in sorted(held_requests, key=get_rank):
         _admit(state, catalog, request, now_us, effects)
@@ -84,6 +94,15 @@
         refusal = Refusal(ResultCode.UNKNOWN_SERVICE, 0, f"no route for {request.host}")
         refuse_request(state, request.request_number, request.request_id, refusal, effects)
         return
+    try:
+        workspace = find_workspace(catalog, route, request)
+    except UnknownKeyError as error:
+        refuse_unknown_key(state, request, error, effects)
+        return
+    if workspace is not None:
+        labels = (("workspace", workspace.name),)
+        effects.append(IncrementCounter("mimosapost_relay_workspace_requests_total", labels))
+    request = settle_head(catalog, request)
     if state.suspects.classify(request.fingerprint, now_us) is SuspicionState.REFUSED:
         refusal = Refusal(ResultCode.REQUEST_REFUSED, 0, "crashed servers")
         refuse_request(state, request.request_number, request.request_id, refusal, effects)
@@ -99,6 +118,7 @@
     services = route.shards or (_choose_service(state, route),)
     parts = [Part(service, shard=shard) for shard, service in enumerate(services)]
     open_request = OpenRequest(request, route, catalog.version, now_us, deadline_us, parts)
+    open_request.workspace = workspace
     open_request.open_parts = len(parts)
     if deadline_us - now_us < _MIN_REMAINING_US:
         refusal = Refusal(ResultCode.DEADLINE_TOO_SHORT, _MIN_REMAINING_US, "no time left")
--- a/mimosapost/relay/catalog.py
+++ b/mimosapost/relay/catalog.py
@@ -6,7 +6,18 @@
 from dataclasses import dataclass, field
 from types import MappingProxyType
 
-__all__ = ["CallerLimits", "Catalog", "Route", "ServiceRules", "Workspace", "create_catalog"]
+__all__ = [
+    "CallerLimits",
+    "Catalog",
+    "Route",
+    "ServiceRules",
+    "Workspace",
+    "WorkspaceFault",
+    "WorkspaceRules",
+    "choose_rank",
+    "choose_regions",
+    "create_catalog",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +38,7 @@
     :param max_records: largest number of records in a gathered answer.
     :param min_coverage: share of the shards, from 0 to 1, that a successful reply needs.
     :param regions: regions whose servers may be used; empty for all.
+    :param is_public: whether requests need no key of a workspace.
     """
 
     name: str
@@ -42,6 +54,7 @@
     max_records: int = 0
     min_coverage: float = 0.0
     regions: frozenset[str] = frozenset()
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +74,34 @@
     regions: frozenset[str] = frozenset()
 
 
+@dataclass(frozen=True, slots=True)
+class WorkspaceFault:
+    """Malformed workspaces or keys that were left out of the catalog.
+
+    :param workspace: name of the workspace, or its position in the configuration.
+    :param kind: what is wrong, as a word of a fixed list; never a part of a key.
+    :param count: number of workspaces or keys.
+    """
+
+    workspace: str
+    kind: str
+    count: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class WorkspaceRules:
+    """Workspaces of one configuration version, and the keys of their callers.
+
+    :param workspaces: workspaces by name.
+    :param by_digest: workspace of each key, by the digest of the key.
+    :param faults: workspaces and keys that were left out.
+    """
+
+    workspaces: Mapping[str, Workspace]
+    by_digest: Mapping[bytes, Workspace] = field(repr=False)
+    faults: tuple[WorkspaceFault, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceRules:
     """Limits that apply to each server of one service.
@@ -100,12 +141,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Catalog:
-    """One version of the configuration; build it with :func:`create_catalog`."""
+    """One version of the configuration; build it with :func:`create_catalog`.
+
+    :param workspace_rules: workspaces and keys, or ``None`` if callers need no keys.
+    """
 
     version: int
     services: Mapping[str, ServiceRules]
     limits: CallerLimits
     hosts: Mapping[str, tuple[Route, ...]] = field(repr=False)
+    workspace_rules: WorkspaceRules | None = None
+
+    @property
+    def workspaces(self) -> Mapping[str, Workspace]:
+        """Workspaces by name; empty if the configuration has none."""
+        return self.workspace_rules.workspaces if self.workspace_rules is not None else {}
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or ``None`` if no route matches.
@@ -126,6 +176,7 @@
     routes: Iterable[Route],
     services: Iterable[ServiceRules],
     limits: CallerLimits | None = None,
+    workspace_rules: WorkspaceRules | None = None,
 ) -> Catalog:
     """Index routes by host, longest prefix first.
 
@@ -145,4 +196,33 @@
         MappingProxyType({service.name: service for service in services}),
         limits or CallerLimits(),
         MappingProxyType(ordered),
+        workspace_rules,
     )
+
+
+def choose_rank(route: Route, workspace: Workspace | None) -> int:
+    """Return the priority of a request; that of its workspace goes before the route's.
+
+    >>> route = Route("r", "a.example", "/x/", True, 1, 1, 2, 1)
+    >>> choose_rank(route, Workspace("w", 0)), choose_rank(route, Workspace("w"))
+    (0, 2)
+    """
+    if workspace is not None and workspace.rank is not None:
+        return workspace.rank
+    return route.rank
+
+
+def choose_regions(route: Route, workspace: Workspace | None) -> frozenset[str] | None:
+    """Return the regions whose servers a request may use, or ``None`` for all.
+
+    Those of the route and of the workspace both apply, so that none may be left.
+
+    >>> route = Route("r", "a.example", "/x/", True, 1, 1, 2, 1, regions=frozenset("ab"))
+    >>> choose_regions(route, Workspace("w", regions=frozenset("bc")))
+    frozenset({'b'})
+    >>> choose_regions(route, Workspace("w", regions=frozenset("c")))
+    frozenset()
+    """
+    if workspace is None or not workspace.regions:
+        return route.regions or None
+    return route.regions & workspace.regions if route.regions else workspace.regions
--- a/mimosapost/relay/completion.py
+++ b/mimosapost/relay/completion.py
@@ -367,3 +367,6 @@
     )
     labels = (("code", str(int(reply.code))),)
     effects.append(IncrementCounter("mimosapost_relay_replies_total", labels))
+    if open_request.workspace is not None:
+        labels = (("workspace", open_request.workspace.name), *labels)
+        effects.append(IncrementCounter("mimosapost_relay_workspace_replies_total", labels))
--- a/mimosapost/relay/effects.py
+++ b/mimosapost/relay/effects.py
@@ -27,6 +27,7 @@
     :param deadline_us: monotonic time after which the server may stop working on the request.
     :param connect_deadline_us: monotonic time by which the connection must be established.
     :param repeatable: whether the request may run more than once.
+    :param workspace: name of the workspace that the server is told; empty for none.
     """
 
     send_id: int
@@ -35,6 +36,7 @@
     deadline_us: int
     connect_deadline_us: int
     repeatable: bool
+    workspace: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/mimosapost/relay/gathers.py
+++ b/mimosapost/relay/gathers.py
@@ -149,6 +149,7 @@
         max(0, open_request.deadline_us - now_us),
         tuple(gather.parts),
         is_hedge,
+        open_request.workspace.name if open_request.workspace is not None else "",
     )
     effects.append(SendPeer(partner.name, partner.peer_address, message))
     fields = (
--- a/mimosapost/relay/messages.py
+++ b/mimosapost/relay/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from mimosapost.model.codes import ResultCode
 
@@ -52,6 +52,9 @@
     :param deadline_us: monotonic time by which the caller expects the reply.
     :param head: request line and headers sent to servers, without the final blank line.
     :param fingerprint: hash of method, target, host and body; repeats of a request share it.
+    :param key_digest: digest of the key of the caller's workspace; empty without one key.
+    :param workspace_lines: header lines in which the caller names its workspace; they are sent
+        to servers only where the configuration has no workspaces.
     """
 
     request_number: int
@@ -62,6 +65,8 @@
     head: bytes
     body: bytes
     fingerprint: int
+    key_digest: bytes = field(default=b"", repr=False)
+    workspace_lines: bytes = field(default=b"", repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -10,6 +10,7 @@
 
 from mimosapost.model.effects import IncrementCounter, SendPeer, WriteLog
 from mimosapost.model.peer_messages import GatherCancel
+from mimosapost.relay.catalog import choose_rank, choose_regions
 from mimosapost.relay.effects import AbandonSend, StartSend
 from mimosapost.relay.eligibility import is_usable
 from mimosapost.relay.rate_limits import (
@@ -87,11 +88,11 @@
     servers without an open send of the part; while another instance gathers it, none, because
     that instance has sent it to one of them.
     """
-    regions = open_request.route.regions
+    regions = choose_regions(open_request.route, open_request.workspace)
     usable = [
         record
         for record in state.by_service.get(part.service, ())
-        if is_usable(state, record, now_us) and (not regions or record.region in regions)
+        if is_usable(state, record, now_us) and (regions is None or record.region in regions)
     ]
     untried = [record for record in usable if record.server.server_id not in part.tried_servers]
     if untried or part.gather_ids:
@@ -329,6 +330,7 @@
             open_request.deadline_us,
             min(open_request.deadline_us, now_us + _CONNECT_TIMEOUT_US),
             open_request.route.repeatable,
+            open_request.workspace.name if open_request.workspace is not None else "",
         )
     )
     if open_request.route.repeatable and part.possible_runs < open_request.route.max_sends:
@@ -444,7 +446,8 @@
 def _enqueue(state: RelayState, open_request: OpenRequest, part: Part) -> None:
     if not part.waiting:
         part.waiting = True
-        entry = (open_request.route.rank, open_request.request.request_number, part)
+        rank = choose_rank(open_request.route, open_request.workspace)
+        entry = (rank, open_request.request.request_number, part)
         state.waiting.setdefault(part.service, []).append(entry)
 
 
--- a/mimosapost/relay/served_gathers.py
+++ b/mimosapost/relay/served_gathers.py
@@ -85,6 +85,10 @@
         return "not_configured"
     if state.catalog.version != message.version or route is None:
         return "other_version"
+    if state.catalog.workspace_rules is not None and (
+        message.workspace not in state.catalog.workspaces and not route.is_public
+    ):
+        return "unknown_workspace"
     if not message.shards or message.shards[-1] >= len(route.shards):
         return "unknown_shard"
     if state.stop_requested_us:
@@ -123,6 +127,7 @@
     )
     open_request.open_parts = len(parts)
     open_request.served = served
+    open_request.workspace = state.catalog.workspaces.get(message.workspace)
     state.requests[number] = open_request
     state.served_gathers[served.peer, served.gather_id] = number
     _count(effects, "served")
--- a/mimosapost/relay/service_discovery.py
+++ b/mimosapost/relay/service_discovery.py
@@ -20,6 +20,7 @@
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
 from mimosapost.relay.server_selection import ServerRecord
 from mimosapost.relay.state import RelayState
+from mimosapost.relay.workspaces import report_workspace_faults, update_open_requests
 
 __all__: list[str] = []
 
@@ -45,8 +46,12 @@
         ("version", event.catalog.version),
         ("before", previous_version),
         ("routes", len(names)),
+        ("workspaces", len(event.catalog.workspaces)),
     )
     effects.append(WriteLog("catalog_in_force", fields))
+    if event.catalog.workspace_rules is not None:
+        report_workspace_faults(event.catalog.workspace_rules.faults, effects)
+    update_open_requests(state, event.now_us, effects)
 
 
 @handles(ServersReplaced)
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -11,7 +11,7 @@
 from mimosapost.membership.members import MemberTable
 from mimosapost.model.identities import NO_SEAT, InstanceIdentity
 from mimosapost.relay import repeats
-from mimosapost.relay.catalog import Catalog, Route
+from mimosapost.relay.catalog import Catalog, Route, Workspace
 from mimosapost.relay.feed_choices import FeedState
 from mimosapost.relay.latency_pools import DISTANCES, LatencyPool
 from mimosapost.relay.messages import RelayRequest, ServerAnswer
@@ -279,6 +279,7 @@
     :param parts_after_trial: parts that wait for the permit of the trial or for its answer.
     :param passed_trial: whether the trial was answered.
     :param retry_after_us: time in microseconds until a denied trial may be asked for again.
+    :param workspace: workspace of the caller, or ``None`` if the request needed no key.
     """
 
     request: RelayRequest
@@ -302,6 +303,7 @@
     parts_after_trial: list[Part] = field(default_factory=list)
     passed_trial: bool = False
     retry_after_us: int = 0
+    workspace: Workspace | None = None
 
 
 @dataclass(slots=True)
