--- a/mimosapost/edge/caller_connections.py
+++ b/mimosapost/edge/caller_connections.py
@@ -179,7 +179,9 @@
         if not isinstance(exc, HttpProcessingError) or request.writer.output_size:
             return super().handle_error(request, status, exc, message)
         status = exc.code if exc.code == 431 else status
-        self._logs.write("request_malformed", {"status": status, "reason": exc.message})
+        # The parser's message goes on with bytes of the caller, such as a key.
+        reason = exc.message.partition(":")[0]
+        self._logs.write("request_malformed", {"status": status, "reason": reason})
         response = web.Response(status=status)
         response.force_close()
         return response
--- a/mimosapost/edge/relay_callers.py
+++ b/mimosapost/edge/relay_callers.py
@@ -142,7 +142,8 @@
         except TimeoutError:
             return self._refuse(408, "the request body takes longer than the published limit")
         except web.RequestPayloadError as error:
-            return self._refuse(400, str(error))
+            # The parser's message may hold bytes of the caller, such as a key.
+            return self._refuse(400, f"malformed body ({type(error.__cause__).__name__})")
         request_number = next(self._request_numbers)
         try:
             request = self._codec.decode_request(
--- a/mimosapost/platform/tests/test_workspace_entries.py
+++ b/mimosapost/platform/tests/test_workspace_entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import json
 
@@ -173,6 +174,33 @@
             assert key not in repr(relay.instance.state)
 
 
+@pytest.mark.parametrize(
+    "lines",
+    [
+        pytest.param(f"X-Key: {KEY}\0", id="control-character"),
+        pytest.param(f"X-Key {KEY}", id="no-colon"),
+        pytest.param(f" X-Key: {KEY}", id="continued-line"),
+        pytest.param(f"X-Key: {KEY}\r\nX-Deadline-Ms: soon", id="deadline"),
+        pytest.param(f"X-Key: {KEY * 500}", id="long"),
+        pytest.param(
+            f"Transfer-Encoding: chunked\r\n\r\n0\r\nX-Key: {KEY}\0", id="trailer-of-the-body"
+        ),
+        pytest.param(f"Transfer-Encoding: chunked\r\n\r\n{KEY}", id="in-place-of-a-chunk"),
+    ],
+)
+async def test_a_malformed_request_does_not_bring_its_key_into_the_log(lines):
+    async with run_relay() as relay:
+        reader, writer = await asyncio.open_connection(
+            *relay.instance.caller_address.split(":")
+        )
+        head = f"GET /search/q HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: a\r\n{lines}"
+        writer.write(f"{head}\r\n\r\n".encode())
+        assert b" 4" in await asyncio.wait_for(reader.readline(), 5)
+        writer.close()
+        assert "request_malformed" in relay.log.getvalue()
+        assert KEY not in relay.log.getvalue()
+
+
 async def test_headers_pass_where_the_configuration_has_no_workspaces():
     async with run_relay() as relay:
         await relay.send_request("/order/q", headers={"X-Key": KEY, "X-Tenant": "own"})
--- a/mimosapost/relay/tests/test_workspaces.py
+++ b/mimosapost/relay/tests/test_workspaces.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from mimosapost.model.codes import ResultCode
@@ -198,7 +200,7 @@
     fleet = create_workspace_fleet(LIBRARY, server_domains=("a1",))
     rules = create_rules({b"key-a": ARCHIVE})
     partner = fleet["n2"].state
-    object.__setattr__(partner.catalog, "workspace_rules", rules)
+    partner.catalog = replace(partner.catalog, workspace_rules=rules)
     number = fleet["n1"].request(key_digest=b"key-l")
     fleet.advance(18)
     assert not fleet["n2"].pop_sends()
