Tell the eras of the source apart when it returns from an older copy

Cause: revisions were compared alone. After a return from a copy they are given out again, so other changes were taken for known ones, answers counted as stale until the revisions had caught up, and a copy brought back servers that had left. Change: era and revision form one position that never goes back (platform/store_positions.py).

--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -161,6 +161,11 @@
     "Entries of the store that were ignored, by the first part of the key.",
     ("group",),
 )
+declare_counter(
+    "mimosapost_relay_rewound_entries_total",
+    "Entries of a source that returned from an older copy and were not believed, by outcome.",
+    ("outcome",),
+)
 
 
 class Metrics:
--- a/mimosapost/platform/store_calls.py
+++ b/mimosapost/platform/store_calls.py
@@ -4,16 +4,21 @@
 
 import base64
 import binascii
-from collections.abc import Mapping
-from typing import Any
+import re
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Annotated, Any
 from urllib.parse import urlencode
 
 import aiohttp
 import msgspec
+from msgspec import Meta
 
 from mimosapost.model.peer_messages import SourceEntry
+from mimosapost.platform.store_positions import MAX_ERA, MAX_REVISION, create_position
 
 __all__ = [
+    "Answer",
     "AnswerTooLarge",
     "Changes",
     "HistoryLost",
@@ -32,16 +37,22 @@
 # A round trip takes up to 26 ms. The kernel retransmits a lost SYN packet only after a second,
 # so a new attempt after this timeout connects sooner.
 _CONNECT_TIMEOUT_SECONDS = 0.15
+# Number of the store's present copy of its data; it rises when the store returns from a backup.
+_ERA_HEADER = "Store-Era"
+_ERA_VALUE = re.compile(r"[0-9]{1,9}")
 # Maximum size of an answer. A page holds about 1 MB; the changes of the whole history are
 # several times as large.
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
+_Revision = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
+
+
 class Item(msgspec.Struct):
     """An item of the store, or the removal of one."""
 
     key: str
-    revision: int = 0
+    revision: _Revision = 0
     value: str | None = None
     # Set in the event that reports the removal of the item.
     removed: bool = False
@@ -52,7 +63,7 @@
 
     items: list[Item]
     # Revision of the whole store when the page was read, not of its items.
-    asOf: int  # noqa: N815
+    asOf: _Revision  # noqa: N815
     truncated: bool = False
 
 
@@ -60,7 +71,20 @@
     """Answer to a watch."""
 
     events: list[Item]
-    asOf: int  # noqa: N815
+    asOf: _Revision  # noqa: N815
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Answer to a call.
+
+    :param era: era that the store named; ``None`` if it named none or a malformed one.
+    :param is_era_malformed: whether it named a malformed one.
+    """
+
+    body: bytes
+    era: int | None = None
+    is_era_malformed: bool = False
 
 
 class HistoryLost(Exception):
@@ -76,8 +100,8 @@
     url: str,
     fields: Mapping[str, Any],
     wait_seconds: float = 0,
-) -> bytes:
-    """Make one call and return the body of its answer.
+) -> Answer:
+    """Make one call and return its answer.
 
     :param fields: fields of the query.
     :param wait_seconds: time for which a watch waits for changes.
@@ -99,13 +123,27 @@
             body += chunk
             if len(body) > _MAX_ANSWER_BYTES:
                 raise AnswerTooLarge(f"answer of {url} exceeds {_MAX_ANSWER_BYTES} bytes")
-        return bytes(body)
+        return Answer(bytes(body), *_decode_era(response.headers.getall(_ERA_HEADER, [])))
+
+
+def _decode_era(values: Sequence[str]) -> tuple[int | None, bool]:
+    """Return the era that the headers name, and whether they are malformed."""
+    if not values:
+        return None, False
+    if len(values) == 1 and _ERA_VALUE.fullmatch(values[0].strip()):
+        era = int(values[0])
+        if era <= MAX_ERA:
+            return era, False
+    return None, True
 
 
-def create_entry(item: Item) -> SourceEntry:
-    """Return an item with its value decoded; a value that is not valid is left empty."""
+def create_entry(item: Item, era: int) -> SourceEntry:
+    """Return an item with its position, and its value decoded.
+
+    A value that is not valid is left empty.
+    """
     try:
         value = base64.b64decode(item.value or "", validate=True)
     except (binascii.Error, ValueError):
         value = b""
-    return SourceEntry(item.key, item.revision, value, item.removed)
+    return SourceEntry(item.key, create_position(era, item.revision), value, item.removed)
--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -27,6 +27,7 @@
     fetch_answer,
 )
 from mimosapost.platform.store_entries import EntryError, decode_catalog, decode_server
+from mimosapost.platform.store_positions import create_position, get_era, get_revision
 from mimosapost.relay.effects import ApplyFeed
 from mimosapost.relay.events import (
     CatalogRead,
@@ -88,6 +89,10 @@
     """The store sent an answer that is older than what was read from it before."""
 
 
+class _SourceRewound(Exception):
+    """The store returned from an older copy, so that what was read of it may not be there."""
+
+
 def get_next_pause(pause_seconds: float, quiet_us: int, max_pause_seconds: float) -> float:
     """Return the pause after a watch that returned changes, in seconds.
 
@@ -138,9 +143,14 @@
         self._is_followed = is_followed
         self._watch_wait_ms = max(_MIN_WATCH_WAIT_MS, detection_limit_ms - _RECOVERY_MS)
         self._session: aiohttp.ClientSession | None = None
+        # Positions of the entries, and the position up to which all changes were applied; 0
+        # before the first list.
         self._revisions: dict[str, int] = {}
-        # Revision up to which all changes were applied; 0 before the first list.
         self._revision = 0
+        self._era = 0
+        self._is_era_malformed = False
+        # Whether the next list is the first one since the store returned from an older copy.
+        self._is_rewound = False
         self._is_list_needed = True
         self._inbox = FeedInbox(read_clock_us, int(apply_limit_ms * 1_000 * _FEED_AGE_SHARE))
         # Whether updates are applied now, and whether they were since the last own call.
@@ -174,8 +184,11 @@
                         await self._inbox.wait(_FIRST_START_WAIT_SECONDS)
                 else:
                     await self._read_changes()
+            except _SourceRewound:
+                self._is_list_needed = True
+                continue
             except HistoryLost:
-                self._logs.write("store_history_lost", {"after": self._revision})
+                self._logs.write("store_history_lost", {"after": get_revision(self._revision)})
                 self._is_list_needed = True
                 continue
             except AnswerTooLarge as error:
@@ -204,6 +217,10 @@
         """Apply the updates of another instance until they are missing or too old."""
         while not self._is_list_needed and not self.should_stop:
             while (update := self._inbox.take(self._revision)) is not None:
+                if get_era(update.as_of) != get_era(self._revision):
+                    # The list of the new era tells what the older copy lacks.
+                    self._is_list_needed = self._is_rewound = True
+                    break
                 self._apply_update(update)
             remaining_seconds = self._inbox.get_remaining_seconds()
             if not remaining_seconds:
@@ -259,25 +276,56 @@
         fields: dict[str, Any] = {"pathPrefix": ""}
         first_revision, confirmed_us = None, 0
         while True:
-            data = await fetch_answer(self._session, f"{self._url}/api/kv-range", fields)
-            page = msgspec.json.decode(data, type=Page)
+            page = msgspec.json.decode(await self._call("kv-range", fields), type=Page)
+            as_of = create_position(self._era, page.asOf)
             if first_revision is None:
-                first_revision, confirmed_us = page.asOf, self._read_clock_us()
-            entries += map(create_entry, page.items)
+                first_revision, confirmed_us = as_of, self._read_clock_us()
+            elif get_era(first_revision) != self._era:
+                raise _StaleAnswer(f"the era changed to {self._era} between two pages")
+            entries += [create_entry(item, self._era) for item in page.items]
             if not page.truncated or not page.items:
                 break
             fields["after"] = page.items[-1].key
         self._check_revision(first_revision)
         self._apply_list(first_revision, entries, confirmed_us)
 
+    async def _call(self, name: str, fields: dict[str, Any], wait_seconds: float = 0) -> bytes:
+        """Make one call and return the body of its answer, unless it is of another era.
+
+        An answer without a usable era counts as one of the era that is known.
+        """
+        url = f"{self._url}/api/{name}"
+        answer = await fetch_answer(self._session, url, fields, wait_seconds)
+        if answer.is_era_malformed and not self._is_era_malformed:
+            self._logs.write("store_era_malformed", {"era": self._era})
+        self._is_era_malformed = answer.is_era_malformed
+        era = self._era if answer.era is None else answer.era
+        if era < self._era:
+            raise _StaleAnswer(f"answer of era {era}, after {self._era}")
+        is_newer, self._era = era > self._era, era
+        if is_newer and self._revision:
+            self._is_rewound = True
+            fields = {"era": era, "revision": get_revision(self._revision)}
+            self._logs.write("store_rewound", fields)
+            # Entries that were written since the copy are missing until they are written
+            # again, as after an outage.
+            error = _SourceRewound("the store returned from an older copy")
+            self._report_source_lost(error)
+            if not self._is_list_needed:
+                raise error
+        return answer.body
+
     def _check_revision(self, as_of: int) -> None:
         if as_of < self._revision:
-            raise _StaleAnswer(f"answer as of revision {as_of}, after {self._revision}")
+            revisions = get_revision(as_of), get_revision(self._revision)
+            raise _StaleAnswer("answer as of revision {}, after {}".format(*revisions))
 
     def _apply_list(self, as_of: int, entries: list[SourceEntry], confirmed_us: int) -> None:
         is_regained = self._report_source_regained()
-        changes = self._find_changes(as_of, entries)
-        after, self._revision = self._revision, as_of
+        is_rewound, self._is_rewound = self._is_rewound, False
+        # A list of a new era does not continue the earlier one; followers read it themselves.
+        changes = () if is_rewound else self._find_changes(as_of, entries)
+        after, self._revision = 0 if is_rewound else self._revision, as_of
         self._is_list_needed = False
         self._revisions = {entry.key: entry.revision for entry in entries}
         for entry in entries:
@@ -288,14 +336,14 @@
             for entry in entries
             if entry.key.startswith(_DOMAIN_OUT_PREFIX)
         )
-        self._set_domains_out(frozenset(domains_out))
+        self._set_domains_out(frozenset(domains_out), is_rewound)
         # The server list is passed last, because it releases the requests that were held until
         # the instance is ready.
         server_entries = [entry for entry in entries if entry.key.startswith(_SERVER_PREFIX)]
         servers = [self._decode_server(entry) for entry in server_entries]
         usable_servers = tuple(server for server in servers if server is not None)
         now_us = self._read_clock_us()
-        self._handle(ServersReplaced(now_us, usable_servers))
+        self._handle(ServersReplaced(now_us, usable_servers, is_rewound))
         self._handle(SourceRead(now_us, after, as_of, changes, confirmed_us, is_regained))
 
     def _find_changes(self, as_of: int, entries: list[SourceEntry]) -> tuple[SourceEntry, ...]:
@@ -314,15 +362,17 @@
 
     async def _read_changes(self) -> None:
         wait_ms, max_pause_seconds = self._get_watch_limits()
-        fields = {"pathPrefix": "", "after": self._revision, "waitMs": wait_ms}
-        data = await fetch_answer(
-            self._session, f"{self._url}/api/kv-watch", fields, wait_ms / 1_000
-        )
+        after = get_revision(self._revision)
+        fields = {"pathPrefix": "", "after": after, "waitMs": wait_ms}
+        data = await self._call("kv-watch", fields, wait_ms / 1_000)
         confirmed_us = self._read_clock_us()
         changes = msgspec.json.decode(data, type=Changes)
         events = sorted(changes.events, key=lambda item: item.revision)
-        entries = tuple(create_entry(item) for item in events if item.revision > self._revision)
-        as_of = max([changes.asOf, *(entry.revision for entry in entries)])
+        entries = tuple(
+            create_entry(item, self._era) for item in events if item.revision > after
+        )
+        as_of = create_position(self._era, changes.asOf)
+        as_of = max([as_of, *(entry.revision for entry in entries)])
         self._check_revision(as_of)
         self._apply_changes(as_of, entries, confirmed_us)
         self._pause_seconds = get_next_pause(
@@ -359,9 +409,9 @@
         elif entry.key == _CONFIG_KEY and not entry.is_removed:
             self._apply_config(entry)
 
-    def _set_domains_out(self, domains: frozenset[str]) -> None:
+    def _set_domains_out(self, domains: frozenset[str], is_rewound: bool = False) -> None:
         self._domains_out = domains
-        self._handle(DomainsOut(self._read_clock_us(), domains))
+        self._handle(DomainsOut(self._read_clock_us(), domains, is_rewound))
 
     def _decode_server(self, entry: SourceEntry) -> Any:
         server_id = entry.key.removeprefix(_SERVER_PREFIX)
--- a/mimosapost/platform/tests/standins.py
+++ b/mimosapost/platform/tests/standins.py
@@ -27,6 +27,7 @@
         revision at its start.
     :ivar requested_paths: paths of all requests, in order.
     :ivar watch_waits_ms: longest wait of each watch that was requested, in order.
+    :ivar era: value of the header that names the era; ``None`` for no header.
     """
 
     def __init__(self) -> None:
@@ -40,6 +41,7 @@
         self.is_disordered = False
         self.requested_paths: list[str] = []
         self.watch_waits_ms: list[int] = []
+        self.era: str | None = None
         self.change_condition = asyncio.Condition()
 
     async def start(self, stack: AsyncExitStack) -> str:
@@ -66,12 +68,27 @@
         del self.items[key]
         await self._publish({"key": key, "revision": self.revision, "removed": True})
 
+    def copy(self) -> tuple:
+        """Return a copy of the data, for :meth:`rewind`."""
+        return self.revision, dict(self.items), list(self.events)
+
+    def rewind(self, data: tuple, era: str | None) -> None:
+        """Return to a copy of the data, in another era."""
+        self.revision, self.items, self.events = data[0], dict(data[1]), list(data[2])
+        self.era = era
+
     async def _publish(self, event: dict) -> None:
         self.events.append(event)
         async with self.change_condition:
             self.change_condition.notify_all()
 
     async def _handle_request(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = await self._answer(request)
+        if self.era is not None and not response.prepared:
+            response.headers["Store-Era"] = self.era
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         self.requested_paths.append(request.path)
         if self.mode == "busy":
             return web.Response(status=503)
@@ -87,7 +104,9 @@
         if self.mode == "compacted":
             self.mode = "serve"
             return web.Response(status=410)
-        return web.json_response(await self._watch(prefix, query))
+        changes = await self._watch(prefix, query)
+        # A watch from a revision that the store does not have.
+        return web.Response(status=410) if changes is None else web.json_response(changes)
 
     async def _send_slowly(
         self, request: web.BaseRequest, complete_response: web.Response
@@ -115,7 +134,7 @@
         truncated = len(keys) > self.page_size
         return {"items": items, "truncated": truncated, "asOf": self.revision}
 
-    async def _watch(self, prefix: str, query) -> dict:
+    async def _watch(self, prefix: str, query) -> dict | None:
         self.watch_waits_ms.append(int(query["waitMs"]))
         after, wait_seconds = int(query["after"]), int(query["waitMs"]) / 1_000
 
@@ -132,6 +151,8 @@
         except TimeoutError:
             pass
         events = find_events()
+        if after > self.revision:
+            return None
         if self.is_disordered:
             return {"events": events[::-1], "asOf": after}
         if len(events) > self.watch_size:
--- a/mimosapost/relay/events.py
+++ b/mimosapost/relay/events.py
@@ -116,16 +116,24 @@
 
 @dataclass(frozen=True, slots=True)
 class ServersReplaced(Event):
-    """The complete server list was read; servers missing from it have no entry."""
+    """The complete server list was read; servers missing from it have no entry.
+
+    :param is_rewound: whether the source has just returned from an older copy.
+    """
 
     servers: tuple[BackendServer, ...]
+    is_rewound: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class DomainsOut(Event):
-    """The set of failure domains taken out of service by operators was read."""
+    """The set of failure domains taken out of service by operators was read.
+
+    :param is_rewound: whether the source has just returned from an older copy.
+    """
 
     domains: frozenset[str]
+    is_rewound: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/mimosapost/relay/service_discovery.py
+++ b/mimosapost/relay/service_discovery.py
@@ -18,6 +18,12 @@
 from mimosapost.relay.latency_pools import get_distance
 from mimosapost.relay.messages import BackendServer
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
+from mimosapost.relay.rewound_source import (
+    REWOUND_US,
+    keep_domains,
+    keep_known,
+    record_removed,
+)
 from mimosapost.relay.server_selection import ServerRecord
 from mimosapost.relay.state import RelayState
 
@@ -58,8 +64,15 @@
     is_first = not state.servers_listed
     state.servers_listed = True
     listed = {server.server_id for server in event.servers}
+    servers = event.servers
+    if event.is_rewound:
+        known = {server_id: record.server for server_id, record in state.servers.items()}
+        servers = keep_known(state.rewound, known, servers, event.now_us, effects)
+        state.timers.add(event.now_us + REWOUND_US, TimerKind.REWOUND, 0)
+    else:
+        state.rewound.held = {}
     changes: Effects = []
-    for server in event.servers:
+    for server in servers:
         _upsert_server(state, server, event.now_us, changes)
     if is_first:
         # One line for each of some hundred servers would delay the requests that wait for it.
@@ -77,12 +90,14 @@
 @handles(ServerListed)
 def list_server(state: RelayState, event: ServerListed, effects: Effects) -> None:
     """Add or update one server."""
+    state.rewound.held.pop(event.server.server_id, None)
     _upsert_server(state, event.server, event.now_us, effects)
 
 
 @handles(ServerUnlisted)
 def unlist_server(state: RelayState, event: ServerUnlisted, effects: Effects) -> None:
     """Remove one server."""
+    state.rewound.held.pop(event.server_id, None)
     if event.server_id in state.servers:
         _unlist_server(state, event.server_id, event.reason, event.now_us, effects)
 
@@ -90,12 +105,28 @@
 @handles(DomainsOut)
 def set_domains_out(state: RelayState, event: DomainsOut, effects: Effects) -> None:
     """Replace the set of failure domains whose servers receive no sends."""
-    if event.domains != state.domains_out:
-        state.domains_out = event.domains
-        fields = (("domains", ",".join(sorted(event.domains))),)
+    before = state.domains_out
+    domains = keep_domains(state.rewound, before, event.domains, event.is_rewound)
+    _apply_domains_out(state, domains, effects)
+
+
+def _apply_domains_out(state: RelayState, domains: frozenset[str], effects: Effects) -> None:
+    if domains != state.domains_out:
+        state.domains_out = domains
+        fields = (("domains", ",".join(sorted(domains))),)
         effects.append(WriteLog("domains_out", fields))
 
 
+@handles_timer(TimerKind.REWOUND)
+def release_kept(state: RelayState, _key: int, now_us: int, effects: Effects) -> None:
+    """Use what the source's copy brought back, unless its writers have corrected it."""
+    held, state.rewound.held = state.rewound.held, {}
+    for server in held.values():
+        _upsert_server(state, server, now_us, effects)
+    kept, state.rewound.domains_out = state.rewound.domains_out, frozenset()
+    _apply_domains_out(state, state.domains_out - kept, effects)
+
+
 @handles(EntryIgnored)
 def count_ignored_entry(_state: RelayState, event: EntryIgnored, effects: Effects) -> None:
     """Count an entry that was ignored; the reader of the source has logged it."""
@@ -170,6 +201,7 @@
     due_us = regained_us + RELIST_GRACE_US
     source_unavailable = state.source_lost_us or (state.source_regained_us and now_us < due_us)
     if not source_unavailable or state.servers[server_id].server.draining:
+        record_removed(state.rewound, state.servers[server_id].server, now_us)
         _drop_server(state, server_id, reason, effects)
         return
     if server_id not in state.pending_removals.values():
@@ -188,6 +220,7 @@
         state.pending_removals[key] = server_id
         state.timers.add(now_us + RELIST_GRACE_US, TimerKind.REMOVE_SERVER, key)
         return
+    record_removed(state.rewound, state.servers[server_id].server, now_us)
     _drop_server(state, server_id, "not_listed_again", effects)
 
 
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -16,6 +16,7 @@
 from mimosapost.relay.latency_pools import DISTANCES, LatencyPool
 from mimosapost.relay.messages import RelayRequest, ServerAnswer
 from mimosapost.relay.partners import PeerState
+from mimosapost.relay.rewound_source import RewoundSource
 from mimosapost.relay.server_selection import ServerRecord
 from mimosapost.relay.weighted_round_robin import WeightedRoundRobin
 from mimosapost.suspects.tracker import SuspectTracker
@@ -339,6 +340,7 @@
     :param parts_to_retry: parts that wait for a delayed retry, by timer key.
     :param pending_removals: servers that are removed unless they are listed again, by timer
         key.
+    :param rewound: what is known beyond a source that returned from an older copy.
     :param source_lost_us: time at which the source was lost, or 0 if it is reachable.
     :param source_regained_us: time at which the source last recovered, or 0.
     :param services_to_dispatch: services whose waiting parts may now find a server with room.
@@ -382,6 +384,7 @@
     parts_to_retry: dict[int, tuple[int, Part]] = field(default_factory=dict)
     suspects: SuspectTracker = field(default_factory=SuspectTracker)
     pending_removals: dict[int, str] = field(default_factory=dict)
+    rewound: RewoundSource = field(default_factory=RewoundSource)
     source_lost_us: int = 0
     source_regained_us: int = 0
     next_send_id: int = 1
