--- a/mimosapost/commands/members.py
+++ b/mimosapost/commands/members.py
@@ -38,9 +38,10 @@
     try:
         async with (
             aiohttp.ClientSession(timeout=timeout) as session,
-            session.get(f"http://{address}/status") as response,
+            session.get(f"http://{address}/status", allow_redirects=False) as response,
         ):
-            response.raise_for_status()
+            if response.status != 200:
+                raise CommandError(f"{address} answered with status {response.status}")
             status = msgspec.json.decode(await response.read())
     except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
         reason = str(error) or type(error).__name__
--- a/mimosapost/edge/relay_connections.py
+++ b/mimosapost/edge/relay_connections.py
@@ -51,10 +51,17 @@
 _MAX_IDLE_SHARE_RUN_ONCE = 0.5
 # Lower limit of the connect timeout, also for a send whose deadline has passed.
 _MIN_CONNECT_SECONDS = 0.001
+# Statuses of the answers that precede the final one, and of final answers.
+_INTERIM_STATUSES = range(100, 200)
+_FINAL_STATUSES = range(200, 600)
 # Errors of an attempt to connect that a host without a process at the port causes.
 _REFUSED_ERRORS = (errno.ECONNREFUSED, errno.ECONNRESET)
 
 
+class _InvalidStatus(ValueError):
+    """The status of an answer is none that HTTP defines; the parser passes it on."""
+
+
 class AnswerCodec(Protocol):
     """Translate sends and answers between the relay and the platform's HTTP messages."""
 
@@ -160,6 +167,8 @@
         self._has_headers = True
         # The parser resets both values when the message ends.
         self._status = self._parser.get_status_code()
+        if self._status not in _INTERIM_STATUSES and self._status not in _FINAL_STATUSES:
+            raise _InvalidStatus(self._status)
         self._keep_alive = self._parser.should_keep_alive()
 
     def on_body(self, body: bytes) -> None:
@@ -171,7 +180,7 @@
     def on_message_complete(self) -> None:
         if self._is_complete:
             return
-        if self._status < 200:
+        if self._status in _INTERIM_STATUSES:
             # Interim answers such as 100 Continue precede the final one.
             self._discard_message()
             return
--- a/mimosapost/platform/store_calls.py
+++ b/mimosapost/platform/store_calls.py
@@ -114,10 +114,15 @@
         sock_connect=_CONNECT_TIMEOUT_SECONDS,
         sock_read=wait_seconds + _READ_TIMEOUT_SECONDS,
     )
-    async with session.get(f"{url}?{urlencode(fields)}", timeout=timeout) as response:
+    async with session.get(
+        f"{url}?{urlencode(fields)}", timeout=timeout, allow_redirects=False
+    ) as response:
         if response.status == 410:
             raise HistoryLost
-        response.raise_for_status()
+        if response.status != 200:
+            raise aiohttp.ClientResponseError(
+                response.request_info, response.history, status=response.status
+            )
         body = bytearray()
         async for chunk in response.content.iter_any():
             body += chunk
