Hold what a source's copy brings back also against a second list

Cause: within the 5 s after a return, a further list (history lost, answer too large) counted as one that is believed: a server process that is leaving became usable again, and removed servers came back at once. Change: all lists until the end of the 5 s are corrected by what is known. Result: two cases added to test_rewound_source.py failed before and pass.

--- a/mimosapost/relay/rewound_source.py
+++ b/mimosapost/relay/rewound_source.py
@@ -29,12 +29,14 @@
 class RewoundSource:
     """What is known beyond the source's copy.
 
+    :param until_us: time until which lists of the source are not believed, or 0.
     :param removed: start of the process in Unix milliseconds and time of the removal of servers
         that were removed lately, by id, oldest first.
     :param held: servers that the copy lists although they were removed, by id.
     :param domains_out: domains that the copy lacks and that stay out.
     """
 
+    until_us: int = 0
     removed: dict[str, tuple[int, int]] = field(default_factory=dict)
     held: dict[str, BackendServer] = field(default_factory=dict)
     domains_out: frozenset[str] = frozenset()
--- a/mimosapost/relay/service_discovery.py
+++ b/mimosapost/relay/service_discovery.py
@@ -66,9 +66,11 @@
     listed = {server.server_id for server in event.servers}
     servers = event.servers
     if event.is_rewound:
+        state.rewound.until_us = event.now_us + REWOUND_US
+        state.timers.add(state.rewound.until_us, TimerKind.REWOUND, 0)
+    if event.now_us < state.rewound.until_us:
         known = {server_id: record.server for server_id, record in state.servers.items()}
         servers = keep_known(state.rewound, known, servers, event.now_us, effects)
-        state.timers.add(event.now_us + REWOUND_US, TimerKind.REWOUND, 0)
     else:
         state.rewound.held = {}
     changes: Effects = []
--- a/mimosapost/relay/tests/test_rewound_source.py
+++ b/mimosapost/relay/tests/test_rewound_source.py
@@ -95,6 +95,22 @@
     assert describe(state) == {"i-1": (5, False)}
 
 
+@pytest.mark.parametrize(
+    ("known", "removed", "expected"),
+    [((LEAVING,), (), {"i-1": (5, True)}), ((RUNNING,), ("i-1",), {})],
+    ids=["leaving", "removed"],
+)
+def test_another_list_before_all_is_written_again_is_not_believed_either(
+    known, removed, expected
+):
+    state = create_state(*known)
+    for server_id in removed:
+        reduce(state, ServerUnlisted(START_US + 1, server_id, "removed"))
+    reduce(state, ServersReplaced(START_US + 2, (RUNNING,), is_rewound=True))
+    reduce(state, ServersReplaced(START_US + 3, (RUNNING,)))
+    assert describe(state) == expected
+
+
 @pytest.mark.parametrize(
     ("later_domains", "at_end"),
     [
