Start the wait anew when the source returns from a second copy

Cause: the timer of the first return also released the servers and domains that wait since a second return within 5 s. Change: the timer does nothing before the wait of the latest return has ended. Result: test_a_second_return_starts_the_wait_anew failed before and passes.

--- a/mimosapost/relay/service_discovery.py
+++ b/mimosapost/relay/service_discovery.py
@@ -122,6 +122,9 @@
 @handles_timer(TimerKind.REWOUND)
 def release_kept(state: RelayState, _key: int, now_us: int, effects: Effects) -> None:
     """Use what the source's copy brought back, unless its writers have corrected it."""
+    if now_us < state.rewound.until_us:
+        # The source has returned from another copy since.
+        return
     held, state.rewound.held = state.rewound.held, {}
     for server in held.values():
         _upsert_server(state, server, now_us, effects)
--- a/mimosapost/relay/tests/test_rewound_source.py
+++ b/mimosapost/relay/tests/test_rewound_source.py
@@ -111,6 +111,19 @@
     assert describe(state) == expected
 
 
+def test_a_second_return_starts_the_wait_anew():
+    state = create_state(RUNNING)
+    reduce(state, ServerUnlisted(START_US + 1, "i-1", "removed"))
+    reduce(state, DomainsOut(START_US + 1, frozenset({"a1"})))
+    for now_us in (START_US + 2, START_US + REWOUND_US):
+        reduce(state, DomainsOut(now_us, frozenset(), is_rewound=True))
+        reduce(state, ServersReplaced(now_us, (RUNNING,), is_rewound=True))
+    reduce(state, TimerFired(START_US + 2 + REWOUND_US))
+    assert (describe(state), state.domains_out) == ({}, {"a1"})
+    reduce(state, TimerFired(START_US + 2 * REWOUND_US))
+    assert (describe(state), state.domains_out) == ({"i-1": (5, False)}, frozenset())
+
+
 @pytest.mark.parametrize(
     ("later_domains", "at_end"),
     [
