Read the list at once when a feed names a newer era

Cause: an update of the new era is a gap for a follower, which then watched from its revision of the older era. Where as many changes were made again as were lost, the store lets that watch wait (up to 4.8 s where the bound for detection is 6 s), so that an instance used servers that had left. The tests did not show it, because their feeds passed on a list of a new era with another start than the relay does. Change: the follower reads the list, once for each era that is named; the list's own answer alone tells whether the source was rewound. The test's reader passes updates on as the relay does.

--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -149,6 +149,9 @@
         self._revision = 0
         self._era = 0
         self._is_era_malformed = False
+        # Latest era that updates named, and the latest of them that caused a list.
+        self._fed_era = 0
+        self._checked_era = 0
         # Whether the next list is the first one since the store returned from an older copy.
         self._is_rewound = False
         self._is_list_needed = True
@@ -170,6 +173,7 @@
 
     def apply_feed(self, update: ApplyFeed) -> None:
         """Queue changes that another instance has read."""
+        self._fed_era = max(self._fed_era, get_era(update.as_of))
         self._inbox.put(update)
 
     async def _read_until_stopped(self) -> None:
@@ -217,11 +221,13 @@
         """Apply the updates of another instance until they are missing or too old."""
         while not self._is_list_needed and not self.should_stop:
             while (update := self._inbox.take(self._revision)) is not None:
-                if get_era(update.as_of) != get_era(self._revision):
-                    # The list of the new era tells what the older copy lacks.
-                    self._is_list_needed = self._is_rewound = True
-                    break
-                self._apply_update(update)
+                if get_era(update.as_of) == get_era(self._revision):
+                    self._apply_update(update)
+            if self._fed_era > max(get_era(self._revision), self._checked_era):
+                # A watch from a revision of the older era could wait although there are
+                # changes.
+                self._checked_era, self._is_list_needed = self._fed_era, True
+                break
             remaining_seconds = self._inbox.get_remaining_seconds()
             if not remaining_seconds:
                 break
--- a/mimosapost/platform/tests/test_store_era.py
+++ b/mimosapost/platform/tests/test_store_era.py
@@ -117,3 +117,31 @@
         await wait_until(lambda: follower.revision == expected)
         assert follower.list_servers() == {"i-1", "i-2", "i-3", "i-4"}
         assert (len(follower.list_events(ServersReplaced)) > lists) == is_list_needed
+
+
+async def test_a_follower_reads_the_list_as_soon_as_it_hears_of_a_new_era():
+    async with run_readers(2) as (store, (first, follower)):
+        data = store.copy()
+        await store.put("servers/i-3", create_entry(3))
+        await wait_until(lambda: "i-3" in follower.list_servers())
+        await first.source.stop()
+        store.rewind(data, "1")
+        await store.put("servers/i-4", create_entry(4))
+        calls = len(store.requested_paths)
+        position = create_position(1, store.revision)
+        follower.feed(position, position)
+        await wait_until(lambda: follower.revision == position)
+        assert store.requested_paths[calls] == "/api/kv-range"
+        assert follower.list_servers() == {"i-1", "i-2", "i-4"}
+
+
+async def test_a_feed_that_names_a_wrong_era_causes_one_list():
+    async with run_readers(2) as (store, (_, follower)):
+        lists = len(follower.list_events(ServersReplaced))
+        position = create_position(9, 1)
+        for number in (3, 4, 5):
+            follower.feed(position, position)
+            await store.put(f"servers/i-{number}", create_entry(number))
+            await wait_until(lambda n=number: f"i-{n}" in follower.list_servers())
+        assert len(follower.list_events(ServersReplaced)) == lists + 1
+        assert not any(e.is_rewound for e in follower.list_events(ServersReplaced))
--- a/mimosapost/platform/tests/test_store_feed.py
+++ b/mimosapost/platform/tests/test_store_feed.py
@@ -59,7 +59,7 @@
             for follower in self.followers:
                 follower.source.apply_feed(
                     ApplyFeed(
-                        event.after,
+                        event.after or event.as_of,
                         event.as_of,
                         event.entries,
                         event.confirmed_us,
