Log the store's own revision where a feed begins and ends

Cause: feed_followed and feed_ended printed era and revision as one number. Result: the check added to test_store_era.py failed before and passes.

--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -232,11 +232,12 @@
             if not remaining_seconds:
                 break
             if not self._is_fed:
-                self._logs.write("feed_followed", {"revision": self._revision})
+                self._logs.write("feed_followed", {"revision": get_revision(self._revision)})
             self._is_fed = self._was_fed = True
             await self._inbox.wait(remaining_seconds)
         if self._is_fed:
-            fields = {"revision": self._revision, "reason": self._inbox.end_reason}
+            revision = get_revision(self._revision)
+            fields = {"revision": revision, "reason": self._inbox.end_reason}
             self._logs.write("feed_ended", fields)
         self._is_fed = False
 
--- a/mimosapost/platform/tests/test_store_era.py
+++ b/mimosapost/platform/tests/test_store_era.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import re
+
 import pytest
 
 from mimosapost.edge.clock import read_clock_us
-from mimosapost.platform.store_positions import create_position, get_revision
+from mimosapost.platform.store_positions import MAX_REVISION, create_position, get_revision
 from mimosapost.platform.tests.standins import create_config
 from mimosapost.platform.tests.test_store_feed import (
     Reader,
@@ -55,6 +57,8 @@
             assert any(event.is_rewound for event in reader.list_events(ServersReplaced))
             assert reader.list_events(SourceLost)
             assert reader.log.getvalue().count('event="store_rewound" era=5') == 1
+            logged = re.findall(r" revision=(\d+)", reader.log.getvalue())
+            assert max(map(int, logged)) <= MAX_REVISION
         await store.put("servers/i-9", create_entry(9))
         await wait_until(lambda: all("i-9" in r.list_servers() for r in readers))
 
