Move waits and pauses of the store's watches to a module

Change: constants and the two functions are in platform/store_pacing.py; no change of behaviour. Result: test_store_era, test_store_feed and test_translation pass.

--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -27,6 +27,11 @@
     fetch_answer,
 )
 from mimosapost.platform.store_entries import EntryError, decode_catalog, decode_server
+from mimosapost.platform.store_pacing import (
+    FEED_AGE_SHARE,
+    get_next_pause,
+    get_watch_limits,
+)
 from mimosapost.platform.store_positions import create_position, get_era, get_revision
 from mimosapost.relay.effects import ApplyFeed
 from mimosapost.relay.events import (
@@ -41,33 +46,14 @@
     SourceRegained,
 )
 
-__all__ = ["StoreReader", "get_next_pause"]
+__all__ = ["StoreReader"]
 
 _SERVER_PREFIX = "servers/"
 _CONFIG_KEY = "op/config"
 _DOMAIN_OUT_PREFIX = "op/evacuate/"
-# Part of the detection time that is reserved for detecting a lost answer and reading the whole
-# list again; a watch waits for changes during the rest.
-_RECOVERY_MS = 1_200
-_MIN_WATCH_WAIT_MS = 200
-# The reader pauses after a watch that returned changes, so that the next watch returns several
-# changes together. The first pause is short, because a single change should take effect at
-# once. Each further watch in a burst of changes doubles the pause.
-_FIRST_PAUSE_SECONDS = 0.1
-# Longest pause, as a share of the time within which a change must take effect. The rest is left
-# for reading the change and for a second attempt after a failure.
-_MAX_PAUSE_SHARE = 1 / 3
-# Age of an update from which the store is read instead, the longest wait of a watch and the
-# longest pause after it while other instances follow, each as a share of the time within which
-# a change must take effect. The wait and the pause together stay below the age.
-_FEED_AGE_SHARE = 0.6
-_FED_WAIT_SHARE = 0.24
-_FED_PAUSE_SHARE = 0.2
 # When all instances start together before there is traffic, each waits for this time after its
 # first list. It meets the others meanwhile, and most entries of the servers are written then.
 _FIRST_START_WAIT_SECONDS = 2.5
-# A watch that takes longer than this ends a burst of changes.
-_BURST_GAP_US = 1_500_000
 # Delays after failed calls. The platform charges for every call, including refused ones.
 _FIRST_BACKOFF_SECONDS = 0.1
 _MAX_BACKOFF_SECONDS = 0.4
@@ -93,23 +79,6 @@
     """The store returned from an older copy, so that what was read of it may not be there."""
 
 
-def get_next_pause(pause_seconds: float, quiet_us: int, max_pause_seconds: float) -> float:
-    """Return the pause after a watch that returned changes, in seconds.
-
-    :param pause_seconds: previous pause.
-    :param quiet_us: time from the end of that pause to this answer, in microseconds.
-    :param max_pause_seconds: upper limit of the pauses in a burst of changes.
-
-    >>> get_next_pause(0.4, 5_000, 1.0), get_next_pause(0.8, 5_000, 1.0)
-    (0.8, 1.0)
-    >>> get_next_pause(1.0, 2_000_000, 1.0)
-    0.1
-    """
-    if quiet_us > _BURST_GAP_US:
-        return _FIRST_PAUSE_SECONDS
-    return min(max(2 * pause_seconds, _FIRST_PAUSE_SECONDS), max_pause_seconds)
-
-
 class StoreReader(mode.Service):
     """Reads all entries of the store, then watches for changes, with one call at a time.
 
@@ -141,7 +110,7 @@
         self._read_clock_us = read_clock_us
         self._logs = logs
         self._is_followed = is_followed
-        self._watch_wait_ms = max(_MIN_WATCH_WAIT_MS, detection_limit_ms - _RECOVERY_MS)
+        self._detection_limit_ms = detection_limit_ms
         self._session: aiohttp.ClientSession | None = None
         # Positions of the entries, and the position up to which all changes were applied; 0
         # before the first list.
@@ -155,7 +124,7 @@
         # Whether the next list is the first one since the store returned from an older copy.
         self._is_rewound = False
         self._is_list_needed = True
-        self._inbox = FeedInbox(read_clock_us, int(apply_limit_ms * 1_000 * _FEED_AGE_SHARE))
+        self._inbox = FeedInbox(read_clock_us, int(apply_limit_ms * 1_000 * FEED_AGE_SHARE))
         # Whether updates are applied now, and whether they were since the last own call.
         self._is_fed = False
         self._was_fed = False
@@ -368,7 +337,9 @@
         return tuple(sorted((*changed, *removed), key=lambda entry: entry.revision))
 
     async def _read_changes(self) -> None:
-        wait_ms, max_pause_seconds = self._get_watch_limits()
+        wait_ms, max_pause_seconds = get_watch_limits(
+            self._detection_limit_ms, self._apply_limit_ms, self._is_followed()
+        )
         after = get_revision(self._revision)
         fields = {"pathPrefix": "", "after": after, "waitMs": wait_ms}
         data = await self._call("kv-watch", fields, wait_ms / 1_000)
@@ -389,15 +360,6 @@
             await asyncio.sleep(self._pause_seconds)
         self._pause_ended_us = self._read_clock_us()
 
-    def _get_watch_limits(self) -> tuple[int, float]:
-        """Return the wait of a watch in milliseconds and the longest pause in seconds."""
-        limit_ms = self._apply_limit_ms
-        if not self._is_followed():
-            longest = max(_FIRST_PAUSE_SECONDS, limit_ms / 1e3 * _MAX_PAUSE_SHARE)
-            return self._watch_wait_ms, longest
-        wait_ms = min(self._watch_wait_ms, int(limit_ms * _FED_WAIT_SHARE))
-        return wait_ms, max(_FIRST_PAUSE_SECONDS, limit_ms / 1e3 * _FED_PAUSE_SHARE)
-
     def _apply_change(self, entry: SourceEntry) -> None:
         if entry.key.startswith(_SERVER_PREFIX):
             server_id = entry.key.removeprefix(_SERVER_PREFIX)
--- a/mimosapost/platform/tests/test_translation.py
+++ b/mimosapost/platform/tests/test_translation.py
@@ -23,7 +23,7 @@
 from mimosapost.platform.http_codec import PlatformCodec
 from mimosapost.platform.settings import METRICS_PORT, decode_settings
 from mimosapost.platform.store_entries import EntryError, decode_catalog, decode_server
-from mimosapost.platform.store_reader import get_next_pause
+from mimosapost.platform.store_pacing import get_next_pause
 from mimosapost.platform.tests.standins import create_config
 from mimosapost.relay.messages import GatheredReply, LoadReport, Refusal
 
