--- a/mimosapost/edge/tests/test_answer_status.py
+++ b/mimosapost/edge/tests/test_answer_status.py
@@ -77,6 +77,34 @@
         assert (await exchange.next_event()).answer.status == 200
 
 
+@pytest.mark.parametrize("status", STATUSES)
+async def test_an_invalid_status_after_a_complete_answer_costs_the_connection_only(status):
+    async def answer(reader, writer, number):
+        await read_head(reader)
+        writer.write(create_bytes("200") + create_bytes(status))
+        assert not await reader.read(1)
+        closed.set()
+
+    closed = asyncio.Event()
+    async with open_exchange(answer) as exchange:
+        exchange.start(1)
+        assert (await exchange.next_event()).answer.status == 200
+        await asyncio.wait_for(closed.wait(), 3)
+
+
+@pytest.mark.parametrize("status", STATUSES)
+async def test_an_invalid_status_after_the_answer_to_another_request_fails_the_send(status):
+    async def answer(reader, writer, number):
+        await read_head(reader)
+        writer.write(create_bytes("200").replace(b"r1", b"r9") + create_bytes(status))
+        await reader.read(1)
+
+    async with open_exchange(answer) as exchange:
+        exchange.start(1)
+        event = await exchange.next_event()
+        assert (event.kind, event.run) == (FailureKind.MALFORMED, RunState.UNKNOWN)
+
+
 async def test_interim_answers_without_end_fail_the_send():
     async def answer(reader, writer, number):
         await read_head(reader)
