Take no server process that is written again for one that has crashed

Cause: a server that is leaving and that the copy lacks is dropped at once. When its process wrote its entry again, that counted as a new process at its address, and the requests that it had not answered became suspects. Change: a process that was removed lately and returns with the same start has not ended.

--- a/mimosapost/relay/rewound_source.py
+++ b/mimosapost/relay/rewound_source.py
@@ -15,7 +15,14 @@
 from mimosapost.relay.messages import BackendServer
 from mimosapost.relay.registry import Effects
 
-__all__ = ["REWOUND_US", "RewoundSource", "keep_domains", "keep_known", "record_removed"]
+__all__ = [
+    "REWOUND_US",
+    "RewoundSource",
+    "has_returned",
+    "keep_domains",
+    "keep_known",
+    "record_removed",
+]
 
 #: Time after the return of a source in which its writers write their entries again, and the
 #: entries of servers that have ended expire. Silent entries expire after 3.6 s.
@@ -52,6 +59,12 @@
     rewound.removed[server.server_id] = (server.process_started_ms, now_us)
 
 
+def has_returned(rewound: RewoundSource, server: BackendServer) -> bool:
+    """Return whether the process of a server was removed lately and has not ended since."""
+    started_ms, _ = rewound.removed.get(server.server_id, (0, 0))
+    return 0 < server.process_started_ms == started_ms
+
+
 def keep_known(
     rewound: RewoundSource,
     known: dict[str, BackendServer],
--- a/mimosapost/relay/service_discovery.py
+++ b/mimosapost/relay/service_discovery.py
@@ -20,6 +20,7 @@
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
 from mimosapost.relay.rewound_source import (
     REWOUND_US,
+    has_returned,
     keep_domains,
     keep_known,
     record_removed,
@@ -172,7 +173,8 @@
         record = None
     if record is None:
         # A new process at the address of an earlier one shows that the earlier one has ended.
-        record_crash(state, server.address, "restarted", RESTART_WINDOW_US, now_us, effects)
+        if not has_returned(state.rewound, server):
+            record_crash(state, server.address, "restarted", RESTART_WINDOW_US, now_us, effects)
         region = instance_settings.regions.get(server.domain, "")
         distance = get_distance(
             instance_settings.domain, instance_settings.region, server.domain, region
--- a/mimosapost/relay/tests/test_rewound_source.py
+++ b/mimosapost/relay/tests/test_rewound_source.py
@@ -20,7 +20,7 @@
 from mimosapost.relay.messages import BackendServer
 from mimosapost.relay.reducer import reduce
 from mimosapost.relay.rewound_source import REWOUND_US
-from mimosapost.relay.state import InstanceSettings, create_relay_state
+from mimosapost.relay.state import InstanceSettings, UnansweredSend, create_relay_state
 
 START_US = 1_000_000
 
@@ -89,6 +89,18 @@
     assert describe(state) == later
 
 
+@pytest.mark.parametrize(
+    ("returning", "is_crash"), [(LEAVING, False), (create_server(started_ms=9), True)]
+)
+def test_the_same_process_written_again_has_not_crashed(returning, is_crash):
+    state = create_state(LEAVING)
+    state.unanswered[LEAVING.address] = {7: UnansweredSend(START_US, START_US, True, False)}
+    reduce(state, ServersReplaced(START_US + 1, (), is_rewound=True))
+    reduce(state, ServerListed(START_US + 2, returning))
+    assert list(state.servers) == ["i-1"]
+    assert (LEAVING.address not in state.unanswered) == is_crash
+
+
 def test_a_list_of_the_same_era_changes_as_before():
     state = create_state(LEAVING)
     reduce(state, ServersReplaced(START_US + 1, (RUNNING,)))
