--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -28,6 +28,12 @@
     fetch_answer,
 )
 from mimosapost.platform.store_entries import EntryError, decode_catalog, decode_server
+from mimosapost.platform.store_pacing import (
+    FEED_AGE_SHARE,
+    get_next_pause,
+    get_watch_limits,
+)
+from mimosapost.platform.store_positions import create_position, get_era, get_revision
 from mimosapost.relay.effects import ApplyFeed
 from mimosapost.relay.events import (
     CatalogRead,
@@ -41,32 +47,13 @@
     SourceRegained,
 )
 
-__all__ = ["StoreReader", "get_next_pause"]
+__all__ = ["StoreReader"]
 
 _SERVER_PREFIX = "servers/"
 _DOMAIN_OUT_PREFIX = "op/evacuate/"
-# Part of the detection time that is reserved for detecting a lost answer and reading the whole
-# list again; a watch waits for changes during the rest.
-_RECOVERY_MS = 1_200
-_MIN_WATCH_WAIT_MS = 200
-# The reader pauses after a watch that returned changes, so that the next watch returns several
-# changes together. The first pause is short, because a single change should take effect at
-# once. Each further watch in a burst of changes doubles the pause.
-_FIRST_PAUSE_SECONDS = 0.1
-# Longest pause, as a share of the time within which a change must take effect. The rest is left
-# for reading the change and for a second attempt after a failure.
-_MAX_PAUSE_SHARE = 1 / 3
-# Age of an update from which the store is read instead, the longest wait of a watch and the
-# longest pause after it while other instances follow, each as a share of the time within which
-# a change must take effect. The wait and the pause together stay below the age.
-_FEED_AGE_SHARE = 0.6
-_FED_WAIT_SHARE = 0.24
-_FED_PAUSE_SHARE = 0.2
 # When all instances start together before there is traffic, each waits for this time after its
 # first list. It meets the others meanwhile, and most entries of the servers are written then.
 _FIRST_START_WAIT_SECONDS = 2.5
-# A watch that takes longer than this ends a burst of changes.
-_BURST_GAP_US = 1_500_000
 # Delays after failed calls. The platform charges for every call, including refused ones.
 _FIRST_BACKOFF_SECONDS = 0.1
 _MAX_BACKOFF_SECONDS = 0.4
@@ -88,21 +75,8 @@
     """The store sent an answer that is older than what was read from it before."""
 
 
-def get_next_pause(pause_seconds: float, quiet_us: int, max_pause_seconds: float) -> float:
-    """Return the pause after a watch that returned changes, in seconds.
-
-    :param pause_seconds: previous pause.
-    :param quiet_us: time from the end of that pause to this answer, in microseconds.
-    :param max_pause_seconds: upper limit of the pauses in a burst of changes.
-
-    >>> get_next_pause(0.4, 5_000, 1.0), get_next_pause(0.8, 5_000, 1.0)
-    (0.8, 1.0)
-    >>> get_next_pause(1.0, 2_000_000, 1.0)
-    0.1
-    """
-    if quiet_us > _BURST_GAP_US:
-        return _FIRST_PAUSE_SECONDS
-    return min(max(2 * pause_seconds, _FIRST_PAUSE_SECONDS), max_pause_seconds)
+class _SourceRewound(Exception):
+    """The store returned from an older copy, so that what was read of it may not be there."""
 
 
 class StoreReader(mode.Service):
@@ -136,13 +110,21 @@
         self._read_clock_us = read_clock_us
         self._logs = logs
         self._is_followed = is_followed
-        self._watch_wait_ms = max(_MIN_WATCH_WAIT_MS, detection_limit_ms - _RECOVERY_MS)
+        self._detection_limit_ms = detection_limit_ms
         self._session: aiohttp.ClientSession | None = None
+        # Positions of the entries, and the position up to which all changes were applied; 0
+        # before the first list.
         self._revisions: dict[str, int] = {}
-        # Revision up to which all changes were applied; 0 before the first list.
         self._revision = 0
+        self._era = 0
+        self._is_era_malformed = False
+        # Latest era that updates named, and the latest of them that caused a list.
+        self._fed_era = 0
+        self._checked_era = 0
+        # Whether the next list is the first one since the store returned from an older copy.
+        self._is_rewound = False
         self._is_list_needed = True
-        self._inbox = FeedInbox(read_clock_us, int(apply_limit_ms * 1_000 * _FEED_AGE_SHARE))
+        self._inbox = FeedInbox(read_clock_us, int(apply_limit_ms * 1_000 * FEED_AGE_SHARE))
         # Whether updates are applied now, and whether they were since the last own call.
         self._is_fed = False
         self._was_fed = False
@@ -160,6 +142,7 @@
 
     def apply_feed(self, update: ApplyFeed) -> None:
         """Queue changes that another instance has read."""
+        self._fed_era = max(self._fed_era, get_era(update.as_of))
         self._inbox.put(update)
 
     async def _read_until_stopped(self) -> None:
@@ -174,8 +157,11 @@
                         await self._inbox.wait(_FIRST_START_WAIT_SECONDS)
                 else:
                     await self._read_changes()
+            except _SourceRewound:
+                self._is_list_needed = True
+                continue
             except HistoryLost:
-                self._logs.write("store_history_lost", {"after": self._revision})
+                self._logs.write("store_history_lost", {"after": get_revision(self._revision)})
                 self._is_list_needed = True
                 continue
             except AnswerTooLarge as error:
@@ -204,16 +190,23 @@
         """Apply the updates of another instance until they are missing or too old."""
         while not self._is_list_needed and not self.should_stop:
             while (update := self._inbox.take(self._revision)) is not None:
-                self._apply_update(update)
+                if get_era(update.as_of) == get_era(self._revision):
+                    self._apply_update(update)
+            if self._fed_era > max(get_era(self._revision), self._checked_era):
+                # A watch from a revision of the older era could wait although there are
+                # changes.
+                self._checked_era, self._is_list_needed = self._fed_era, True
+                break
             remaining_seconds = self._inbox.get_remaining_seconds()
             if not remaining_seconds:
                 break
             if not self._is_fed:
-                self._logs.write("feed_followed", {"revision": self._revision})
+                self._logs.write("feed_followed", {"revision": get_revision(self._revision)})
             self._is_fed = self._was_fed = True
             await self._inbox.wait(remaining_seconds)
         if self._is_fed:
-            fields = {"revision": self._revision, "reason": self._inbox.end_reason}
+            revision = get_revision(self._revision)
+            fields = {"revision": revision, "reason": self._inbox.end_reason}
             self._logs.write("feed_ended", fields)
         self._is_fed = False
 
@@ -259,25 +252,56 @@
         fields: dict[str, Any] = {"pathPrefix": ""}
         first_revision, confirmed_us = None, 0
         while True:
-            data = await fetch_answer(self._session, f"{self._url}/api/kv-range", fields)
-            page = msgspec.json.decode(data, type=Page)
+            page = msgspec.json.decode(await self._call("kv-range", fields), type=Page)
+            as_of = create_position(self._era, page.asOf)
             if first_revision is None:
-                first_revision, confirmed_us = page.asOf, self._read_clock_us()
-            entries += map(create_entry, page.items)
+                first_revision, confirmed_us = as_of, self._read_clock_us()
+            elif get_era(first_revision) != self._era:
+                raise _StaleAnswer(f"the era changed to {self._era} between two pages")
+            entries += [create_entry(item, self._era) for item in page.items]
             if not page.truncated or not page.items:
                 break
             fields["after"] = page.items[-1].key
         self._check_revision(first_revision)
         self._apply_list(first_revision, entries, confirmed_us)
 
+    async def _call(self, name: str, fields: dict[str, Any], wait_seconds: float = 0) -> bytes:
+        """Make one call and return the body of its answer, unless it is of another era.
+
+        An answer without a usable era counts as one of the era that is known.
+        """
+        url = f"{self._url}/api/{name}"
+        answer = await fetch_answer(self._session, url, fields, wait_seconds)
+        if answer.is_era_malformed and not self._is_era_malformed:
+            self._logs.write("store_era_malformed", {"era": self._era})
+        self._is_era_malformed = answer.is_era_malformed
+        era = self._era if answer.era is None else answer.era
+        if era < self._era:
+            raise _StaleAnswer(f"answer of era {era}, after {self._era}")
+        is_newer, self._era = era > self._era, era
+        if is_newer and self._revision:
+            self._is_rewound = True
+            fields = {"era": era, "revision": get_revision(self._revision)}
+            self._logs.write("store_rewound", fields)
+            # Entries that were written since the copy are missing until they are written
+            # again, as after an outage.
+            error = _SourceRewound("the store returned from an older copy")
+            self._report_source_lost(error)
+            if not self._is_list_needed:
+                raise error
+        return answer.body
+
     def _check_revision(self, as_of: int) -> None:
         if as_of < self._revision:
-            raise _StaleAnswer(f"answer as of revision {as_of}, after {self._revision}")
+            revisions = get_revision(as_of), get_revision(self._revision)
+            raise _StaleAnswer("answer as of revision {}, after {}".format(*revisions))
 
     def _apply_list(self, as_of: int, entries: list[SourceEntry], confirmed_us: int) -> None:
         is_regained = self._report_source_regained()
-        changes = self._find_changes(as_of, entries)
-        after, self._revision = self._revision, as_of
+        is_rewound, self._is_rewound = self._is_rewound, False
+        # A list of a new era does not continue the earlier one; followers read it themselves.
+        changes = () if is_rewound else self._find_changes(as_of, entries)
+        after, self._revision = 0 if is_rewound else self._revision, as_of
         self._is_list_needed = False
         self._revisions = {entry.key: entry.revision for entry in entries}
         for entry in entries:
@@ -288,14 +312,14 @@
             for entry in entries
             if entry.key.startswith(_DOMAIN_OUT_PREFIX)
         )
-        self._set_domains_out(frozenset(domains_out))
+        self._set_domains_out(frozenset(domains_out), is_rewound)
         # The server list is passed last, because it releases the requests that were held until
         # the instance is ready.
         server_entries = [entry for entry in entries if entry.key.startswith(_SERVER_PREFIX)]
         servers = [self._decode_server(entry) for entry in server_entries]
         usable_servers = tuple(server for server in servers if server is not None)
         now_us = self._read_clock_us()
-        self._handle(ServersReplaced(now_us, usable_servers))
+        self._handle(ServersReplaced(now_us, usable_servers, is_rewound))
         self._handle(SourceRead(now_us, after, as_of, changes, confirmed_us, is_regained))
 
     def _find_changes(self, as_of: int, entries: list[SourceEntry]) -> tuple[SourceEntry, ...]:
@@ -313,16 +337,20 @@
         return tuple(sorted((*changed, *removed), key=lambda entry: entry.revision))
 
     async def _read_changes(self) -> None:
-        wait_ms, max_pause_seconds = self._get_watch_limits()
-        fields = {"pathPrefix": "", "after": self._revision, "waitMs": wait_ms}
-        data = await fetch_answer(
-            self._session, f"{self._url}/api/kv-watch", fields, wait_ms / 1_000
+        wait_ms, max_pause_seconds = get_watch_limits(
+            self._detection_limit_ms, self._apply_limit_ms, self._is_followed()
         )
+        after = get_revision(self._revision)
+        fields = {"pathPrefix": "", "after": after, "waitMs": wait_ms}
+        data = await self._call("kv-watch", fields, wait_ms / 1_000)
         confirmed_us = self._read_clock_us()
         changes = msgspec.json.decode(data, type=Changes)
         events = sorted(changes.events, key=lambda item: item.revision)
-        entries = tuple(create_entry(item) for item in events if item.revision > self._revision)
-        as_of = max([changes.asOf, *(entry.revision for entry in entries)])
+        entries = tuple(
+            create_entry(item, self._era) for item in events if item.revision > after
+        )
+        as_of = create_position(self._era, changes.asOf)
+        as_of = max([as_of, *(entry.revision for entry in entries)])
         self._check_revision(as_of)
         self._apply_changes(as_of, entries, confirmed_us)
         self._pause_seconds = get_next_pause(
@@ -332,15 +360,6 @@
             await asyncio.sleep(self._pause_seconds)
         self._pause_ended_us = self._read_clock_us()
 
-    def _get_watch_limits(self) -> tuple[int, float]:
-        """Return the wait of a watch in milliseconds and the longest pause in seconds."""
-        limit_ms = self._apply_limit_ms
-        if not self._is_followed():
-            longest = max(_FIRST_PAUSE_SECONDS, limit_ms / 1e3 * _MAX_PAUSE_SHARE)
-            return self._watch_wait_ms, longest
-        wait_ms = min(self._watch_wait_ms, int(limit_ms * _FED_WAIT_SHARE))
-        return wait_ms, max(_FIRST_PAUSE_SECONDS, limit_ms / 1e3 * _FED_PAUSE_SHARE)
-
     def _apply_change(self, entry: SourceEntry) -> None:
         if entry.key.startswith(_SERVER_PREFIX):
             server_id = entry.key.removeprefix(_SERVER_PREFIX)
@@ -359,9 +378,9 @@
         elif entry.key == CONFIG_KEY and not entry.is_removed:
             self._apply_config(entry)
 
-    def _set_domains_out(self, domains: frozenset[str]) -> None:
+    def _set_domains_out(self, domains: frozenset[str], is_rewound: bool = False) -> None:
         self._domains_out = domains
-        self._handle(DomainsOut(self._read_clock_us(), domains))
+        self._handle(DomainsOut(self._read_clock_us(), domains, is_rewound))
 
     def _decode_server(self, entry: SourceEntry) -> Any:
         server_id = entry.key.removeprefix(_SERVER_PREFIX)
