Name the era in the test of workspace entries

Change: era 0 in the test. Measured: the tests of entries, feeds, eras, workspaces and statuses pass.

--- a/mimosapost/platform/tests/test_workspace_entries.py
+++ b/mimosapost/platform/tests/test_workspace_entries.py
@@ -102,7 +102,7 @@
 )
 def test_entries_hold_digests_in_the_place_of_keys(data, is_kept):
     item = Item(CONFIG_KEY, 7, base64.b64encode(data).decode())
-    value = create_entry(item).value
+    value = create_entry(item, 0).value
     assert KEY.encode() not in value
     assert bool(value) == is_kept
     if is_kept:
