Plan when a gathered reply leaves from its caller's way and the instance's delays

Cause: the timer of a gathered reply left a constant 12 ms for the way to the caller. Callers that are 3 ms away on a new connection, at an instance with a slow link, need about 20 ms, so that replies came late by a little. Change: relay/reply_times.py plans the departure from the round trip of the caller's socket, the set-up of a new connection, the time in which the request waited to be read, and what the instance observed of its own replies: late timers, time to write, and time until the caller has acknowledged the reply. The edge observes (edge/caller_paths.py), the reducer decides.

--- a/mimosapost/edge/caller_connections.py
+++ b/mimosapost/edge/caller_connections.py
@@ -17,10 +17,13 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler
 
+from mimosapost.edge.caller_paths import DeliveryWatch, read_round_trip_us
+from mimosapost.edge.clock import read_clock_us
 from mimosapost.edge.logs import Logs
 from mimosapost.relay.catalog import CallerLimits
+from mimosapost.relay.messages import CallerPath
 
-__all__ = ["LimitedServer", "measure_header_fields"]
+__all__ = ["LimitedConnection", "LimitedServer", "measure_header_fields"]
 
 # Connections are closed this long after the published idle limit, so that a caller
 # that respects the limit never sends a request on a connection that is being closed.
@@ -126,7 +129,7 @@
             )
 
 
-class _LimitedConnection(RequestHandler):
+class LimitedConnection(RequestHandler):
     """Connection of a caller.
 
     :param manager: server that accepted the connection.
@@ -134,7 +137,15 @@
     :param logs: receives requests that are refused.
     """
 
-    __slots__ = ("_answered", "_get_limits", "_idle_limit_us", "_idle_since", "_logs")
+    __slots__ = (
+        "_answered",
+        "_decided_us",
+        "_get_limits",
+        "_idle_limit_us",
+        "_idle_since",
+        "_logs",
+        "_received_us",
+    )
 
     def __init__(
         self, manager: LimitedServer, get_limits: Callable[[], CallerLimits], logs: Logs
@@ -152,8 +163,33 @@
         self._get_limits = get_limits
         self._logs = logs
         self._answered = 0
+        self._decided_us = self._received_us = 0
         self._begin_idle()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to read requests."""
+        super().connection_made(transport)
+        self._received_us = read_clock_us()
+
+    def data_received(self, data: bytes) -> None:
+        """Pass bytes of the caller to the parser."""
+        is_between = self._answered and self._request_count == self._answered
+        if is_between and self._parser is not None and not self._parser.head_bytes:
+            self._received_us = read_clock_us()
+        super().data_received(data)
+
+    def describe_path(self) -> CallerPath:
+        """Return what the connection tells about the way of the request that it brought."""
+        times = read_round_trip_us(self.transport)
+        return CallerPath(self._received_us, *times, is_new=not self._answered)
+
+    def watch_reply(self, decided_us: int) -> None:
+        """Have the next reply watched until the caller has acknowledged it.
+
+        :param decided_us: monotonic time of the decision on the reply in microseconds.
+        """
+        self._decided_us = decided_us
+
     def _begin_idle(self) -> None:
         self._idle_since = self._loop.time()
         self._idle_limit_us = self._get_limits().idle_timeout_us
@@ -163,9 +199,14 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Write a response, after which the connection is idle."""
         try:
-            return await super().finish_response(request, resp, start_time)
+            finished = await super().finish_response(request, resp, start_time)
+            if self._decided_us and self.transport is not None:
+                watch = self._manager.delivery_watch
+                watch.watch(self.transport, self._decided_us, is_new=not self._answered)
+            return finished
         finally:
             self._answered += 1
+            self._decided_us = 0
             self._begin_idle()
 
     def handle_error(
@@ -211,23 +252,30 @@
     :param handler: answers requests.
     :param get_limits: returns the limits in force.
     :param logs: receives requests that are refused.
+    :param delivery_watch: watches the replies that need it.
     """
 
     def __init__(
-        self, handler: Callable[..., Any], get_limits: Callable[[], CallerLimits], logs: Logs
+        self,
+        handler: Callable[..., Any],
+        get_limits: Callable[[], CallerLimits],
+        logs: Logs,
+        delivery_watch: DeliveryWatch,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
+        self.delivery_watch = delivery_watch
         self._get_limits = get_limits
         self._logs = logs
         self._check_timer: asyncio.TimerHandle | None = None
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a connection that is accepted."""
-        return _LimitedConnection(self, self._get_limits, self._logs)
+        return LimitedConnection(self, self._get_limits, self._logs)
 
     def start_checks(self, stack: AsyncExitStack) -> None:
         """Close overdue connections until the exit stack closes."""
         stack.callback(self._stop_checks)
+        stack.callback(self.delivery_watch.stop)
         self._check_connections()
 
     def _check_connections(self) -> None:
--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -68,6 +68,11 @@
         "Time from a gather to its last answer, by distance of the other instance.",
         ("distance",),
     ),
+    "mimosapost_relay_reply_way_seconds": Metric(
+        "histogram",
+        "Time from the decision on a gathered reply until its caller has acknowledged it.",
+        ("connection",),
+    ),
     _UNDECLARED_COUNTER: Metric(
         "counter", "Counts under a name that no table declares.", ("name",)
     ),
--- a/mimosapost/edge/relay_callers.py
+++ b/mimosapost/edge/relay_callers.py
@@ -10,12 +10,14 @@
 import socket
 from collections.abc import Callable, Iterable
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from typing import Protocol
 
 from aiohttp import web
 from multidict import CIMultiDict
 
 from mimosapost.edge.caller_connections import LimitedServer, measure_header_fields
+from mimosapost.edge.caller_paths import DeliveryWatch
 from mimosapost.edge.logs import Logs
 from mimosapost.model.events import Event
 from mimosapost.relay.catalog import CallerLimits
@@ -97,14 +99,16 @@
         self._is_stopping = is_stopping
         self._logs = logs
         self._request_numbers = itertools.count(1)
-        self._reply_futures: dict[int, asyncio.Future[Reply]] = {}
+        self._reply_futures: dict[int, asyncio.Future[SendReply]] = {}
         self._handler_count = 0
         self._handlers_done = asyncio.Event()
         self._handlers_done.set()
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> RelayCallerServer:
-        server = LimitedServer(self._handle_request, self._get_limits, self._logs)
+        server = LimitedServer(
+            self._handle_request, self._get_limits, self._logs, DeliveryWatch(self._handle)
+        )
         self.address = await start_listener(self._stack, server, self._listener)
         server.start_checks(self._stack)
         self._stack.push_async_callback(self._wait_for_handlers)
@@ -155,14 +159,17 @@
             )
         except ValueError as error:
             return self._refuse(400, str(error))
-        reply = await self._wait_for_reply(request_number, request)
-        status, headers, content = self._codec.encode_reply(reply)
+        connection = http_request.protocol
+        request = replace(request, caller_path=connection.describe_path())
+        effect = await self._wait_for_reply(request_number, request)
+        connection.watch_reply(effect.decided_us)
+        status, headers, content = self._codec.encode_reply(effect.reply)
         response = web.Response(status=status, headers=headers, body=content)
         if self._is_stopping():
             response.force_close()
         return response
 
-    async def _wait_for_reply(self, request_number: int, request: RelayRequest) -> Reply:
+    async def _wait_for_reply(self, request_number: int, request: RelayRequest) -> SendReply:
         future = asyncio.get_running_loop().create_future()
         self._reply_futures[request_number] = future
         self._handle(RequestArrived(self._read_clock_us(), request))
@@ -201,7 +208,7 @@
         """Execute a ``SendReply`` effect, unless the caller has closed the connection."""
         future = self._reply_futures.get(effect.request_number)
         if future is not None and not future.done():
-            future.set_result(effect.reply)
+            future.set_result(effect)
 
 
 async def start_listener(
--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -16,6 +16,7 @@
 from mimosapost.relay.messages import Refusal, RelayRequest
 from mimosapost.relay.partners import find_partner, list_linked_domains
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
+from mimosapost.relay.reply_times import plan_reply, record_timer_delay
 from mimosapost.relay.retry_after import get_retry_after_us
 from mimosapost.relay.sends import (
     StartResult,
@@ -35,9 +36,6 @@
 
 # Reserved before the caller's deadline for writing the reply and its way to the caller.
 _REPLY_MARGIN_US = 12_000
-# A gathered reply must be merged and sent before the latency goal. Opening a connection costs
-# the caller 4 ms of it, and a merge of 90 parts queues behind the answers of other requests.
-_GOAL_MARGIN_US = 12_000
 # A request with less time left than this is refused, because no server can answer in time.
 _MIN_REMAINING_US = 3_000
 
@@ -115,8 +113,8 @@
     state.requests[request.request_number] = open_request
     state.timers.add(deadline_us, TimerKind.DEADLINE, request.request_number)
     if route.shards:
-        goal_us = now_us + route.goal_us - _GOAL_MARGIN_US
-        state.timers.add(goal_us, TimerKind.GOAL, request.request_number)
+        open_request.reply_due_us = plan_reply(state, request, route.goal_us, now_us)
+        state.timers.add(open_request.reply_due_us, TimerKind.GOAL, request.request_number)
     _start_parts(state, open_request, now_us, effects)
 
 
@@ -174,9 +172,10 @@
 
 @handles_timer(TimerKind.GOAL)
 def handle_goal(state: RelayState, key: int, now_us: int, effects: Effects) -> None:
-    """Reply at the latency goal if the parts answered so far are sufficient."""
+    """Reply in time for the latency goal if the parts answered so far are sufficient."""
     open_request = state.requests.get(key)
     if open_request is not None:
+        record_timer_delay(state, open_request.reply_due_us, now_us)
         open_request.past_goal = True
         check_progress(state, open_request, now_us, effects)
 
--- a/mimosapost/relay/completion.py
+++ b/mimosapost/relay/completion.py
@@ -150,7 +150,8 @@
     reply = _create_reply(state, open_request, now_us)
     del state.requests[request_number]
     abandon_request(state, open_request, now_us, effects)
-    effects.append(SendReply(request_number, reply))
+    decided_us = now_us if isinstance(reply, GatheredReply) else 0
+    effects.append(SendReply(request_number, reply, decided_us))
     _record_end(open_request, reply, now_us, effects)
 
 
@@ -350,6 +351,7 @@
         ("code", int(reply.code)),
         ("status", status),
         ("elapsed_ms", (now_us - open_request.arrived_us) // 1_000),
+        ("due_ms", max(0, open_request.reply_due_us - open_request.arrived_us) // 1_000),
         ("left_ms", (open_request.request.deadline_us - now_us) // 1_000),
         ("parts", len(open_request.parts)),
         ("answered", open_request.answered),
--- a/mimosapost/relay/effects.py
+++ b/mimosapost/relay/effects.py
@@ -52,10 +52,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SendReply(Effect):
-    """Send the reply to the caller; emitted exactly once for each request."""
+    """Send the reply to the caller; emitted exactly once for each request.
+
+    :param decided_us: monotonic time of the decision, if the edge is to report when the caller
+        has acknowledged the reply; otherwise 0.
+    """
 
     request_number: int
     reply: Reply
+    decided_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/mimosapost/relay/events.py
+++ b/mimosapost/relay/events.py
@@ -21,6 +21,7 @@
     "InstanceStarted",
     "ProbeEnded",
     "ProbeOutcome",
+    "ReplyDelivered",
     "RequestArrived",
     "ServerListed",
     "ServerUnlisted",
@@ -56,6 +57,24 @@
     request_number: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReplyDelivered(Event):
+    """A caller has acknowledged a reply, or has not for a long time.
+
+    :param decided_us: monotonic time of the decision on the reply.
+    :param written_us: monotonic time at which its last byte was passed to the system.
+    :param acknowledged_us: monotonic time at which it was found acknowledged, or given up.
+    :param round_trip_us: round trip of the connection in microseconds; 0 if it is unknown.
+    :param is_new: whether the reply was the first one of its connection.
+    """
+
+    decided_us: int
+    written_us: int
+    acknowledged_us: int
+    round_trip_us: int
+    is_new: bool
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerArrived(Event):
     """A complete answer to a send arrived, verified to belong to its request."""
--- a/mimosapost/relay/messages.py
+++ b/mimosapost/relay/messages.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "BackendServer",
+    "CallerPath",
     "ForwardedReply",
     "GatheredReply",
     "LoadReport",
@@ -41,6 +42,23 @@
     process_started_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class CallerPath:
+    """Way between a caller and this instance, as seen from the connection of a request.
+
+    :param received_us: monotonic time at which the connection was accepted, or at which the
+        first bytes of a later request were read.
+    :param round_trip_us: round trip of the connection in microseconds; 0 if it is unknown.
+    :param variation_us: mean deviation of that time in microseconds.
+    :param is_new: whether the request is the first one of its connection.
+    """
+
+    received_us: int
+    round_trip_us: int = 0
+    variation_us: int = 0
+    is_new: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class RelayRequest:
     """One attempt of a caller to run a request.
@@ -52,6 +70,7 @@
     :param deadline_us: monotonic time by which the caller expects the reply.
     :param head: request line and headers sent to servers, without the final blank line.
     :param fingerprint: hash of method, target, host and body; repeats of a request share it.
+    :param caller_path: way to the caller; ``None`` if it is unknown.
     """
 
     request_number: int
@@ -62,6 +81,7 @@
     head: bytes
     body: bytes
     fingerprint: int
+    caller_path: CallerPath | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/mimosapost/relay/reducer.py
+++ b/mimosapost/relay/reducer.py
@@ -16,6 +16,7 @@
     gossip,
     graceful_stop,
     hedges,
+    reply_times,
     send_outcomes,
     sends,
     served_gathers,
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -16,6 +16,7 @@
 from mimosapost.relay.latency_pools import DISTANCES, LatencyPool
 from mimosapost.relay.messages import RelayRequest, ServerAnswer
 from mimosapost.relay.partners import PeerState
+from mimosapost.relay.reply_delays import ReplyDelays
 from mimosapost.relay.server_selection import ServerRecord
 from mimosapost.relay.weighted_round_robin import WeightedRoundRobin
 from mimosapost.suspects.tracker import SuspectTracker
@@ -52,6 +53,10 @@
     :param peer_address: ``ip:port`` where the instance accepts peer links; empty for an
         instance that works alone.
     :param seed_addresses: peer addresses of some instances, which may be out of date.
+    :param caller_round_trip_us: round trip to callers in microseconds, assumed where the
+        connection does not tell it.
+    :param reply_delay_us: delay in microseconds that is assumed for the timer of a reply, and
+        for its way, until replies were observed.
     """
 
     name: str
@@ -62,6 +67,8 @@
     stop_us: int = 5_400_000
     peer_address: str = ""
     seed_addresses: tuple[str, ...] = ()
+    caller_round_trip_us: int = 2_000
+    reply_delay_us: int = 3_000
 
 
 @dataclass(slots=True)
@@ -268,7 +275,8 @@
     :param version: configuration version that was current when the request was admitted.
     :param answered: number of parts with an answer.
     :param open_parts: number of parts that were neither answered nor failed.
-    :param past_goal: whether the latency goal has passed.
+    :param reply_due_us: time at which a gathered reply must leave to be in time.
+    :param past_goal: whether that time has passed.
     :param stragglers_hedged: whether early hedges of the last parts were scheduled.
     :param held_hedges: hedges of a query that wait for its first answer.
     :param failed_answer: last signed answer with a server error.
@@ -291,6 +299,7 @@
     open_parts: int = 0
     hedges: int = 0
     retries: int = 0
+    reply_due_us: int = 0
     past_goal: bool = False
     stragglers_hedged: bool = False
     held_hedges: list[HedgeDue] = field(default_factory=list)
@@ -357,6 +366,7 @@
     :param services_by_timer: services whose waiting parts are tried again, by timer key.
     :param unsent_parts: waiting parts that turned out to have no server, with the number of the
         request.
+    :param reply_delays: delays of the replies of this instance.
     :param gathers: open gathers at other instances, by number.
     :param served_gathers: request number of each open gather for another instance, by the name
         of that instance and the number of the gather.
@@ -402,6 +412,7 @@
     next_trial_id: int = 1
     services_by_timer: dict[int, str] = field(default_factory=dict)
     unsent_parts: list[tuple[int, Part]] = field(default_factory=list)
+    reply_delays: ReplyDelays = field(default_factory=ReplyDelays)
     gathers: dict[int, OpenGather] = field(default_factory=dict)
     served_gathers: dict[tuple[str, int], int] = field(default_factory=dict)
     next_gather_id: int = 1
--- a/mimosapost/relay/tests/relay_harness.py
+++ b/mimosapost/relay/tests/relay_harness.py
@@ -110,7 +110,9 @@
             self.apply_event(TimerFired(self.now_us))
         self.now_us = until_us
 
-    def request(self, path: str = "/search/x", deadline_ms: int = 600, fingerprint=1) -> int:
+    def request(
+        self, path: str = "/search/x", deadline_ms: int = 600, fingerprint=1, caller_path=None
+    ) -> int:
         """Apply the arrival of a request and return its number."""
         request_number = next(self._request_numbers)
         deadline_us = self.now_us + deadline_ms * MS
@@ -123,6 +125,7 @@
             b"GET",
             b"",
             fingerprint,
+            caller_path,
         )
         self.apply_event(RequestArrived(self.now_us, request))
         return request_number
