--- a/mimosapost/relay/messages.py
+++ b/mimosapost/relay/messages.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "BackendServer",
+    "CallerPath",
     "ForwardedReply",
     "GatheredReply",
     "LoadReport",
@@ -41,6 +42,23 @@
     process_started_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class CallerPath:
+    """Way between a caller and this instance, as seen from the connection of a request.
+
+    :param received_us: monotonic time at which the connection was accepted, or at which the
+        first bytes of a later request were read.
+    :param round_trip_us: round trip of the connection in microseconds; 0 if it is unknown.
+    :param variation_us: mean deviation of that time in microseconds.
+    :param is_new: whether the request is the first one of its connection.
+    """
+
+    received_us: int
+    round_trip_us: int = 0
+    variation_us: int = 0
+    is_new: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class RelayRequest:
     """One attempt of a caller to run a request.
@@ -55,6 +73,7 @@
     :param key_digest: digest of the key of the caller's workspace; empty without one key.
     :param workspace_lines: header lines in which the caller names its workspace; they are sent
         to servers only where the configuration has no workspaces.
+    :param caller_path: way to the caller; ``None`` if it is unknown.
     """
 
     request_number: int
@@ -67,6 +86,7 @@
     fingerprint: int
     key_digest: bytes = field(default=b"", repr=False)
     workspace_lines: bytes = field(default=b"", repr=False)
+    caller_path: CallerPath | None = None
 
 
 @dataclass(frozen=True, slots=True)
