Limit the requests of workspaces over all instances

Cause: a workspace has a rate over all instances together, and no instance sees the requests of the others. Change: one instance, chosen by a rendezvous hash, keeps the account of a workspace. The others run a few requests ahead, report them, and ask first once the workspace comes near its limit. Without a reply an instance uses its own part; one side of a split gives out the part of the instances there.

--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -156,6 +156,16 @@
     "Answers with a header that can't be read.",
     ("header",),
 )
+declare_counter(
+    "mimosapost_relay_workspace_requests_total",
+    "Requests of workspaces with a limit by outcome.",
+    ("workspace", "outcome"),
+)
+declare_counter(
+    "mimosapost_relay_workspace_limits_total",
+    "Times that a workspace came near its limit, at the instance with its account.",
+    ("workspace",),
+)
 declare_counter(
     "mimosapost_relay_odd_entries_total",
     "Entries of the store that were ignored, by the first part of the key.",
--- a/mimosapost/membership/codec.py
+++ b/mimosapost/membership/codec.py
@@ -35,6 +35,8 @@
     TrialMessage,
     TrialStep,
     WarmupNote,
+    WorkspaceGrant,
+    WorkspaceReport,
 )
 
 __all__ = [
@@ -64,6 +66,7 @@
 # Keys of the platform's store have at most 200 bytes, and an id is a part of a key.
 _MAX_SERVER_ID_BYTES = 200
 _MAX_NOTE_STAGE = 2
+_MAX_WORKSPACE_BYTES = 200
 # Packed entries of a feed update; a sender leaves larger ones out.
 _MAX_FEED_BYTES = 2**20
 # Largest version allowed in the published settings. A subtree with a higher version could
@@ -595,3 +598,37 @@
         reader.retryAfterUs,
         _read_suspects(reader.suspects),
     )
+
+
+@_register_writer(WorkspaceReport, "workspaceReport")
+def _write_workspace_report(message: WorkspaceReport) -> dict[str, Any]:
+    return {
+        "reportId": message.report_id,
+        "workspace": _check_name(message.workspace, "workspace", _MAX_WORKSPACE_BYTES),
+        "used": message.used,
+        "asked": message.asked,
+    }
+
+
+@_register_reader("workspaceReport")
+def _read_workspace_report(reader: Any) -> WorkspaceReport:
+    name = _check_name(reader.workspace, "workspace", _MAX_WORKSPACE_BYTES)
+    return WorkspaceReport(reader.reportId, name, reader.used, reader.asked)
+
+
+@_register_writer(WorkspaceGrant, "workspaceGrant")
+def _write_workspace_grant(message: WorkspaceGrant) -> dict[str, Any]:
+    return {
+        "reportId": message.report_id,
+        "granted": message.granted,
+        "open": message.is_open,
+        "waitUs": message.wait_us,
+        "roomUs": message.room_us,
+    }
+
+
+@_register_reader("workspaceGrant")
+def _read_workspace_grant(reader: Any) -> WorkspaceGrant:
+    return WorkspaceGrant(
+        reader.reportId, reader.granted, reader.open, reader.waitUs, reader.roomUs
+    )
--- a/mimosapost/membership/members.py
+++ b/mimosapost/membership/members.py
@@ -137,6 +137,17 @@
         heard_us = now_us - report.silent_us
         self._record_peer(report.identity, report.leaving, now_us, heard_us)
 
+    def list_heard(self, since_us: int) -> set[str]:
+        """Return the names of the instances that sent a message since a time.
+
+        :param since_us: monotonic time in microseconds; messages to other members count, too.
+        """
+        return {
+            name
+            for (name, _), record in self._peers.items()
+            if record.last_heard_us >= since_us
+        }
+
     def choose_reports(self, rng: Random, limit: int, now_us: int) -> tuple[MemberReport, ...]:
         """Choose random members to report to a peer.
 
--- a/mimosapost/membership/peer.capnp
+++ b/mimosapost/membership/peer.capnp
@@ -160,6 +160,21 @@
   suspects @4 :List(SuspectNote);
 }
 
+struct WorkspaceReport {
+  reportId @0 :UInt64;
+  workspace @1 :Text;
+  used @2 :UInt32;
+  asked @3 :UInt32;
+}
+
+struct WorkspaceGrant {
+  reportId @0 :UInt64;
+  granted @1 :UInt32;
+  open @2 :Bool;
+  waitUs @3 :UInt64;
+  roomUs @4 :UInt64;
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -177,6 +192,8 @@
     feedUpdate @12 :FeedUpdate;
     serverNotes @13 :ServerNotes;
     trialMessage @14 :TrialMessage;
+    workspaceReport @15 :WorkspaceReport;
+    workspaceGrant @16 :WorkspaceGrant;
   }
 }
 
--- a/mimosapost/membership/tests/test_codec.py
+++ b/mimosapost/membership/tests/test_codec.py
@@ -36,6 +36,8 @@
     TreeVersion,
     TrialMessage,
     TrialStep,
+    WorkspaceGrant,
+    WorkspaceReport,
 )
 
 OWN_IDENTITY = InstanceIdentity("entry-1", 2**64 - 1, 3, "zone-a", "north", "127.0.0.1:7000")
@@ -67,6 +69,8 @@
     ),
     TrialMessage(TrialStep.REQUESTED, 2**64 - 1, 2**64 - 1, 0, (SuspectNote(1, 2, 3),)),
     TrialMessage(TrialStep.DENIED, 1, 2, 2**64 - 1),
+    WorkspaceReport(2**64 - 1, "w" * 200, 2**32 - 1, 3),
+    WorkspaceGrant(2**64 - 1, 2**32 - 1, True, 5, 2**64 - 1),
 ]
 
 
@@ -207,9 +211,9 @@
     # this release does not know. These must not break the link.
     text = Path(codec.__file__).with_name("peer.capnp").read_text()
     text = text.replace("@0xc1b6f0a93d5e7284", "@0xc1b6f0a93d5e7285")
-    last = "trialMessage @14 :TrialMessage;"
+    last = "workspaceGrant @16 :WorkspaceGrant;"
     assert last in text
-    text = text.replace(last, last + " novel @15 :Hello;")
+    text = text.replace(last, last + " novel @17 :Hello;")
     text = text.replace("number @2 :UInt64;\n}", "number @2 :UInt64;\n extra @3 :Text;\n}")
     path = tmp_path / "next.capnp"
     path.write_text(text)
--- a/mimosapost/model/peer_messages.py
+++ b/mimosapost/model/peer_messages.py
@@ -31,6 +31,8 @@
     "TrialMessage",
     "TrialStep",
     "WarmupNote",
+    "WorkspaceGrant",
+    "WorkspaceReport",
 ]
 
 
@@ -367,6 +369,39 @@
     suspects: tuple[SuspectNote, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class WorkspaceReport:
+    """Report of one instance on the requests of a workspace, to the one that counts them.
+
+    :param report_id: number chosen by the sender, echoed in the reply.
+    :param used: requests that the sender ran since its last report.
+    :param asked: further requests that it wants to run.
+    """
+
+    report_id: int
+    workspace: str
+    used: int
+    asked: int
+
+
+@dataclass(frozen=True, slots=True)
+class WorkspaceGrant:
+    """Reply to a :class:`WorkspaceReport`.
+
+    :param granted: number of the further requests that may run, the oldest first.
+    :param is_open: whether the workspace is so far below its limit that the receiver may run
+        some requests before it reports them.
+    :param wait_us: time in microseconds until there is room for a request; 0 if there is now.
+    :param room_us: time in microseconds after which the first refused caller may return.
+    """
+
+    report_id: int
+    granted: int
+    is_open: bool
+    wait_us: int = 0
+    room_us: int = 0
+
+
 PeerMessage = (
     Hello
     | Heartbeat
@@ -383,4 +418,6 @@
     | FeedUpdate
     | ServerNotes
     | TrialMessage
+    | WorkspaceReport
+    | WorkspaceGrant
 )
--- a/mimosapost/platform/settings.py
+++ b/mimosapost/platform/settings.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
+from mimosapost.limits.fleet_limits import LimitRules
 from mimosapost.relay.state import InstanceSettings
 from mimosapost.settings.faults import Fault, create_fault
 
@@ -30,6 +31,8 @@
 # Time limits in milliseconds for applying a change of the configuration, draining a server and
 # taking a failure domain out of service.
 _APPLY_LIMIT_FIELDS = ("bounds.configApplyMs", "bounds.drainMs", "bounds.evacMs")
+# Tolerance of limits over all instances; 0 is allowed but for the window.
+_TOLERANCE_FIELDS = ("bounds.quotaExcess", "bounds.quotaSlack")
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,9 +84,14 @@
         for name, (expected, is_valid) in _REQUIRED_FIELDS.items()
         if not is_valid(fields.get(name, ""))
     ]
-    for name in ("bounds.graceS", "bounds.contactMs", "limits.memoryMb", *_APPLY_LIMIT_FIELDS):
+    positive_fields = ("bounds.graceS", "bounds.contactMs", "limits.memoryMb")
+    for name in (*positive_fields, "bounds.quotaWindowS", *_APPLY_LIMIT_FIELDS):
         if name in fields and not _is_positive_number(fields[name]):
             faults.append(create_fault((name,), fields[name], "a number above 0"))
+    for name in _TOLERANCE_FIELDS:
+        is_zero = fields.get(name) in ("0", "0.0")
+        if name in fields and not is_zero and not _is_positive_number(fields[name]):
+            faults.append(create_fault((name,), fields[name], "a number of at least 0"))
     if "portRange" in fields and not _is_port_range(fields["portRange"]):
         faults.append(create_fault(("portRange",), fields["portRange"], "two ports"))
     seeds = [seed.strip() for seed in fields.get("seeds", "").split(",") if seed.strip()]
@@ -104,6 +112,7 @@
         stop_us=max(_STOP_MARGIN_US, int(grace_seconds * 1e6) - _STOP_MARGIN_US),
         peer_address=f"{host}:{peer_port}" if peer_port else "",
         seed_addresses=_extract_seeds(fields, peer_port),
+        limit_rules=_extract_limit_rules(fields),
     )
     operator_addresses = (
         f"{host}:{METRICS_PORT}",
@@ -141,6 +150,16 @@
     return tuple(f"{a.rpartition(':')[0]}:{peer_port}" for a in addresses if a)
 
 
+def _extract_limit_rules(fields: Mapping[str, str]) -> LimitRules:
+    default = LimitRules()
+    window_s = float(fields.get("bounds.quotaWindowS", default.window_us / 1e6))
+    return LimitRules(
+        int(window_s * 1e6),
+        float(fields.get("bounds.quotaExcess", default.excess)),
+        float(fields.get("bounds.quotaSlack", default.slack)),
+    )
+
+
 def _is_port_range(value: str) -> bool:
     ports = value.split(",")
     return len(ports) == 2 and all(port.isdigit() and 0 < int(port) < 65_536 for port in ports)
--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -29,9 +29,10 @@
 from mimosapost.relay.startup_hold import hold_request, refuse_not_configured
 from mimosapost.relay.state import OpenRequest, Part, RelayState
 from mimosapost.relay.weighted_round_robin import WeightedRoundRobin
+from mimosapost.relay.workspace_limits import check_limit, pop_granted
 from mimosapost.suspects.tracker import SuspicionState
 
-__all__ = ["admit_held_requests"]
+__all__ = ["admit_granted_requests", "admit_held_requests"]
 
 # Reserved before the caller's deadline for writing the reply and its way to the caller.
 _REPLY_MARGIN_US = 12_000
@@ -76,9 +77,23 @@
         _admit(state, catalog, request, now_us, effects)
 
 
+def admit_granted_requests(state: RelayState, now_us: int, effects: Effects) -> None:
+    """Start the requests that waited for the account of their workspace."""
+    for request, arrived_us in pop_granted(state):
+        state.limits.resumed = request.request_number
+        _admit(state, state.catalog, request, now_us, effects, arrived_us)
+        state.limits.resumed = 0
+
+
 def _admit(
-    state: RelayState, catalog: Catalog, request: RelayRequest, now_us: int, effects: Effects
+    state: RelayState,
+    catalog: Catalog,
+    request: RelayRequest,
+    now_us: int,
+    effects: Effects,
+    arrived_us: int | None = None,
 ) -> None:
+    arrived_us = now_us if arrived_us is None else arrived_us
     route = catalog.find_route(request.host, request.target)
     if route is None:
         refusal = Refusal(ResultCode.UNKNOWN_SERVICE, 0, f"no route for {request.host}")
@@ -88,7 +103,7 @@
         refusal = Refusal(ResultCode.REQUEST_REFUSED, 0, "crashed servers")
         refuse_request(state, request.request_number, request.request_id, refusal, effects)
         return
-    deadline_us = min(request.deadline_us, now_us + route.timeout_us) - _REPLY_MARGIN_US
+    deadline_us = min(request.deadline_us, arrived_us + route.timeout_us) - _REPLY_MARGIN_US
     if state.stop_requested_us:
         last_reply_us = get_last_reply_us(state.instance_settings, state.stop_requested_us)
         deadline_us = min(deadline_us, last_reply_us)
@@ -98,7 +113,7 @@
             return
     services = route.shards or (_choose_service(state, route),)
     parts = [Part(service, shard=shard) for shard, service in enumerate(services)]
-    open_request = OpenRequest(request, route, catalog.version, now_us, deadline_us, parts)
+    open_request = OpenRequest(request, route, catalog.version, arrived_us, deadline_us, parts)
     open_request.open_parts = len(parts)
     if deadline_us - now_us < _MIN_REMAINING_US:
         refusal = Refusal(ResultCode.DEADLINE_TOO_SHORT, _MIN_REMAINING_US, "no time left")
@@ -112,10 +127,12 @@
         )
         refuse_request(state, request.request_number, request.request_id, refusal, effects)
         return
+    if not check_limit(state, open_request, now_us, effects):
+        return
     state.requests[request.request_number] = open_request
     state.timers.add(deadline_us, TimerKind.DEADLINE, request.request_number)
     if route.shards:
-        goal_us = now_us + route.goal_us - _GOAL_MARGIN_US
+        goal_us = arrived_us + route.goal_us - _GOAL_MARGIN_US
         state.timers.add(goal_us, TimerKind.GOAL, request.request_number)
     _start_parts(state, open_request, now_us, effects)
 
@@ -193,6 +210,7 @@
 def handle_caller_left(state: RelayState, event: CallerLeft, effects: Effects) -> None:
     """Abandon the sends of a request whose caller closed the connection."""
     state.held_requests.pop(event.request_number, None)
+    state.limits.held.pop(event.request_number, None)
     open_request = state.requests.pop(event.request_number, None)
     if open_request is None:
         return
--- a/mimosapost/relay/catalog.py
+++ b/mimosapost/relay/catalog.py
@@ -106,6 +106,7 @@
     services: Mapping[str, ServiceRules]
     limits: CallerLimits
     hosts: Mapping[str, tuple[Route, ...]] = field(repr=False)
+    workspaces: Mapping[str, Workspace] = field(default_factory=dict)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or ``None`` if no route matches.
--- a/mimosapost/relay/gossip.py
+++ b/mimosapost/relay/gossip.py
@@ -54,6 +54,7 @@
 @handles(InstanceStarted)
 def start_gossip(state: RelayState, event: InstanceStarted, effects: Effects) -> None:
     """Start the rounds of gossip if the instance has a peer address."""
+    state.started_us = event.now_us
     if state.peers is None:
         return
     own_address = state.peers.own.peer_address
@@ -166,6 +167,7 @@
         fields = (("peer", event.peer), ("kind", type(event.message).__name__))
         effects.append(WriteLog("peer_message_ignored", fields))
         return
+    state.limits.heard_us[event.peer] = event.now_us
     handler(state, event, effects)
 
 
--- a/mimosapost/relay/reducer.py
+++ b/mimosapost/relay/reducer.py
@@ -22,6 +22,8 @@
     server_notes,
     service_discovery,
     trials,
+    workspace_accounts,
+    workspace_limits,
 )
 from mimosapost.relay.events import TimerFired
 from mimosapost.relay.registry import Effects, find_handler, find_timer_handler, handles
@@ -40,6 +42,7 @@
     effects: list[Effect] = []
     find_handler(type(event))(state, event, effects)
     admission.admit_held_requests(state, event.now_us, effects)
+    admission.admit_granted_requests(state, event.now_us, effects)
     sends.dispatch_waiting(state, event.now_us, effects)
     trials.advance_trials(state, event.now_us, effects)
     completion.fail_unsent_parts(state, event.now_us, effects)
--- a/mimosapost/relay/registry.py
+++ b/mimosapost/relay/registry.py
@@ -46,6 +46,7 @@
     DISPATCH = 12
     TRIAL = 13
     INTRODUCTION = 14
+    LIMIT = 20
 
 
 _EVENT_HANDLERS: dict[type[Event], Callable[..., None]] = {}
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -7,13 +7,15 @@
 
 from mimosapost.core.timers import Timers
 from mimosapost.limits.budgets import SendBudget
+from mimosapost.limits.fleet_limits import LimitRules
 from mimosapost.limits.rates import SendRate
 from mimosapost.membership.members import MemberTable
 from mimosapost.model.identities import NO_SEAT, InstanceIdentity
 from mimosapost.relay import repeats
-from mimosapost.relay.catalog import Catalog, Route
+from mimosapost.relay.catalog import Catalog, Route, Workspace
 from mimosapost.relay.feed_choices import FeedState
 from mimosapost.relay.latency_pools import DISTANCES, LatencyPool
+from mimosapost.relay.limit_state import LimitState
 from mimosapost.relay.messages import RelayRequest, ServerAnswer
 from mimosapost.relay.partners import PeerState
 from mimosapost.relay.server_selection import ServerRecord
@@ -52,6 +54,7 @@
     :param peer_address: ``ip:port`` where the instance accepts peer links; empty for an
         instance that works alone.
     :param seed_addresses: peer addresses of some instances, which may be out of date.
+    :param limit_rules: tolerance of the limits of workspaces over all instances.
     """
 
     name: str
@@ -62,6 +65,7 @@
     stop_us: int = 5_400_000
     peer_address: str = ""
     seed_addresses: tuple[str, ...] = ()
+    limit_rules: LimitRules = field(default_factory=LimitRules)
 
 
 @dataclass(slots=True)
@@ -279,6 +283,7 @@
     :param parts_after_trial: parts that wait for the permit of the trial or for its answer.
     :param passed_trial: whether the trial was answered.
     :param retry_after_us: time in microseconds until a denied trial may be asked for again.
+    :param workspace: workspace whose key the request carried.
     """
 
     request: RelayRequest
@@ -302,6 +307,7 @@
     parts_after_trial: list[Part] = field(default_factory=list)
     passed_trial: bool = False
     retry_after_us: int = 0
+    workspace: Workspace | None = None
 
 
 @dataclass(slots=True)
@@ -360,6 +366,8 @@
     :param gathers: open gathers at other instances, by number.
     :param served_gathers: request number of each open gather for another instance, by the name
         of that instance and the number of the gather.
+    :param limits: limits of workspaces.
+    :param started_us: time at which the process started.
     """
 
     instance_settings: InstanceSettings
@@ -406,6 +414,8 @@
     served_gathers: dict[tuple[str, int], int] = field(default_factory=dict)
     next_gather_id: int = 1
     next_served_number: int = -1
+    limits: LimitState = field(default_factory=LimitState)
+    started_us: int = 0
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send callers to this instance."""
@@ -455,7 +465,8 @@
             instance_settings.seed_addresses,
             MemberTable(own),
         )
-        # Answers to gathers and trials of an earlier process must not match those of this one.
+        # Answers to messages of an earlier process must not match those of this one.
         state.next_gather_id = state.rng.getrandbits(48)
         state.next_trial_id = state.rng.getrandbits(48)
+        state.limits.next_report_id = own.incarnation >> 15
     return state
