Choose accounts among all known instances, and introduce them to those that ask elsewhere

Change: silence of a region only lowers the part that an account gives out; accounts without a reply are passed over for a time that doubles; a substitute tells those that ask of the better account.

--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -157,7 +157,7 @@
     ("header",),
 )
 declare_counter(
-    "mimosapost_relay_workspace_requests_total",
+    "mimosapost_relay_workspace_decisions_total",
     "Requests of workspaces with a limit by outcome.",
     ("workspace", "outcome"),
 )
--- a/mimosapost/membership/members.py
+++ b/mimosapost/membership/members.py
@@ -156,10 +156,13 @@
         :param now_us: monotonic time in microseconds.
         """
         records = list(self._find_current_records().values())
-        return tuple(
-            MemberReport(record.identity, record.leaving, max(0, now_us - record.last_heard_us))
-            for record in rng.sample(records, min(limit, len(records)))
-        )
+        chosen = rng.sample(records, min(limit, len(records)))
+        return tuple(self._create_report(record, now_us) for record in chosen)
+
+    def create_report(self, instance_name: str, now_us: int) -> MemberReport | None:
+        """Create a report on one member, or return ``None`` if it never sent a message."""
+        record = self._find_current_records().get(instance_name)
+        return None if record is None else self._create_report(record, now_us)
 
     def list_members(self) -> list[Member]:
         """Return all members, ordered by name."""
@@ -340,6 +343,11 @@
                 return self._peers[key].identity.seat
         return self._own.seat
 
+    @staticmethod
+    def _create_report(record: _PeerRecord, now_us: int) -> MemberReport:
+        silent_us = max(0, now_us - record.last_heard_us)
+        return MemberReport(record.identity, record.leaving, silent_us)
+
     @staticmethod
     def _create_member(record: _PeerRecord) -> Member:
         identity = record.identity
--- a/mimosapost/relay/gossip.py
+++ b/mimosapost/relay/gossip.py
@@ -33,7 +33,7 @@
 from mimosapost.relay.state import RelayState
 from mimosapost.relay.suspicion import merge_suspects
 
-__all__ = ["announce_leaving"]
+__all__ = ["announce_leaving", "create_introduction"]
 
 _ROUND_US = 1_000_000
 # Shorter rounds after the start: until an instance has met others, it sends every part itself
@@ -147,6 +147,17 @@
     return SendPeer(name, address, message)
 
 
+def create_introduction(
+    state: RelayState, name: str, other: str, now_us: int
+) -> SendPeer | None:
+    """Create the message that tells one instance of another; ``None`` if one is unknown."""
+    member = state.peers.members.find_by_name(name)
+    report = state.peers.members.create_report(other, now_us)
+    if member is None or report is None:
+        return None
+    return _create_gossip(state, name, member.peer_address, (report,), False, now_us)
+
+
 def announce_leaving(state: RelayState, now_us: int, effects: Effects) -> None:
     """Tell the instances that lately pinged or follow this one that it is stopping."""
     if state.peers is None:
--- a/mimosapost/relay/limit_state.py
+++ b/mimosapost/relay/limit_state.py
@@ -21,7 +21,6 @@
     :param asked: how many of them the report that is open asks for.
     :param report_id: number of that report; 0 if none is open.
     :param account_name: name of the instance that it was sent to.
-    :param silent_accounts: accounts that gave no reply since the last one that did.
     :param refused_until_us: time until which the account has no room.
     :param room_us: time that was last given to a refused caller for its return.
     """
@@ -33,7 +32,6 @@
     asked: int = 0
     report_id: int = 0
     account_name: str = ""
-    silent_accounts: int = 0
     refused_until_us: int = 0
     room_us: int = 0
 
@@ -74,6 +72,7 @@
     :param seen: number of instances that this one sees, with itself.
     :param surveyed_us: time at which the last three were updated.
     :param passed_until_us: time until which an instance without a reply is not asked, by name.
+    :param passed_us: length of that time, which doubles with each failure.
     :param catalog_version: version of the configuration whose workspaces are kept.
     """
 
@@ -90,5 +89,6 @@
     seen: int = 1
     surveyed_us: int = -1
     passed_until_us: dict[str, int] = field(default_factory=dict)
+    passed_us: dict[str, int] = field(default_factory=dict)
     catalog_version: int = 0
     next_report_id: int = 1
--- a/mimosapost/relay/workspace_accounts.py
+++ b/mimosapost/relay/workspace_accounts.py
@@ -26,6 +26,7 @@
 from mimosapost.model.effects import IncrementCounter, SendPeer, WriteLog
 from mimosapost.model.events import PeerMessageArrived
 from mimosapost.model.peer_messages import WorkspaceGrant, WorkspaceReport
+from mimosapost.relay.gossip import create_introduction
 from mimosapost.relay.limit_state import LimitAccount
 from mimosapost.relay.rate_limits import ASSUMED_INSTANCES
 from mimosapost.relay.registry import Effects, handles_message
@@ -44,11 +45,11 @@
 _SURVEY_US = 1_000_000
 # A region counts as lost if no message came from it for this time. Instances that gather or
 # exchange members hear from each region about once a second.
-_REGION_SILENCE_US = 4_000_000
+_REGION_SILENCE_US = 6_000_000
 # A member counts as lost if no instance reported a message of it for this time: per known
 # instance, because reports name some members only, and the bounds.
-_MEMBER_SILENCE_US = 400_000
-_MIN_SILENCE_US = 10_000_000
+_MEMBER_SILENCE_US = 1_000_000
+_MIN_SILENCE_US = 20_000_000
 _MAX_SILENCE_US = 60_000_000
 # An instance that vanished without leaving counts as known for this time.
 _RETENTION_US = 600_000_000
@@ -83,6 +84,7 @@
     limits.surveyed_us = now_us
     own_name = state.instance_settings.name
     fresh: list[str] = []
+    seen = 1
     if state.peers is not None:
         members = state.peers.members.list_members()
         heard_since_us = now_us - _REGION_SILENCE_US
@@ -100,10 +102,10 @@
                 limits.known_us.pop(member.name, None)
             elif member.name in heard:
                 limits.known_us[member.name] = now_us
-                if member.identity and member.identity.region in regions:
-                    fresh.append(member.name)
+                fresh.append(member.name)
+                seen += member.identity is not None and member.identity.region in regions
         _forget_instances(state, now_us)
-    limits.seen = 1 + len(fresh)
+    limits.seen = seen
     limits.names = tuple(sorted({own_name, *limits.known_us}))
     own = () if state.stop_requested_us and fresh else (own_name,)
     limits.candidates = tuple(sorted({*own, *fresh}))
@@ -117,7 +119,7 @@
     for table, age_us in (
         (limits.known_us, _RETENTION_US),
         (limits.heard_us, _MAX_SILENCE_US),
-        (limits.passed_until_us, 0),
+        (limits.passed_until_us, _MAX_SILENCE_US),
     ):
         for name in [name for name, at_us in table.items() if now_us - at_us > age_us]:
             del table[name]
@@ -241,7 +243,15 @@
 @handles_message(WorkspaceReport)
 def handle_report(state: RelayState, event: PeerMessageArrived, effects: Effects) -> None:
     """Reply to the report of another instance."""
-    reply = grant(state, event.peer, event.message, event.now_us, effects)
+    name, now_us = event.message.workspace, event.now_us
+    account = state.limits.accounts.get(name)
+    is_new = account is None or event.peer not in account.asked_us
+    reply = grant(state, event.peer, event.message, now_us, effects)
     member = state.peers.members.find_by_name(event.peer)
     if member is not None:
         effects.append(SendPeer(event.peer, member.peer_address, reply))
+    better = choose_account(state, name, state.limits.passed_until_us)
+    if is_new and better != state.instance_settings.name:
+        # The other instance may not have met the better one yet.
+        message = create_introduction(state, event.peer, better, now_us)
+        effects += [message] if message is not None else []
--- a/mimosapost/relay/workspace_limits.py
+++ b/mimosapost/relay/workspace_limits.py
@@ -37,9 +37,11 @@
 # Time in which an account must reply. A round trip between regions over two new links takes
 # about 80 ms.
 _REPLY_US = 100_000
-# An instance without a reply is passed over for this time; accounts asked for one request.
-_PASS_OVER_US = 2_000_000
-_MAX_ACCOUNTS = 2
+# An instance without a reply is passed over: for the first time, and the bound of the doubling.
+_PASS_OVER_US = 1_000_000
+_MAX_PASS_OVER_US = 8_000_000
+# A request that has waited this long when an account gave no reply isn't held for another one.
+_MAX_WAIT_US = 100_000
 # After the start, this many windows pass before an earlier process of the instance no longer
 # counts.
 _NEW_WINDOWS = 2
@@ -133,6 +135,7 @@
     if use is None or use.report_id != event.message.report_id:
         return
     state.limits.passed_until_us.pop(event.peer, None)
+    state.limits.passed_us.pop(event.peer, None)
     _apply_grant(state, name, use, event.message, event.now_us, effects)
     _report(state, name, use, event.now_us, effects)
 
@@ -146,7 +149,7 @@
     effects: Effects,
 ) -> None:
     asked, use.waiting = use.waiting[: use.asked], use.waiting[use.asked :]
-    use.report_id, use.asked, use.silent_accounts = 0, 0, 0
+    use.report_id, use.asked = 0, 0
     use.advance.tokens = max(0, use.capacity - use.unreported) if reply.is_open else 0
     for request_number in asked[: reply.granted]:
         state.limits.granted.append(request_number)
@@ -170,12 +173,11 @@
     use = limits.uses.get(name) if name is not None else None
     if use is None or use.report_id != key:
         return
-    limits.passed_until_us[use.account_name] = now_us + _PASS_OVER_US
+    _pass_over(state, use.account_name, now_us)
     fields = (("workspace", name), ("peer", use.account_name), ("asked", use.asked))
     effects.append(WriteLog("workspace_account_silent", fields))
     asked, use.waiting = use.waiting[: use.asked], use.waiting[use.asked :]
     use.report_id, use.asked = 0, 0
-    use.silent_accounts += 1
     limit = find_limit(state, name)
     if limit is not None:
         _update_use(state, name, limit, now_us)
@@ -184,16 +186,25 @@
         use.unreported += 1
         limits.granted.append(request_number)
         _count(name, "advanced", effects)
-    rest = asked[len(advanced) :]
-    if use.silent_accounts < _MAX_ACCOUNTS:
-        use.waiting = rest + use.waiting
-    else:
-        use.silent_accounts = 0
-        for request_number in rest:
+    rest = asked[len(advanced) :] + use.waiting
+    use.waiting = []
+    for request_number in rest:
+        _, arrived_us = limits.held.get(request_number, (None, now_us))
+        if now_us - arrived_us < _MAX_WAIT_US:
+            use.waiting.append(request_number)
+        else:
             _refuse_held(name, request_number, _UNKNOWN_ROOM_US, state, effects)
     _report(state, name, use, now_us, effects)
 
 
+def _pass_over(state: RelayState, name: str, now_us: int) -> None:
+    limits = state.limits
+    if now_us >= limits.passed_until_us.get(name, 0):
+        length_us = max(2 * limits.passed_us.get(name, 0), _PASS_OVER_US)
+        limits.passed_us[name] = min(length_us, _MAX_PASS_OVER_US)
+        limits.passed_until_us[name] = now_us + limits.passed_us[name]
+
+
 def _refuse_held(
     name: str, request_number: int, room_us: int, state: RelayState, effects: Effects
 ) -> None:
@@ -215,4 +226,4 @@
 
 def _count(name: str, outcome: str, effects: Effects) -> None:
     labels = (("workspace", name), ("outcome", outcome))
-    effects.append(IncrementCounter("mimosapost_relay_workspace_requests_total", labels))
+    effects.append(IncrementCounter("mimosapost_relay_workspace_decisions_total", labels))
