Let workspaces take turns at servers without room

Cause: parts that wait for a server were ordered by age alone, so that one workspace's burst delayed all others of the same rank. Change: of parts with the same rank, each workspace gets a turn; its open sends count as turns. Requests without a workspace keep their order.

--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -22,6 +22,7 @@
 from mimosapost.relay.repeats import get_hedge_delay_us
 from mimosapost.relay.server_selection import ServerRecord, choose_server, rank_servers
 from mimosapost.relay.state import HedgeDue, OpenRequest, OpenSend, Part, RelayState
+from mimosapost.relay.workspace_fairness import order_waiting
 from mimosapost.suspects.tracker import SuspicionState
 
 __all__ = [
@@ -455,13 +456,13 @@
 
 
 def dispatch_waiting(state: RelayState, now_us: int, effects: Effects) -> None:
-    """Send waiting parts to servers with room, ordered by urgency and then by age."""
+    """Send waiting parts to servers with room, the urgent ones first, in turns and by age."""
     while state.services_to_dispatch:
         service = state.services_to_dispatch.pop()
         queue = state.waiting.pop(service, None)
         if not queue:
             continue
-        queue.sort(key=lambda entry: entry[:2])
+        queue = order_waiting(state, service, queue)
         for index, (_, request_number, part) in enumerate(queue):
             open_request = state.requests.get(request_number)
             if open_request is None or part.done or part.sends:
