--- a/mimosapost/relay/workspace_limits.py
+++ b/mimosapost/relay/workspace_limits.py
@@ -173,9 +173,7 @@
     use = limits.uses.get(name) if name is not None else None
     if use is None or use.report_id != key:
         return
-    _pass_over(state, use.account_name, now_us)
-    fields = (("workspace", name), ("peer", use.account_name), ("asked", use.asked))
-    effects.append(WriteLog("workspace_account_silent", fields))
+    _pass_over(state, name, use, now_us, effects)
     asked, use.waiting = use.waiting[: use.asked], use.waiting[use.asked :]
     use.report_id, use.asked = 0, 0
     limit = find_limit(state, name)
@@ -197,12 +195,22 @@
     _report(state, name, use, now_us, effects)
 
 
-def _pass_over(state: RelayState, name: str, now_us: int) -> None:
-    limits = state.limits
-    if now_us >= limits.passed_until_us.get(name, 0):
-        length_us = max(2 * limits.passed_us.get(name, 0), _PASS_OVER_US)
-        limits.passed_us[name] = min(length_us, _MAX_PASS_OVER_US)
-        limits.passed_until_us[name] = now_us + limits.passed_us[name]
+def _pass_over(
+    state: RelayState, name: str, use: LimitUse, now_us: int, effects: Effects
+) -> None:
+    limits, account_name = state.limits, use.account_name
+    if now_us < limits.passed_until_us.get(account_name, 0):
+        return
+    length_us = max(2 * limits.passed_us.get(account_name, 0), _PASS_OVER_US)
+    limits.passed_us[account_name] = min(length_us, _MAX_PASS_OVER_US)
+    limits.passed_until_us[account_name] = now_us + limits.passed_us[account_name]
+    fields = (
+        ("workspace", name),
+        ("peer", account_name),
+        ("asked", use.asked),
+        ("passed_ms", limits.passed_us[account_name] // 1_000),
+    )
+    effects.append(WriteLog("workspace_account_silent", fields))
 
 
 def _refuse_held(
