--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -283,7 +283,7 @@
     :param parts_after_trial: parts that wait for the permit of the trial or for its answer.
     :param passed_trial: whether the trial was answered.
     :param retry_after_us: time in microseconds until a denied trial may be asked for again.
-    :param workspace: workspace whose key the request carried.
+    :param workspace: workspace of the caller, or ``None`` if the request needed no key.
     """
 
     request: RelayRequest
