Wait longer for replies that hold no request, and hold spare room in accounts

Change: a report for which no request waits has 1 s. An account holds 0.15 of the headroom beyond the burst. The log field of its tokens is named room; the old name was masked as a secret.

--- a/mimosapost/relay/limit_state.py
+++ b/mimosapost/relay/limit_state.py
@@ -20,6 +20,7 @@
     :param waiting: numbers of the requests that wait for the account, by age.
     :param asked: how many of them the report that is open asks for.
     :param report_id: number of that report; 0 if none is open.
+    :param reported_us: time at which it was sent.
     :param account_name: name of the instance that it was sent to.
     :param refused_until_us: time until which the account has no room.
     :param room_us: time that was last given to a refused caller for its return.
@@ -31,6 +32,7 @@
     waiting: list[int] = field(default_factory=list)
     asked: int = 0
     report_id: int = 0
+    reported_us: int = 0
     account_name: str = ""
     refused_until_us: int = 0
     room_us: int = 0
--- a/mimosapost/relay/workspace_accounts.py
+++ b/mimosapost/relay/workspace_accounts.py
@@ -56,6 +56,9 @@
 _MAX_KNOWN = 4_096
 # Time after the start in which an instance may not have met the others yet.
 _MEETING_US = 4_000_000
+# Part of the tolerated requests that an account holds beyond the burst: the reports of requests
+# within the limit come in another order than the requests, and late.
+_SPARE_TOKENS = 0.15
 # Part of the tolerated requests that is in a new account.
 _FIRST_TOKENS = 0.25
 # Debt of an account, in seconds of its limit. A larger one is waived, so that a workspace that
@@ -191,10 +194,11 @@
         account = limits.accounts[name] = LimitAccount(TokenBucket(0.0, now_us))
     account.asked_us[peer] = now_us
     share = _compute_share(state, name, limit, account, now_us)
-    per_second, capacity = limit.per_second * share, max(1.0, limit.burst * share)
+    headroom = compute_headroom(limit, state.instance_settings.limit_rules)
+    per_second = limit.per_second * share
+    capacity = max(1.0, (limit.burst + _SPARE_TOKENS * headroom) * share)
     bucket = account.bucket
     if is_first:
-        headroom = compute_headroom(limit, state.instance_settings.limit_rules)
         bucket.tokens = min(capacity, _FIRST_TOKENS * headroom * share)
     bucket.refill(per_second, capacity, now_us)
     bucket.charge(report.used, -_MAX_DEBT_SECONDS * per_second)
@@ -232,7 +236,7 @@
     fields = (
         ("workspace", name),
         ("open", is_open),
-        ("tokens", round(account.bucket.tokens, 1)),
+        ("room", round(account.bucket.tokens, 1)),
         ("share_percent", round(share * 100)),
         ("used", report.used),
         ("asked", report.asked),
--- a/mimosapost/relay/workspace_limits.py
+++ b/mimosapost/relay/workspace_limits.py
@@ -34,9 +34,11 @@
 
 __all__ = ["check_limit", "pop_granted"]
 
-# Time in which an account must reply. A round trip between regions over two new links takes
-# about 80 ms.
+# Time for which requests wait for the reply of an account.
 _REPLY_US = 100_000
+# Time in which it must reply to a report for which no request waits: links that were idle are
+# opened again, and the process of the account may be busy.
+_SLOW_REPLY_US = 1_000_000
 # An instance without a reply is passed over: for the first time, and the bound of the doubling.
 _PASS_OVER_US = 1_000_000
 _MAX_PASS_OVER_US = 8_000_000
@@ -75,6 +77,8 @@
         _report(state, name, use, now_us, effects)
         return True
     limits.held[request.request_number] = (request, now_us)
+    if use.report_id:
+        state.timers.add(now_us + _REPLY_US, TimerKind.LIMIT, use.report_id)
     use.waiting.append(request.request_number)
     _report(state, name, use, now_us, effects)
     return False
@@ -121,7 +125,12 @@
             _apply_grant(state, name, use, reply, now_us, effects)
             continue
         limits.reports[use.report_id] = name
-        state.timers.add(now_us + _REPLY_US, TimerKind.LIMIT, use.report_id)
+        use.reported_us = now_us
+        state.timers.add(
+            now_us + (_REPLY_US if use.asked else _SLOW_REPLY_US),
+            TimerKind.LIMIT,
+            use.report_id,
+        )
         member = state.peers.members.find_by_name(use.account_name)
         if member is not None:
             effects.append(SendPeer(use.account_name, member.peer_address, report))
@@ -169,24 +178,26 @@
 def expire_report(state: RelayState, key: int, now_us: int, effects: Effects) -> None:
     """Pass over an account that did not reply, and use the advance of this instance."""
     limits = state.limits
-    name = limits.reports.pop(key, None)
+    name = limits.reports.get(key)
     use = limits.uses.get(name) if name is not None else None
     if use is None or use.report_id != key:
+        limits.reports.pop(key, None)
         return
+    if not use.waiting and now_us - use.reported_us < _SLOW_REPLY_US:
+        return
+    del limits.reports[key]
     _pass_over(state, name, use, now_us, effects)
-    asked, use.waiting = use.waiting[: use.asked], use.waiting[use.asked :]
+    waiting, use.waiting = use.waiting, []
     use.report_id, use.asked = 0, 0
     limit = find_limit(state, name)
     if limit is not None:
         _update_use(state, name, limit, now_us)
-    advanced = asked if limit is None else asked[: use.advance.take(len(asked))]
+    advanced = waiting if limit is None else waiting[: use.advance.take(len(waiting))]
     for request_number in advanced:
         use.unreported += 1
         limits.granted.append(request_number)
         _count(name, "advanced", effects)
-    rest = asked[len(advanced) :] + use.waiting
-    use.waiting = []
-    for request_number in rest:
+    for request_number in waiting[len(advanced) :]:
         _, arrived_us = limits.held.get(request_number, (None, now_us))
         if now_us - arrived_us < _MAX_WAIT_US:
             use.waiting.append(request_number)
