--- a/mimosapost/relay/gossip.py
+++ b/mimosapost/relay/gossip.py
@@ -33,7 +33,7 @@
 from mimosapost.relay.state import RelayState
 from mimosapost.relay.suspicion import merge_suspects
 
-__all__ = ["announce_leaving"]
+__all__ = ["announce_leaving", "create_introduction"]
 
 _ROUND_US = 1_000_000
 # Shorter rounds after the start: until an instance has met others, it sends every part itself
@@ -54,6 +54,7 @@
 @handles(InstanceStarted)
 def start_gossip(state: RelayState, event: InstanceStarted, effects: Effects) -> None:
     """Start the rounds of gossip if the instance has a peer address."""
+    state.started_us = event.now_us
     if state.peers is None:
         return
     own_address = state.peers.own.peer_address
@@ -146,6 +147,17 @@
     return SendPeer(name, address, message)
 
 
+def create_introduction(
+    state: RelayState, name: str, other: str, now_us: int
+) -> SendPeer | None:
+    """Create the message that tells one instance of another; ``None`` if one is unknown."""
+    member = state.peers.members.find_by_name(name)
+    report = state.peers.members.create_report(other, now_us)
+    if member is None or report is None:
+        return None
+    return _create_gossip(state, name, member.peer_address, (report,), False, now_us)
+
+
 def announce_leaving(state: RelayState, now_us: int, effects: Effects) -> None:
     """Tell the instances that lately pinged or follow this one that it is stopping."""
     if state.peers is None:
@@ -166,6 +178,7 @@
         fields = (("peer", event.peer), ("kind", type(event.message).__name__))
         effects.append(WriteLog("peer_message_ignored", fields))
         return
+    state.limits.heard_us[event.peer] = event.now_us
     handler(state, event, effects)
 
 
--- a/mimosapost/relay/registry.py
+++ b/mimosapost/relay/registry.py
@@ -47,6 +47,7 @@
     TRIAL = 13
     INTRODUCTION = 14
     REWOUND = 19
+    LIMIT = 20
 
 
 _EVENT_HANDLERS: dict[type[Event], Callable[..., None]] = {}
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -7,6 +7,7 @@
 
 from mimosapost.core.timers import Timers
 from mimosapost.limits.budgets import SendBudget
+from mimosapost.limits.fleet_limits import LimitRules
 from mimosapost.limits.rates import SendRate
 from mimosapost.membership.members import MemberTable
 from mimosapost.model.identities import NO_SEAT, InstanceIdentity
@@ -14,6 +15,7 @@
 from mimosapost.relay.catalog import Catalog, Route, Workspace
 from mimosapost.relay.feed_choices import FeedState
 from mimosapost.relay.latency_pools import DISTANCES, LatencyPool
+from mimosapost.relay.limit_state import LimitState
 from mimosapost.relay.messages import RelayRequest, ServerAnswer
 from mimosapost.relay.partners import PeerState
 from mimosapost.relay.reply_delays import ReplyDelays
@@ -58,6 +60,7 @@
         connection does not tell it.
     :param reply_delay_us: delay in microseconds that is assumed for the timer of a reply, and
         for its way, until replies were observed.
+    :param limit_rules: tolerance of the limits of workspaces over all instances.
     """
 
     name: str
@@ -70,6 +73,7 @@
     seed_addresses: tuple[str, ...] = ()
     caller_round_trip_us: int = 2_000
     reply_delay_us: int = 3_000
+    limit_rules: LimitRules = field(default_factory=LimitRules)
 
 
 @dataclass(slots=True)
@@ -374,6 +378,8 @@
     :param gathers: open gathers at other instances, by number.
     :param served_gathers: request number of each open gather for another instance, by the name
         of that instance and the number of the gather.
+    :param limits: limits of workspaces.
+    :param started_us: time at which the process started.
     """
 
     instance_settings: InstanceSettings
@@ -422,6 +428,8 @@
     served_gathers: dict[tuple[str, int], int] = field(default_factory=dict)
     next_gather_id: int = 1
     next_served_number: int = -1
+    limits: LimitState = field(default_factory=LimitState)
+    started_us: int = 0
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send callers to this instance."""
@@ -471,7 +479,8 @@
             instance_settings.seed_addresses,
             MemberTable(own),
         )
-        # Answers to gathers and trials of an earlier process must not match those of this one.
+        # Answers to messages of an earlier process must not match those of this one.
         state.next_gather_id = state.rng.getrandbits(48)
         state.next_trial_id = state.rng.getrandbits(48)
+        state.limits.next_report_id = own.incarnation >> 15
     return state
