Tell callers of a silent configuration source to come back as late as they can

Change: 0.4 s after the first held request an instance that has read nothing refuses at once, with a third of the caller's remaining time.

--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -65,7 +65,7 @@
     held_requests, state.held_requests = list(state.held_requests.values()), {}
     if catalog is None or not state.servers_listed:
         for request in held_requests:
-            refuse_not_configured(state, request, effects)
+            refuse_not_configured(state, request, now_us, effects)
         return
 
     def get_rank(request: RelayRequest) -> int:
--- a/mimosapost/relay/retry_after.py
+++ b/mimosapost/relay/retry_after.py
@@ -9,16 +9,34 @@
 from mimosapost.relay.rate_limits import get_rate_wait_us
 from mimosapost.relay.state import OpenRequest, RelayState
 
-__all__ = ["NOT_CONFIGURED_RETRY_US", "get_retry_after_us"]
+__all__ = ["NOT_CONFIGURED_RETRY_US", "get_retry_after_us", "get_unconfigured_retry_us"]
 
 # The first configuration is usually read within this time after the start of the process.
 NOT_CONFIGURED_RETRY_US = 250_000
+# Largest share of a caller's remaining time after which it still comes back as it is told.
+_MAX_RETRY_SHARE = 1 / 3
 _MIN_RETRY_AFTER_US = 50_000
 _MAX_RETRY_AFTER_US = 1_000_000
 # The wait is lengthened by a random share up to this one, so that callers do not retry at once.
 _RETRY_JITTER = 0.5
 
 
+def get_unconfigured_retry_us(left_us: int, is_source_silent: bool) -> int:
+    """Return the time after which an instance may have read its first configuration.
+
+    Nobody knows when a silent source returns, and most callers come back only once. The latest
+    time that a caller keeps to gives the source the most time to return.
+
+    :param left_us: time until the caller's deadline, in microseconds.
+
+    >>> get_unconfigured_retry_us(900_000, False), get_unconfigured_retry_us(900_000, True)
+    (250000, 300000)
+    """
+    if not is_source_silent:
+        return NOT_CONFIGURED_RETRY_US
+    return max(int(left_us * _MAX_RETRY_SHARE), _MIN_RETRY_AFTER_US)
+
+
 def get_retry_after_us(state: RelayState, open_request: OpenRequest, now_us: int) -> int:
     """Return the time after which a server is expected to have room.
 
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -333,6 +333,7 @@
     :param is_introduced: whether another instance has told which requests it refuses, or the
         time for that is over.
     :param held_requests: requests that wait for the first configuration, by number.
+    :param first_held_us: time of the first of them, or 0.
     :param cold_rates: rate of sends to each cold server that was considered, by server id.
     :param waiting: parts that wait for servers with room, by service, with the rank of the
         route and the number of the request.
@@ -372,6 +373,7 @@
     by_service: dict[str, list[ServerRecord]] = field(default_factory=dict)
     domains_out: frozenset[str] = frozenset()
     held_requests: dict[int, RelayRequest] = field(default_factory=dict)
+    first_held_us: int = 0
     requests: dict[int, OpenRequest] = field(default_factory=dict)
     sends: dict[int, OpenSend] = field(default_factory=dict)
     pools: dict[str, tuple[LatencyPool, ...]] = field(default_factory=dict)
--- a/mimosapost/relay/tests/test_startup_hold.py
+++ b/mimosapost/relay/tests/test_startup_hold.py
@@ -123,3 +123,25 @@
         if relay.get_reply(request_number) is not None
     ]
     assert len(refused) == 50
+
+
+def test_callers_of_a_silent_source_are_told_at_once_to_come_back_as_late_as_they_can():
+    """Replay a restart with a silent source: requests arrive every 50 ms with 900 ms left."""
+    relay = UnconfiguredRelay()
+    held = [relay.request("/look/x", deadline_ms=900)]
+    for _ in range(8):
+        relay.advance(50)
+        held.append(relay.request("/look/x", deadline_ms=900))
+    reply = relay.get_reply(held[-1])
+    assert (reply.code, reply.retry_after_us) == (ResultCode.NOT_CONFIGURED, 300 * MS)
+    relay.advance(1_000)
+    assert [relay.get_reply(number).retry_after_us // MS for number in held[:2]] == [250, 250]
+
+
+def test_an_instance_that_has_read_the_configuration_late_serves_what_arrives_then():
+    relay = UnconfiguredRelay()
+    relay.request("/look/x")
+    relay.advance(2_000)
+    relay.read_configuration()
+    relay.request("/look/x")
+    assert len(relay.pop_sends()) == 1
