Refuse the less urgent at once while services are short of room

Cause: when more arrives than the servers of a service can run in time, all requests are sent, the budgets for retries run out at some shards, and queries that have already cost dozens of sends fail with 504. Their callers repeat at once. The rank played no part.

--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -151,6 +151,11 @@
     "Parts withheld because of limits that servers name.",
     ("outcome",),
 )
+declare_counter(
+    "mimosapost_relay_room_refusals_total",
+    "Requests refused unsent because more urgent ones need the room of their services.",
+    ("rank", "early"),
+)
 declare_counter(
     "mimosapost_relay_malformed_headers_total",
     "Answers with a header that can't be read.",
--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -26,6 +26,7 @@
     rank_warm_servers,
     start_send,
 )
+from mimosapost.relay.shortage import admit_within_room
 from mimosapost.relay.startup_hold import hold_request, refuse_not_configured
 from mimosapost.relay.state import OpenRequest, Part, RelayState
 from mimosapost.relay.weighted_round_robin import WeightedRoundRobin
@@ -112,6 +113,8 @@
         )
         refuse_request(state, request.request_number, request.request_id, refusal, effects)
         return
+    if not admit_within_room(state, open_request, usable_parts, now_us, effects):
+        return
     state.requests[request.request_number] = open_request
     state.timers.add(deadline_us, TimerKind.DEADLINE, request.request_number)
     if route.shards:
@@ -142,10 +145,12 @@
         or not open_request.route.shards
         or is_restricted(state, open_request, now_us)
     ):
-        return open_request.parts
+        return [part for part in open_request.parts if not part.done]
     linked_domains = list_linked_domains(state.peers, now_us)
     rest, planned = [], []
     for part in open_request.parts:
+        if part.done:
+            continue
         choices = rank_warm_servers(state, open_request, part, linked_domains, now_us)
         if choices:
             planned.append(PlannedPart(part, choices))
--- a/mimosapost/relay/retry_after.py
+++ b/mimosapost/relay/retry_after.py
@@ -7,14 +7,13 @@
 from __future__ import annotations
 
 from mimosapost.relay.rate_limits import get_rate_wait_us
+from mimosapost.relay.return_times import MAX_RETURN_SHARE
 from mimosapost.relay.state import OpenRequest, RelayState
 
 __all__ = ["NOT_CONFIGURED_RETRY_US", "get_retry_after_us", "get_unconfigured_retry_us"]
 
 # The first configuration is usually read within this time after the start of the process.
 NOT_CONFIGURED_RETRY_US = 250_000
-# Largest share of a caller's remaining time after which it still comes back as it is told.
-_MAX_RETRY_SHARE = 1 / 3
 _MIN_RETRY_AFTER_US = 50_000
 _MAX_RETRY_AFTER_US = 1_000_000
 # The wait is lengthened by a random share up to this one, so that callers do not retry at once.
@@ -34,7 +33,7 @@
     """
     if not is_source_silent:
         return NOT_CONFIGURED_RETRY_US
-    return max(int(left_us * _MAX_RETRY_SHARE), _MIN_RETRY_AFTER_US)
+    return max(int(left_us * MAX_RETURN_SHARE), _MIN_RETRY_AFTER_US)
 
 
 def get_retry_after_us(state: RelayState, open_request: OpenRequest, now_us: int) -> int:
--- /dev/null
+++ b/mimosapost/relay/room.py
@@ -0,0 +1,234 @@
+"""Room of services: the share of the arriving requests that their servers can run in time.
+
+Load pattern: more requests arrive than the servers of a service can run in time. If all of them
+were sent, each server would reject or delay others, and queries over many shards would miss
+some shard each. Instead the requests are ordered by rank, then by a hash of their id, and only
+the first of them, up to the share, are sent. The order is the same at all instances and for all
+shards, so that the same queries are served whole.
+
+The share of a service is measured from its answers and rejections. It falls by at most half in
+a window in which sends were short of room, and grows in every other one, also without any
+sends. A service without an entry has room.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass, field
+
+from mimosapost.relay.catalog import Route
+
+__all__ = [
+    "Admission",
+    "RoomTable",
+    "RouteDemand",
+    "choose_admission",
+    "count_arrival",
+    "get_share",
+    "record_send",
+]
+
+# Length of a window of the measurement, in microseconds.
+_WINDOW_US = 400_000
+# Share of the sends of a window that may be short of room; pauses of servers reach it.
+_TOLERATED_SHARE = 0.1
+# Sends with room that are assumed in each window, so that one send alone decides little.
+_ASSUMED_SENDS = 2
+# Lowest share, so that the answers of some requests show when room returns.
+_MIN_SHARE = 0.05
+# Largest decrease of a share in one window, as a factor.
+_MAX_DECREASE = 0.5
+# Increase of a share in one window: a factor, and a constant for growth from the lowest share.
+_GROWTH_FACTOR = 1.1
+_GROWTH_STEP = 0.05
+# Time in which counted arrivals lose half of their weight, in microseconds.
+_DEMAND_HALF_LIFE_US = 1_000_000
+# Arrivals that a steady stream of one request a second keeps counted: 1 / ln 2.
+_COUNT_PER_RATE = 1.4427
+# Weight of the newest request in the time that callers of a route usually have.
+_USUAL_TIME_WEIGHT = 0.05
+# Part of its rank's order in which a caller is placed that has come back as told.
+_RETURNED_SHARE = 0.3
+
+
+@dataclass(slots=True)
+class ServiceRoom:
+    """Room of a service that was short lately.
+
+    :param share: share of the arriving requests that is sent, at the start of the window.
+    :param window_us: start of the window.
+    :param sends: answers and rejections in the window.
+    :param short_sends: those of them that were short of room.
+    """
+
+    window_us: int
+    share: float = 1.0
+    sends: int = 0
+    short_sends: int = 0
+
+
+@dataclass(slots=True)
+class RouteDemand:
+    """Arrivals of a route at this instance.
+
+    :param count: arrivals, each of which loses half of its weight in a second.
+    :param usual_left_us: time that its callers usually have when they first ask.
+    """
+
+    route: Route
+    services: frozenset[str]
+    updated_us: int
+    count: float = 0.0
+    usual_left_us: float = 0.0
+
+
+@dataclass(slots=True)
+class RoomTable:
+    """Room of the services that were short lately, and demand by the name of the route."""
+
+    services: dict[str, ServiceRoom] = field(default_factory=dict)
+    demand: dict[str, RouteDemand] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Decision on a request whose services are short of room.
+
+    :param is_admitted: whether it is sent.
+    :param left_out: services that it is not sent to.
+    :param room_us: time until room for it is expected, in microseconds.
+    :param per_second: requests of its rank that find room at this instance.
+    """
+
+    is_admitted: bool
+    left_out: frozenset[str] = frozenset()
+    room_us: int = 0
+    per_second: float = 0.0
+
+
+def record_send(table: RoomTable, service: str, is_short: bool, now_us: int) -> None:
+    """Record an answer or a rejection of a service.
+
+    :param is_short: whether no server of the service could run the send in time.
+    """
+    entry = table.services.get(service)
+    if entry is None:
+        if not is_short:
+            return
+        entry = table.services[service] = ServiceRoom(now_us)
+    if now_us - entry.window_us >= _WINDOW_US:
+        entry.share, entry.window_us = _measure(entry, now_us), now_us
+        entry.sends = entry.short_sends = 0
+        if entry.share >= 1 and not is_short:
+            del table.services[service]
+            return
+    entry.sends += 1
+    entry.short_sends += is_short
+
+
+def get_share(table: RoomTable, service: str, now_us: int) -> float:
+    """Return the share of the arriving requests that a service can run; 1 if unknown."""
+    entry = table.services.get(service)
+    return 1.0 if entry is None else _measure(entry, now_us)
+
+
+def _measure(entry: ServiceRoom, now_us: int) -> float:
+    windows = (now_us - entry.window_us) // _WINDOW_US
+    if not windows:
+        return entry.share
+    short_share = entry.short_sends / (entry.sends + _ASSUMED_SENDS)
+    if short_share > _TOLERATED_SHARE:
+        decreased = entry.share * max(_MAX_DECREASE, 1 - short_share)
+        share = max(decreased, _MIN_SHARE)
+        windows -= 1
+    else:
+        share = entry.share
+    while windows and share < 1:
+        share, windows = _grow(share), windows - 1
+    return min(share, 1.0)
+
+
+def _grow(share: float) -> float:
+    return share * _GROWTH_FACTOR + _GROWTH_STEP
+
+
+def count_arrival(
+    table: RoomTable, route: Route, services: tuple[str, ...], left_us: int, now_us: int
+) -> RouteDemand:
+    """Count an arriving request.
+
+    :param services: services that the route may use.
+    :param left_us: time until the caller's deadline, in microseconds.
+    """
+    demand = table.demand.get(route.name)
+    if demand is None or demand.route is not route:
+        count = demand.count if demand is not None else 0.0
+        updated_us = demand.updated_us if demand is not None else now_us
+        demand = RouteDemand(route, frozenset(services), updated_us, count, float(left_us))
+        table.demand[route.name] = demand
+    demand.count = _get_count(demand, now_us) + 1
+    demand.updated_us = now_us
+    if left_us > demand.usual_left_us:
+        demand.usual_left_us = float(left_us)
+    else:
+        demand.usual_left_us += _USUAL_TIME_WEIGHT * (left_us - demand.usual_left_us)
+    return demand
+
+
+def _get_count(demand: RouteDemand, now_us: int) -> float:
+    return demand.count * 0.5 ** ((now_us - demand.updated_us) / _DEMAND_HALF_LIFE_US)
+
+
+def choose_admission(
+    table: RoomTable,
+    demand: RouteDemand,
+    services: Collection[str],
+    spare_parts: int,
+    place: float,
+    has_waited: bool,
+    now_us: int,
+) -> Admission:
+    """Decide whether there is room for a request.
+
+    :param services: services that the request is to be sent to.
+    :param spare_parts: number of these that its reply can do without.
+    :param place: place of the request within its rank, from 0 to 1.
+    :param has_waited: whether the caller has come back at the time that it was told.
+    """
+    scarce = {}
+    for service in services:
+        share = get_share(table, service, now_us)
+        if share < 1:
+            scarce[service] = share
+    if not scarce:
+        return Admission(True)
+    if has_waited:
+        place *= _RETURNED_SHARE
+    rank = demand.route.rank
+    counts = list(_list_counts(table, demand, now_us))
+    total = sum(count for _, count in counts)
+    before = sum(count for other_rank, count in counts if other_rank < rank)
+    equal = sum(count for other_rank, count in counts if other_rank == rank)
+    position = (before + place * equal) / total
+    left_out = frozenset(service for service, share in scarce.items() if share < position)
+    if len(left_out) <= spare_parts:
+        return Admission(True, left_out)
+    share = sorted(scarce.values())[spare_parts]
+    per_second = max(share * total - before, _MIN_SHARE * equal) / _COUNT_PER_RATE
+    return Admission(False, left_out, _get_growth_us(share, position), per_second)
+
+
+def _list_counts(
+    table: RoomTable, demand: RouteDemand, now_us: int
+) -> Iterator[tuple[int, float]]:
+    """Yield rank and arrivals of the routes that use a common service."""
+    for other in table.demand.values():
+        if other is demand or not demand.services.isdisjoint(other.services):
+            yield other.route.rank, _get_count(other, now_us)
+
+
+def _get_growth_us(share: float, needed: float) -> int:
+    windows = 0
+    while share < needed:
+        share, windows = _grow(share), windows + 1
+    return windows * _WINDOW_US
--- a/mimosapost/relay/send_outcomes.py
+++ b/mimosapost/relay/send_outcomes.py
@@ -34,6 +34,7 @@
     record_latency,
     record_success,
 )
+from mimosapost.relay.shortage import record_answer, record_rejection
 from mimosapost.relay.state import OpenRequest, OpenSend, Part, RelayState
 from mimosapost.relay.trials import start_parts_after_trial
 
@@ -81,12 +82,15 @@
         # sends prefer other servers, because each retry after a rejection spends budget that
         # a hedge or another retry would need.
         record_failure(record, now_us)
+        if not answer.misdirected:
+            record_rejection(state, send, now_us)
         _retry_or_fail(state, send, "rejected", now_us, effects)
         return
     record_survival(state, send)
     if not answer.closing:
         record.connection_used_us = now_us
     record_latency(record, send.pool, now_us - send.sent_us, now_us)
+    record_answer(state, send, answer, now_us - send.sent_us, now_us)
     if not send.abandoned_us:
         send.pool.record(now_us - send.sent_us)
         distance = str(record.distance)
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -311,6 +311,7 @@
         open_request.request.fingerprint,
         is_repeat,
         ran_alone=ran_alone,
+        goal_us=open_request.route.goal_us,
     )
     if ran_alone:
         record.reserved_until_us = now_us + _RESERVATION_US
--- /dev/null
+++ b/mimosapost/relay/shortage.py
@@ -0,0 +1,174 @@
+"""Decisions while services are short of room: admission, refusal and hedges.
+
+Load pattern: requests of several ranks compete for servers that can't run all of them in time.
+The less urgent ones are refused at once, unsent, with the time at which room is expected; the
+urgent ones are sent as usual. A query is sent whole or not at all, except to shards that its
+reply can do without. While no service is short, nothing here costs more than one count.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import xxhash
+
+from mimosapost.model.codes import ResultCode
+from mimosapost.model.effects import IncrementCounter, WriteLog
+from mimosapost.relay.completion import refuse_request
+from mimosapost.relay.eligibility import is_usable
+from mimosapost.relay.messages import Refusal, ServerAnswer
+from mimosapost.relay.registry import Effects
+from mimosapost.relay.return_times import MIN_RETURN_US, is_early, plan_return
+from mimosapost.relay.room import (
+    Admission,
+    RouteDemand,
+    choose_admission,
+    count_arrival,
+    record_send,
+)
+from mimosapost.relay.server_selection import ServerRecord, get_trouble_level
+from mimosapost.relay.state import OpenRequest, OpenSend, RelayState
+
+__all__ = ["admit_within_room", "may_take_room", "record_answer", "record_rejection"]
+
+# Share of a route's latency objective after which an answer of a server with a queue is late.
+_LATE_SHARE = 0.5
+# Time for which a load report shows whether a server has free slots, in microseconds.
+_REPORT_VALID_US = 1_000_000
+
+
+def record_answer(
+    state: RelayState, send: OpenSend, answer: ServerAnswer, elapsed_us: int, now_us: int
+) -> None:
+    """Record whether an answer was late because the servers of its service were busy."""
+    service = send.record.server.service
+    is_late = (
+        answer.load is not None
+        and answer.load.waiting > 0
+        and elapsed_us > send.goal_us * _LATE_SHARE
+    )
+    if is_late or service in state.room.services:
+        is_short = is_late and not _has_free_server(state, service, now_us)
+        record_send(state.room, service, is_short, now_us)
+
+
+def record_rejection(state: RelayState, send: OpenSend, now_us: int) -> None:
+    """Record a send that a full server rejected."""
+    service = send.record.server.service
+    record_send(state.room, service, not _has_free_server(state, service, now_us), now_us)
+
+
+def _has_free_server(state: RelayState, service: str, now_us: int) -> bool:
+    return any(_is_free(state, record, now_us) for record in state.by_service.get(service, ()))
+
+
+def _is_free(state: RelayState, record: ServerRecord, now_us: int) -> bool:
+    if not is_usable(state, record, now_us) or get_trouble_level(record, now_us):
+        return False
+    busy = len(record.open_sends)
+    if record.load is not None and now_us - record.load_us < _REPORT_VALID_US:
+        busy = max(busy, record.load.running + record.load.waiting)
+    return busy < record.server.slots
+
+
+def admit_within_room(
+    state: RelayState,
+    open_request: OpenRequest,
+    usable_parts: int,
+    now_us: int,
+    effects: Effects,
+) -> bool:
+    """Refuse a request for which there is no room, or leave out its parts at scarce shards.
+
+    :param usable_parts: number of parts that have a usable server.
+    :returns: whether the request is to be sent.
+    """
+    request, route = open_request.request, open_request.route
+    services = route.shards or tuple(name for name, _ in route.split)
+    left_us = min(request.deadline_us - now_us, route.timeout_us)
+    demand = count_arrival(state.room, route, services, left_us, now_us)
+    if not state.room.services:
+        return True
+    required = math.ceil(len(open_request.parts) * route.min_coverage - 1e-9)
+    admission = choose_admission(
+        state.room,
+        demand,
+        [part.service for part in open_request.parts],
+        max(0, usable_parts - max(1, required)),
+        _get_place(request.request_id),
+        demand.usual_left_us - left_us >= MIN_RETURN_US,
+        now_us,
+    )
+    if admission.is_admitted:
+        _leave_out(open_request, admission, effects)
+        return True
+    _refuse(state, open_request, demand, admission, now_us, effects)
+    return False
+
+
+def _get_place(request_id: str) -> float:
+    return xxhash.xxh32_intdigest(request_id.encode("latin-1", "replace")) / 2**32
+
+
+def _leave_out(open_request: OpenRequest, admission: Admission, effects: Effects) -> None:
+    if not admission.left_out:
+        return
+    for part in open_request.parts:
+        if part.service in admission.left_out:
+            part.done, part.reason = True, "no_room"
+            open_request.open_parts -= 1
+    fields = (
+        ("request", open_request.request.request_id),
+        ("route", open_request.route.name),
+        ("parts", len(admission.left_out)),
+    )
+    effects.append(WriteLog("parts_without_room", fields))
+
+
+def _refuse(
+    state: RelayState,
+    open_request: OpenRequest,
+    demand: RouteDemand,
+    admission: Admission,
+    now_us: int,
+    effects: Effects,
+) -> None:
+    request, route = open_request.request, open_request.route
+    early = is_early(state.returns, request, now_us)
+    group = min(demand.services)
+    retry_us = plan_return(
+        state.returns,
+        group,
+        route.rank,
+        request,
+        admission.room_us,
+        admission.per_second,
+        now_us,
+        early,
+    )
+    refusal = Refusal(ResultCode.OVERLOADED, retry_us, "no room")
+    fields = (
+        ("route", route.name),
+        ("rank", route.rank),
+        ("scarce", len(admission.left_out)),
+        ("room_ms", admission.room_us // 1_000),
+        ("early", early),
+    )
+    refuse_request(state, request.request_number, request.request_id, refusal, effects, fields)
+    labels = (("rank", str(route.rank)), ("early", str(early).lower()))
+    effects.append(IncrementCounter("mimosapost_relay_room_refusals_total", labels))
+
+
+def may_take_room(state: RelayState, open_request: OpenRequest, service: str) -> bool:
+    """Return whether a request may be sent to a service once more.
+
+    A hedge of a less urgent request would take room that a more urgent one needs.
+    """
+    if service not in state.room.services:
+        return True
+    return open_request.route.rank <= _get_first_rank(state.room.demand.values(), service)
+
+
+def _get_first_rank(demands: Iterable[RouteDemand], service: str) -> int:
+    return min((d.route.rank for d in demands if service in d.services), default=0)
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -16,6 +16,8 @@
 from mimosapost.relay.latency_pools import DISTANCES, LatencyPool
 from mimosapost.relay.messages import RelayRequest, ServerAnswer
 from mimosapost.relay.partners import PeerState
+from mimosapost.relay.return_times import ReturnTimes
+from mimosapost.relay.room import RoomTable
 from mimosapost.relay.server_selection import ServerRecord
 from mimosapost.relay.weighted_round_robin import WeightedRoundRobin
 from mimosapost.suspects.tracker import SuspectTracker
@@ -311,6 +313,7 @@
     :param is_repeat: whether the send is a hedge or a retry, paid from the budget for repeats.
     :param abandoned_us: time at which the send was given up, or 0.
     :param ran_alone: whether the request is a suspect and runs alone at the server.
+    :param goal_us: latency objective of the route, in microseconds.
     """
 
     send_id: int
@@ -323,6 +326,7 @@
     is_repeat: bool
     abandoned_us: int = 0
     ran_alone: bool = False
+    goal_us: int = 0
 
 
 @dataclass(slots=True)
@@ -361,6 +365,8 @@
     :param gathers: open gathers at other instances, by number.
     :param served_gathers: request number of each open gather for another instance, by the name
         of that instance and the number of the gather.
+    :param room: services that are short of room, and demand.
+    :param returns: times given to the callers that were refused for lack of room.
     """
 
     instance_settings: InstanceSettings
@@ -408,6 +414,8 @@
     served_gathers: dict[tuple[str, int], int] = field(default_factory=dict)
     next_gather_id: int = 1
     next_served_number: int = -1
+    room: RoomTable = field(default_factory=RoomTable)
+    returns: ReturnTimes = field(default_factory=ReturnTimes)
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send callers to this instance."""
