Refuse queries by the share that their scarce shards carry together

Change: a few scarce shards refuse nothing; a send is short only if no server of its service is expected to answer in time.

--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -145,12 +145,10 @@
         or not open_request.route.shards
         or is_restricted(state, open_request, now_us)
     ):
-        return [part for part in open_request.parts if not part.done]
+        return open_request.parts
     linked_domains = list_linked_domains(state.peers, now_us)
     rest, planned = [], []
     for part in open_request.parts:
-        if part.done:
-            continue
         choices = rank_warm_servers(state, open_request, part, linked_domains, now_us)
         if choices:
             planned.append(PlannedPart(part, choices))
--- a/mimosapost/relay/room.py
+++ b/mimosapost/relay/room.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from mimosapost.relay.catalog import Route
@@ -24,15 +24,15 @@
     "RouteDemand",
     "choose_admission",
     "count_arrival",
+    "get_carried_share",
     "get_share",
     "record_send",
 ]
 
 # Length of a window of the measurement, in microseconds.
 _WINDOW_US = 400_000
-# Share of the sends of a window that may be short of room. A query over many shards is late if
-# more of its parts are.
-_TOLERATED_SHARE = 0.05
+# Share of the sends of a window that may be short of room; hedges cover as many.
+_TOLERATED_SHARE = 0.1
 # Sends with room that are assumed in each window, so that one send alone decides little.
 _ASSUMED_SENDS = 2
 # Lowest share, so that the answers of some requests show when room returns.
@@ -97,13 +97,13 @@
     """Decision on a request whose services are short of room.
 
     :param is_admitted: whether it is sent.
-    :param left_out: services that it is not sent to.
+    :param scarce: number of its services that are short of room.
     :param room_us: time until room for it is expected, in microseconds.
     :param per_second: requests of its rank that find room at this instance.
     """
 
     is_admitted: bool
-    left_out: frozenset[str] = frozenset()
+    scarce: int = 0
     room_us: int = 0
     per_second: float = 0.0
 
@@ -186,7 +186,7 @@
     table: RoomTable,
     demand: RouteDemand,
     services: Collection[str],
-    spare_parts: int,
+    spare_parts: float,
     place: float,
     has_waited: bool,
     now_us: int,
@@ -198,13 +198,11 @@
     :param place: place of the request within its rank, from 0 to 1.
     :param has_waited: whether the caller has come back at the time that it was told.
     """
-    scarce = {}
-    for service in services:
-        share = get_share(table, service, now_us)
-        if share < 1:
-            scarce[service] = share
-    if not scarce:
-        return Admission(True)
+    shares = [get_share(table, service, now_us) for service in services]
+    scarce = sorted(share for share in shares if share < 1)
+    carried = get_carried_share(scarce, spare_parts)
+    if carried >= 1:
+        return Admission(True, len(scarce))
     if has_waited:
         place *= _RETURNED_SHARE
     rank = demand.route.rank
@@ -213,12 +211,36 @@
     before = sum(count for other_rank, count in counts if other_rank < rank)
     equal = sum(count for other_rank, count in counts if other_rank == rank)
     position = (before + place * equal) / total
-    left_out = frozenset(service for service, share in scarce.items() if share < position)
-    if len(left_out) <= spare_parts:
-        return Admission(True, left_out)
-    share = sorted(scarce.values())[spare_parts]
-    per_second = max(share * total - before, _MIN_SHARE * equal) / _COUNT_PER_RATE
-    return Admission(False, left_out, _get_growth_us(share, position), per_second)
+    if position <= carried:
+        return Admission(True, len(scarce))
+    per_second = max(carried * total - before, _MIN_SHARE * equal) / _COUNT_PER_RATE
+    room_us = _get_growth_us(carried, position)
+    return Admission(False, len(scarce), room_us, per_second)
+
+
+def get_carried_share(scarce: Sequence[float], spare_parts: float) -> float:
+    """Return the share of the queries that scarce services can carry together.
+
+    If this share is sent, a service with less room misses the rest of its parts. The queries
+    miss as many parts on average as their replies can do without.
+
+    :param scarce: shares of the scarce services, ascending.
+    :param spare_parts: number of parts that a reply can do without.
+    :returns: share from 0 to 1.
+
+    >>> get_carried_share([0.5], 0), get_carried_share([0.5], 1)
+    (0.5, 1.0)
+    >>> get_carried_share([0.3, 0.3, 0.3], 2)
+    0.9
+    """
+    total = 0.0
+    for number, share in enumerate(scarce, start=1):
+        total += share
+        if number > spare_parts:
+            carried = total / (number - spare_parts)
+            if number == len(scarce) or carried <= scarce[number]:
+                return round(min(carried, 1.0), 6)
+    return 1.0
 
 
 def _list_counts(
--- a/mimosapost/relay/shortage.py
+++ b/mimosapost/relay/shortage.py
@@ -2,19 +2,18 @@
 
 Load pattern: requests of several ranks compete for servers that can't run all of them in time.
 The less urgent ones are refused at once, unsent, with the time at which room is expected; the
-urgent ones are sent as usual. A query is sent whole or not at all, except to shards that its
-reply can do without. While no service is short, nothing here costs more than one count.
+urgent ones are sent as usual. A query is sent whole or not at all. While no service is short,
+nothing here costs more than one count.
 """
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
 
 import xxhash
 
 from mimosapost.model.codes import ResultCode
-from mimosapost.model.effects import IncrementCounter, WriteLog
+from mimosapost.model.effects import IncrementCounter
 from mimosapost.relay.completion import refuse_request
 from mimosapost.relay.eligibility import is_usable
 from mimosapost.relay.messages import Refusal, ServerAnswer
@@ -27,17 +26,16 @@
     count_arrival,
     record_send,
 )
-from mimosapost.relay.server_selection import ServerRecord, get_trouble_level
+from mimosapost.relay.server_selection import ServerRecord, estimate_us
 from mimosapost.relay.state import OpenRequest, OpenSend, RelayState
 
 __all__ = ["admit_within_room", "may_take_room", "record_answer", "record_rejection"]
 
 # Share of a route's latency objective after which an answer of a server with a queue is late.
 _LATE_SHARE = 0.5
-# Largest share of the parts which a reply can do without that are left out; the others may turn
-# out to be late.
-_LEFT_OUT_SHARE = 0.5
-# Time for which a load report shows whether a server has free slots, in microseconds.
+# Requests for each of its slots that a server with room holds at most.
+_MAX_QUEUE_RATIO = 2
+# Time for which a load report shows how many these are, in microseconds.
 _REPORT_VALID_US = 1_000_000
 
 
@@ -52,27 +50,34 @@
         and elapsed_us > send.goal_us * _LATE_SHARE
     )
     if is_late or service in state.room.services:
-        is_short = is_late and not _has_free_server(state, service, now_us)
+        is_short = is_late and not _has_server_in_time(state, send, now_us)
         record_send(state.room, service, is_short, now_us)
 
 
 def record_rejection(state: RelayState, send: OpenSend, now_us: int) -> None:
     """Record a send that a full server rejected."""
     service = send.record.server.service
-    record_send(state.room, service, not _has_free_server(state, service, now_us), now_us)
+    is_short = not _has_server_in_time(state, send, now_us)
+    record_send(state.room, service, is_short, now_us)
 
 
-def _has_free_server(state: RelayState, service: str, now_us: int) -> bool:
-    return any(_is_free(state, record, now_us) for record in state.by_service.get(service, ()))
+def _has_server_in_time(state: RelayState, send: OpenSend, now_us: int) -> bool:
+    """Return whether some server of the service is expected to answer such a send in time.
+
+    One that pauses is covered by a hedge to another one, which is no lack of room.
+    """
+    records = state.by_service.get(send.record.server.service, ())
+    return any(_is_in_time(state, send, record, now_us) for record in records)
 
 
-def _is_free(state: RelayState, record: ServerRecord, now_us: int) -> bool:
-    if not is_usable(state, record, now_us) or get_trouble_level(record, now_us):
+def _is_in_time(state: RelayState, send: OpenSend, record: ServerRecord, now_us: int) -> bool:
+    if not is_usable(state, record, now_us) or record.is_hung(now_us):
         return False
-    busy = len(record.open_sends)
     if record.load is not None and now_us - record.load_us < _REPORT_VALID_US:
-        busy = max(busy, record.load.running + record.load.waiting)
-    return busy < record.server.slots
+        queued = record.load.running + record.load.waiting
+        if queued >= _MAX_QUEUE_RATIO * record.server.slots:
+            return False
+    return estimate_us(record, send.pool, now_us) <= send.goal_us * _LATE_SHARE
 
 
 def admit_within_room(
@@ -82,7 +87,7 @@
     now_us: int,
     effects: Effects,
 ) -> bool:
-    """Refuse a request for which there is no room, or leave out its parts at scarce shards.
+    """Refuse a request for which there is no room.
 
     :param usable_parts: number of parts that have a usable server.
     :returns: whether the request is to be sent.
@@ -93,18 +98,17 @@
     demand = count_arrival(state.room, route, services, left_us, now_us)
     if not state.room.services:
         return True
-    required = math.ceil(len(open_request.parts) * route.min_coverage - 1e-9)
+    required = max(1.0, len(open_request.parts) * route.min_coverage)
     admission = choose_admission(
         state.room,
         demand,
         [part.service for part in open_request.parts],
-        max(0, int((usable_parts - max(1, required)) * _LEFT_OUT_SHARE)),
+        max(0.0, usable_parts - required),
         _get_place(request.request_id),
         demand.usual_left_us - left_us >= MIN_RETURN_US,
         now_us,
     )
     if admission.is_admitted:
-        _leave_out(open_request, admission, effects)
         return True
     _refuse(state, open_request, demand, admission, now_us, effects)
     return False
@@ -114,21 +118,6 @@
     return xxhash.xxh32_intdigest(request_id.encode("latin-1", "replace")) / 2**32
 
 
-def _leave_out(open_request: OpenRequest, admission: Admission, effects: Effects) -> None:
-    if not admission.left_out:
-        return
-    for part in open_request.parts:
-        if part.service in admission.left_out:
-            part.done, part.reason = True, "no_room"
-            open_request.open_parts -= 1
-    fields = (
-        ("request", open_request.request.request_id),
-        ("route", open_request.route.name),
-        ("parts", len(admission.left_out)),
-    )
-    effects.append(WriteLog("parts_without_room", fields))
-
-
 def _refuse(
     state: RelayState,
     open_request: OpenRequest,
@@ -154,7 +143,7 @@
     fields = (
         ("route", route.name),
         ("rank", route.rank),
-        ("scarce", len(admission.left_out)),
+        ("scarce", admission.scarce),
         ("room_ms", admission.room_us // 1_000),
         ("early", early),
     )
