Judge whether a server can answer in time by its own pace and queue

Change: the usual answer time of a server counts once for each round of its slots that its last report names.

--- a/mimosapost/relay/shortage.py
+++ b/mimosapost/relay/shortage.py
@@ -33,9 +33,7 @@
 
 # Share of a route's latency objective after which an answer of a server with a queue is late.
 _LATE_SHARE = 0.5
-# Requests for each of its slots that a server with room holds at most.
-_MAX_QUEUE_RATIO = 2
-# Time for which a load report shows how many these are, in microseconds.
+# Time for which a load report shows how full a server is, in microseconds.
 _REPORT_VALID_US = 1_000_000
 
 
@@ -73,11 +71,12 @@
 def _is_in_time(state: RelayState, send: OpenSend, record: ServerRecord, now_us: int) -> bool:
     if not is_usable(state, record, now_us) or record.is_hung(now_us):
         return False
+    expected_us = estimate_us(record, send.pool, now_us)
     if record.load is not None and now_us - record.load_us < _REPORT_VALID_US:
-        queued = record.load.running + record.load.waiting
-        if queued >= _MAX_QUEUE_RATIO * record.server.slots:
-            return False
-    return estimate_us(record, send.pool, now_us) <= send.goal_us * _LATE_SHARE
+        # The choice of servers ignores older reports, which still show whether all are full.
+        rounds = (record.load.running + record.load.waiting + 1) / record.server.slots
+        expected_us = max(expected_us, send.pool.median_us * record.latency_ratio * rounds)
+    return expected_us <= send.goal_us * _LATE_SHARE
 
 
 def admit_within_room(
