Merge room for the urgent and the order of return

Demand is counted by route and rank, because the rank of a workspace goes before that of its route; a request that waited for a grant is not refused again.

--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -27,6 +27,7 @@
     rank_warm_servers,
     start_send,
 )
+from mimosapost.relay.shortage import admit_within_room
 from mimosapost.relay.startup_hold import hold_request, refuse_not_configured
 from mimosapost.relay.state import OpenRequest, Part, RelayState
 from mimosapost.relay.weighted_round_robin import WeightedRoundRobin
@@ -70,7 +71,7 @@
     held_requests, state.held_requests = list(state.held_requests.values()), {}
     if catalog is None or not state.servers_listed:
         for request in held_requests:
-            refuse_not_configured(state, request, effects)
+            refuse_not_configured(state, request, now_us, effects)
         return
 
     def get_rank(request: RelayRequest) -> int:
@@ -145,6 +146,11 @@
         )
         refuse_request(state, request.request_number, request.request_id, refusal, effects)
         return
+    # A request that waited for a grant found room before.
+    if not state.limits.resumed and not admit_within_room(
+        state, open_request, usable_parts, now_us, effects
+    ):
+        return
     if not check_limit(state, open_request, now_us, effects):
         return
     state.requests[request.request_number] = open_request
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -19,7 +19,9 @@
 from mimosapost.relay.messages import RelayRequest, ServerAnswer
 from mimosapost.relay.partners import PeerState
 from mimosapost.relay.reply_delays import ReplyDelays
+from mimosapost.relay.return_times import ReturnTimes
 from mimosapost.relay.rewound_source import RewoundSource
+from mimosapost.relay.room import RoomTable
 from mimosapost.relay.server_selection import ServerRecord
 from mimosapost.relay.weighted_round_robin import WeightedRoundRobin
 from mimosapost.suspects.tracker import SuspectTracker
@@ -327,6 +329,7 @@
     :param is_repeat: whether the send is a hedge or a retry, paid from the budget for repeats.
     :param abandoned_us: time at which the send was given up, or 0.
     :param ran_alone: whether the request is a suspect and runs alone at the server.
+    :param goal_us: latency objective of the route, in microseconds.
     """
 
     send_id: int
@@ -339,6 +342,7 @@
     is_repeat: bool
     abandoned_us: int = 0
     ran_alone: bool = False
+    goal_us: int = 0
 
 
 @dataclass(slots=True)
@@ -349,6 +353,7 @@
     :param is_introduced: whether another instance has told which requests it refuses, or the
         time for that is over.
     :param held_requests: requests that wait for the first configuration, by number.
+    :param first_held_us: time of the first of them, or 0.
     :param cold_rates: rate of sends to each cold server that was considered, by server id.
     :param waiting: parts that wait for servers with room, by service, with the rank of the
         route and the number of the request.
@@ -380,6 +385,8 @@
         of that instance and the number of the gather.
     :param limits: limits of workspaces.
     :param started_us: time at which the process started.
+    :param room: services that are short of room, and demand.
+    :param returns: times given to the callers that were refused for lack of room.
     """
 
     instance_settings: InstanceSettings
@@ -392,6 +399,7 @@
     by_service: dict[str, list[ServerRecord]] = field(default_factory=dict)
     domains_out: frozenset[str] = frozenset()
     held_requests: dict[int, RelayRequest] = field(default_factory=dict)
+    first_held_us: int = 0
     requests: dict[int, OpenRequest] = field(default_factory=dict)
     sends: dict[int, OpenSend] = field(default_factory=dict)
     pools: dict[str, tuple[LatencyPool, ...]] = field(default_factory=dict)
@@ -430,6 +438,8 @@
     next_served_number: int = -1
     limits: LimitState = field(default_factory=LimitState)
     started_us: int = 0
+    room: RoomTable = field(default_factory=RoomTable)
+    returns: ReturnTimes = field(default_factory=ReturnTimes)
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send callers to this instance."""
