Bound what callers make a process hold

Cause: limits held for bytes on the wire and for one connection. A header line of four bytes costs 150 to 350 bytes while it is parsed, up to 256 KB were parsed at once, 32 pipelined requests and any number of unread answers were kept, and connections that say nothing stayed open.

Change: one account (edge/caller_memory.py) of heads, bodies, trailers, queued requests and answers on the callers', readiness and operators' ports, with a bound for the process, for a connection and for the number of connections. Who holds most for longest is closed first. Bytes are parsed in pieces that end with a head, long answers are written in pieces, callers that read nothing are closed, log lines that callers cause are bounded in number, and idle connections to servers give way when there are too many.

--- a/mimosapost/edge/caller_connections.py
+++ b/mimosapost/edge/caller_connections.py
@@ -7,17 +7,25 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+import fcntl
+import struct
+import termios
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from typing import Any
 
 from aiohttp import web
-from aiohttp.http import HttpRequestParser
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler
 
+from mimosapost.edge.caller_memory import Activity, CallerMemory, Holding
+from mimosapost.edge.caller_parser import (
+    MAX_QUEUED_REQUESTS,
+    RequestParser,
+    measure_header_fields,
+)
 from mimosapost.edge.logs import Logs
+from mimosapost.model.caller_bounds import CallerBounds
 from mimosapost.relay.catalog import CallerLimits
 
 __all__ = ["LimitedServer", "measure_header_fields"]
@@ -30,100 +38,12 @@
 # After a refusal the rest of the request is discarded for this time, so that the caller can
 # read the refusal before the connection is reset.
 _LINGER_SECONDS = 0.3
-_READ_BYTES = 64 * 1024
-# Maximum ratio between the bytes of a body and those of its framing. A chunk of one byte takes
-# five further bytes.
-_MAX_FRAMING_RATIO = 8
-# Values with which aiohttp's own limits never apply.
-_UNLIMITED = 2**31 - 1
+# Value with which aiohttp's own time limit never applies.
 _UNLIMITED_SECONDS = 365 * 86_400.0
-
-_ParsedMessages = tuple[Sequence[tuple[Any, Any]], bool, bytes]
-
-
-def measure_header_fields(headers: Sequence[tuple[bytes, bytes]]) -> int:
-    """Return the number of bytes of header fields on the wire.
-
-    >>> measure_header_fields([(b"Host", b"a"), (b"X-Y", b"")])
-    16
-    """
-    return sum(len(name) + len(value) + len(b": \r\n") for name, value in headers)
-
-
-class _RequestParser(HttpRequestParser):
-    """Parser that stops at a head or a framing without end.
-
-    :param protocol: connection that receives the messages.
-    :param loop: event loop of the connection.
-    :param get_limits: returns the limits in force.
-    :ivar head_bytes: bytes of the head that is arriving; 0 if none is.
-    :ivar head_since: time of the event loop at which that head began, in seconds.
-    """
-
-    def __init__(
-        self,
-        protocol: RequestHandler,
-        loop: asyncio.AbstractEventLoop,
-        get_limits: Callable[[], CallerLimits],
-    ) -> None:
-        super().__init__(
-            protocol,
-            loop,
-            _READ_BYTES,
-            max_line_size=_UNLIMITED,
-            max_field_size=_UNLIMITED,
-            max_headers=_UNLIMITED,
-            payload_exception=web.RequestPayloadError,
-            auto_decompress=False,
-            max_msg_queue_size=protocol._max_msg_queue_size,
-        )
-        self._event_loop = loop
-        self._get_limits = get_limits
-        self._last_payload = EMPTY_PAYLOAD
-        self._body_bytes = 0
-        self.head_bytes = 0
-        self.head_since = 0.0
-
-    def feed_data(self, data: bytes) -> _ParsedMessages:
-        """Parse received bytes.
-
-        :returns: complete heads with their bodies, whether the connection changes to another
-            protocol, and the bytes of that protocol.
-        :raises HttpProcessingError: if a head is malformed or too large.
-        """
-        is_body = not self._last_payload.is_eof()
-        if is_body and self._last_payload.exception() is not None:
-            # The rest of a refused body.
-            return (), False, b""
-        parsed = super().feed_data(data)
-        messages = parsed[0]
-        if messages:
-            self._last_payload = messages[-1][1]
-            self._body_bytes = self.head_bytes = 0
-        elif is_body:
-            self._check_framing(len(data))
-        elif data:
-            self._check_head(len(data))
-        return parsed
-
-    def _check_head(self, size: int) -> None:
-        if not self.head_bytes:
-            self.head_since = self._event_loop.time()
-        self.head_bytes += size
-        limit = self._get_limits().header_bytes
-        # The limit holds for the request line and for the header fields.
-        if self.head_bytes > 2 * limit:
-            self.head_bytes = 0
-            raise HttpProcessingError(code=431, message=f"head exceeds {limit} bytes")
-
-    def _check_framing(self, size: int) -> None:
-        payload = self._last_payload
-        self._body_bytes += size
-        limit = self._get_limits().header_bytes + _MAX_FRAMING_RATIO * payload.total_bytes
-        if self._body_bytes - payload.total_bytes > limit and not payload.is_eof():
-            payload.set_exception(
-                web.RequestPayloadError("chunk sizes and trailers are too long")
-            )
+# Time without progress after which an answer counts as not being read.
+_STALL_SECONDS = 2.0
+# Memory of an answer beside its body, in bytes.
+_ANSWER_BYTES = 2_048
 
 
 class _LimitedConnection(RequestHandler):
@@ -132,12 +52,33 @@
     :param manager: server that accepted the connection.
     :param get_limits: returns the limits in force.
     :param logs: receives requests that are refused.
+    :param memory: account of what all connections hold.
+    :ivar held_bytes: memory that was charged for this connection.
+    :ivar is_served: whether a complete request waits for its answer.
     """
 
-    __slots__ = ("_answered", "_get_limits", "_idle_limit_us", "_idle_since", "_logs")
+    __slots__ = (
+        "_answer_bytes",
+        "_answered",
+        "_get_limits",
+        "_held_since",
+        "_idle_limit_us",
+        "_idle_since",
+        "_logs",
+        "_memory",
+        "_progress_at",
+        "_unread_bytes",
+        "_unsent_bytes",
+        "held_bytes",
+        "is_served",
+    )
 
     def __init__(
-        self, manager: LimitedServer, get_limits: Callable[[], CallerLimits], logs: Logs
+        self,
+        manager: LimitedServer,
+        get_limits: Callable[[], CallerLimits],
+        logs: Logs,
+        memory: CallerMemory,
     ) -> None:
         super().__init__(
             manager,
@@ -148,7 +89,18 @@
             lingering_time=_LINGER_SECONDS,
             auto_decompress=False,
         )
-        self._parser = _RequestParser(self, self._loop, get_limits)
+        self._max_msg_queue_size = MAX_QUEUED_REQUESTS
+        self._msg_queue_resume_size = MAX_QUEUED_REQUESTS // 2
+        self._parser = RequestParser(self, self._loop, get_limits, memory.bounds, self._charge)
+        self._memory = memory
+        self.held_bytes = 0
+        self.is_served = False
+        self._held_since = self._progress_at = self._loop.time()
+        # Memory of the answer that is being written, and of what the transport keeps of earlier
+        # ones.
+        self._answer_bytes = self._unsent_bytes = 0
+        # Bytes that the caller had not read at the last check; -1 if there are none.
+        self._unread_bytes = -1
         self._get_limits = get_limits
         self._logs = logs
         self._answered = 0
@@ -158,13 +110,61 @@
         self._idle_since = self._loop.time()
         self._idle_limit_us = self._get_limits().idle_timeout_us
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection, which may close others."""
+        super().connection_made(transport)
+        self._memory.add(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop counting the connection."""
+        self._memory.remove(self)
+        super().connection_lost(exc)
+
+    def _charge(self, size: int) -> None:
+        if not self.held_bytes:
+            self._held_since = self._loop.time()
+        self._memory.charge(self, size)
+
+    def abort(self) -> None:
+        """Close the connection without writing what is left of an answer."""
+        transport = self.transport
+        self.force_close()
+        if transport is not None:
+            transport.abort()
+        # Others may take the memory before the event loop reports the end of the connection.
+        self._parser = None
+        if self._request_in_progress:
+            self._messages.clear()
+
+    def describe_holding(self) -> Holding:
+        """Return what the connection holds."""
+        activity = Activity.WAITS_FOR_CALLER
+        if self._answer_bytes:
+            if self._loop.time() - self._progress_at < _STALL_SECONDS:
+                activity = Activity.READS
+        elif self.is_served:
+            activity = Activity.IS_SERVED
+        since = self._held_since if self.held_bytes else self._idle_since
+        return Holding(self.held_bytes, since, activity, self._answered)
+
+    def note_progress(self) -> None:
+        """Note that the caller has read a piece of its answer."""
+        self._progress_at = self._loop.time()
+
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
         """Write a response, after which the connection is idle."""
+        self.note_progress()
+        self._answer_bytes = _ANSWER_BYTES + (resp.content_length or 0)
+        self._charge(self._answer_bytes)
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
+            self._charge(-self._answer_bytes)
+            self._answer_bytes = 0
+            if self._parser is not None:
+                self._parser.release_request()
             self._answered += 1
             self._begin_idle()
 
@@ -190,6 +190,9 @@
         A limit that is lowered while the connection is idle holds from its next request on:
         the caller may not know of it yet.
         """
+        if self._parser is None or self.transport is None:
+            return
+        self._check_reader()
         if self._parser is None or self._request_count > self._answered:
             return
         limits, now = self._get_limits(), self._loop.time()
@@ -204,6 +207,34 @@
         if now - self._idle_since > limit_us / 1e6 + _IDLE_MARGIN_SECONDS:
             self.force_close()
 
+    def _check_reader(self) -> None:
+        """Count bytes that the caller has not read; close the connection if it reads none."""
+        unsent = self.transport.get_write_buffer_size()
+        if not unsent and not self._unsent_bytes:
+            self._unread_bytes = -1
+            return
+        kept = 0 if self._answer_bytes else unsent
+        self._unsent_bytes, change = kept, kept - self._unsent_bytes
+        unread = unsent + _count_unacknowledged(self.transport)
+        if unread != self._unread_bytes or not unsent:
+            self._unread_bytes = unread
+            self.note_progress()
+        if change:
+            self._charge(change)
+        timeout_seconds = self._memory.bounds.read_timeout_us / 1e6
+        if unsent and self._loop.time() - self._progress_at > timeout_seconds:
+            self._memory.close(self, "answer_not_read")
+
+
+def _count_unacknowledged(transport: asyncio.Transport) -> int:
+    """Return the number of bytes in the socket that the peer has not acknowledged."""
+    connection = transport.get_extra_info("socket")
+    try:
+        answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return struct.unpack("=i", answer)[0]
+
 
 class LimitedServer(web.Server):
     """aiohttp server whose connections obey the limits in force at each moment.
@@ -211,19 +242,26 @@
     :param handler: answers requests.
     :param get_limits: returns the limits in force.
     :param logs: receives requests that are refused.
+    :param memory: account of what the connections of all servers of the process hold.
     """
 
     def __init__(
-        self, handler: Callable[..., Any], get_limits: Callable[[], CallerLimits], logs: Logs
+        self,
+        handler: Callable[..., Any],
+        get_limits: Callable[[], CallerLimits],
+        logs: Logs,
+        memory: CallerMemory | None = None,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
+        clock = asyncio.get_running_loop().time
+        self._memory = memory or CallerMemory(CallerBounds(), logs, lambda _: None, clock)
         self._get_limits = get_limits
         self._logs = logs
         self._check_timer: asyncio.TimerHandle | None = None
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a connection that is accepted."""
-        return _LimitedConnection(self, self._get_limits, self._logs)
+        return _LimitedConnection(self, self._get_limits, self._logs, self._memory)
 
     def start_checks(self, stack: AsyncExitStack) -> None:
         """Close overdue connections until the exit stack closes."""
--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -68,6 +68,9 @@
         "Time from a gather to its last answer, by distance of the other instance.",
         ("distance",),
     ),
+    "mimosapost_relay_caller_memory_bytes_count": Metric(
+        "gauge", "Memory of callers' heads, bodies and answers."
+    ),
     _UNDECLARED_COUNTER: Metric(
         "counter", "Counts under a name that no table declares.", ("name",)
     ),
@@ -161,6 +164,11 @@
     "Entries of the store that were ignored, by the first part of the key.",
     ("group",),
 )
+declare_counter(
+    "mimosapost_relay_callers_closed_total",
+    "Connections of callers that were closed because of what they held, by reason.",
+    ("reason",),
+)
 
 
 class Metrics:
--- a/mimosapost/edge/relay_callers.py
+++ b/mimosapost/edge/relay_callers.py
@@ -16,7 +16,9 @@
 from multidict import CIMultiDict
 
 from mimosapost.edge.caller_connections import LimitedServer, measure_header_fields
+from mimosapost.edge.caller_memory import CallerMemory
 from mimosapost.edge.logs import Logs
+from mimosapost.edge.paced_responses import PacedResponse
 from mimosapost.model.events import Event
 from mimosapost.relay.catalog import CallerLimits
 from mimosapost.relay.effects import SendReply
@@ -29,6 +31,10 @@
 # It fits into the time between the graceful stop and the platform's SIGKILL.
 _CLOSE_WAIT_SECONDS = 0.4
 _READ_BYTES = 64 * 1024
+# Time in seconds after which a caller may come back that found no memory.
+_RETRY_AFTER_SECONDS = "0.5"
+# Connections that are accepted before those accepted earlier are counted.
+_ACCEPTED_AT_ONCE = 32
 # Connections that may wait to be accepted. A burst of callers opens some hundreds at once;
 # the kernel may drop connections beyond the backlog.
 _BACKLOG = 1_024
@@ -75,6 +81,7 @@
     :param is_stopping: returns whether the instance is stopping; each connection is then
         closed after its reply.
     :param logs: receives requests that are refused as malformed or too large.
+    :param memory: account of what the connections of the process hold.
     """
 
     def __init__(
@@ -86,6 +93,7 @@
         get_limits: Callable[[], CallerLimits],
         is_stopping: Callable[[], bool],
         logs: Logs,
+        memory: CallerMemory | None = None,
     ) -> None:
         self._listener = listener
         #: ``ip:port`` that callers connect to; empty until the context is entered.
@@ -96,6 +104,7 @@
         self._get_limits = get_limits
         self._is_stopping = is_stopping
         self._logs = logs
+        self._memory = memory
         self._request_numbers = itertools.count(1)
         self._reply_futures: dict[int, asyncio.Future[Reply]] = {}
         self._handler_count = 0
@@ -104,7 +113,7 @@
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> RelayCallerServer:
-        server = LimitedServer(self._handle_request, self._get_limits, self._logs)
+        server = LimitedServer(self._handle_request, self._get_limits, self._logs, self._memory)
         self.address = await start_listener(self._stack, server, self._listener)
         server.start_checks(self._stack)
         self._stack.push_async_callback(self._wait_for_handlers)
@@ -135,6 +144,8 @@
         line = f"{http_request.method} {http_request.raw_path} HTTP/1.1"
         if max(measure_header_fields(http_request.raw_headers), len(line)) > max_bytes:
             return self._refuse(431, "the head exceeds the published limit")
+        if self._memory is not None and self._memory.is_short():
+            return self._refuse(503, "other callers hold the memory of the instance")
         try:
             body = await self._read_body(http_request)
         except _BodyTooLarge:
@@ -155,9 +166,14 @@
             )
         except ValueError as error:
             return self._refuse(400, str(error))
-        reply = await self._wait_for_reply(request_number, request)
+        connection = http_request.protocol
+        connection.is_served = True
+        try:
+            reply = await self._wait_for_reply(request_number, request)
+        finally:
+            connection.is_served = False
         status, headers, content = self._codec.encode_reply(reply)
-        response = web.Response(status=status, headers=headers, body=content)
+        response = PacedResponse(status=status, headers=headers, body=content)
         if self._is_stopping():
             response.force_close()
         return response
@@ -194,6 +210,8 @@
     def _refuse(self, status: int, reason: str) -> web.StreamResponse:
         self._logs.write("request_malformed", {"status": status, "reason": reason})
         response = web.Response(status=status)
+        if status == 503:
+            response.headers["Retry-After"] = _RETRY_AFTER_SECONDS
         response.force_close()
         return response
 
@@ -220,10 +238,12 @@
     stack.push_async_callback(runner.cleanup)
     if isinstance(listener, str):
         host, _, port = listener.rpartition(":")
-        site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
-    else:
-        # Without this argument asyncio would call listen() again with a shorter backlog.
-        site = web.SockSite(runner, listener, backlog=_BACKLOG)
+        listener = socket.create_server((host, int(port)), backlog=_BACKLOG)
+        listener.setblocking(False)
+    # asyncio accepts as many connections at once as the backlog that it is given, and listens
+    # with it; the backlog of the kernel is set again.
+    site = web.SockSite(runner, listener, backlog=_ACCEPTED_AT_ONCE)
     await site.start()
+    listener.listen(_BACKLOG)
     host, port = runner.addresses[0][:2]
     return f"{host}:{port}"
--- a/mimosapost/edge/relay_connections.py
+++ b/mimosapost/edge/relay_connections.py
@@ -28,7 +28,7 @@
 from mimosapost.relay.events import AnswerArrived, ExchangeFailed, ProbeEnded, ProbeOutcome
 from mimosapost.relay.messages import BackendServer, ServerAnswer
 
-__all__ = ["DEFAULT_HELD_BYTES", "AnswerCodec", "ServerConnections"]
+__all__ = ["DEFAULT_CONNECTIONS", "DEFAULT_HELD_BYTES", "AnswerCodec", "ServerConnections"]
 
 # Maximum number of bytes of one exchange, whatever they are; more of them fail the send with
 # ``TOO_LARGE``.
@@ -42,6 +42,8 @@
 _MAX_HEADER_FIELDS = 512
 #: Default for the bytes of all unfinished answers together.
 DEFAULT_HELD_BYTES = 64 * 1024 * 1024
+#: Default for the number of connections above which idle ones are closed.
+DEFAULT_CONNECTIONS = 1_500
 # Assumed idle timeout of a server that does not state one in a ``Keep-Alive`` header.
 _DEFAULT_IDLE_SECONDS = 4.0
 # Shares of the server's idle timeout after which an idle connection is no longer used: the
@@ -358,6 +360,7 @@
     :param logs: receives the errors of connections that could not be created, and answers that
         are too large.
     :param max_held_bytes: maximum number of bytes of all unfinished answers together.
+    :param max_connections: number of connections above which idle ones are closed.
     """
 
     def __init__(
@@ -367,7 +370,9 @@
         codec: AnswerCodec,
         logs: Logs,
         max_held_bytes: int = DEFAULT_HELD_BYTES,
+        max_connections: int = DEFAULT_CONNECTIONS,
     ) -> None:
+        self._max_connections = max_connections
         self._logs = logs
         self.max_held_bytes = max_held_bytes
         #: Number of bytes of all unfinished answers.
@@ -431,6 +436,8 @@
         self, server: BackendServer, send: StartSend | None, connect_deadline_us: int
     ) -> _Connection | None:
         """Open a connection, or log why no file descriptor or no valid address is there."""
+        if len(self._connections) >= self._max_connections:
+            self._close_oldest_idle()
         connect_seconds = max(
             _MIN_CONNECT_SECONDS, (connect_deadline_us - self.read_clock_us()) / 1e6
         )
@@ -442,6 +449,13 @@
         self._connections.add(connection)
         return connection
 
+    def _close_oldest_idle(self) -> None:
+        """Close the connection that has been idle for longest, if any is idle."""
+        # The idle connections of a server are in the order in which they became idle.
+        oldest = [idle[0] for idle in self._idle.values() if idle]
+        if oldest:
+            min(oldest, key=lambda connection: connection.idle_since).close()
+
     def abandon_send(self, effect: AbandonSend) -> None:
         """Execute an ``AbandonSend`` effect; do nothing if the send has ended."""
         connection = self._connections_by_send.get(effect.send_id)
--- a/mimosapost/edge/relay_instance.py
+++ b/mimosapost/edge/relay_instance.py
@@ -13,17 +13,22 @@
 import msgspec
 from aiohttp import web
 
+from mimosapost.edge.caller_connections import LimitedServer
+from mimosapost.edge.caller_memory import CallerMemory
 from mimosapost.edge.clock import read_clock_us
+from mimosapost.edge.limited_logs import LimitedLogs
 from mimosapost.edge.logs import Logs
 from mimosapost.edge.metrics import Metrics
 from mimosapost.edge.peer_links import PeerLinks
 from mimosapost.edge.reducer_runner import ReducerRunner
 from mimosapost.edge.relay_callers import RelayCallerServer, RequestCodec, start_listener
 from mimosapost.edge.relay_connections import (
+    DEFAULT_CONNECTIONS,
     DEFAULT_HELD_BYTES,
     AnswerCodec,
     ServerConnections,
 )
+from mimosapost.model.caller_bounds import CallerBounds
 from mimosapost.model.effects import (
     IncrementCounter,
     ObserveDuration,
@@ -87,6 +92,9 @@
     :param listener: socket that callers connect to, if it is already open; the service closes
         it when it stops.
     :param max_held_bytes: maximum number of bytes of all unfinished answers of servers.
+    :param caller_bounds: bounds on what callers may make the process hold.
+    :param max_server_connections: number of connections to servers above which idle ones are
+        closed.
     """
 
     def __init__(
@@ -98,8 +106,12 @@
         logs: Logs,
         listener: socket.socket | None = None,
         max_held_bytes: int = DEFAULT_HELD_BYTES,
+        caller_bounds: CallerBounds = CallerBounds(),  # noqa: B008
+        max_server_connections: int = DEFAULT_CONNECTIONS,
     ) -> None:
         super().__init__()
+        self._caller_bounds = caller_bounds
+        self._max_server_connections = max_server_connections
         self._max_held_bytes = max_held_bytes
         self._listener = listener
         self._addresses = addresses
@@ -128,9 +140,21 @@
         enter = self.async_exit_stack.enter_async_context
         servers = await enter(
             ServerConnections(
-                self.handle, read_clock_us, self._codec, self._logs, self._max_held_bytes
+                self.handle,
+                read_clock_us,
+                self._codec,
+                self._logs,
+                self._max_held_bytes,
+                self._max_server_connections,
             )
         )
+        caller_logs = LimitedLogs(self._logs, self.loop.time)
+        memory = CallerMemory(
+            self._caller_bounds, caller_logs, self._count_closed, self.loop.time
+        )
+        self.metrics.register_gauge(
+            "mimosapost_relay_caller_memory_bytes_count", lambda: memory.held_bytes
+        )
         callers = RelayCallerServer(
             self._listener or self._addresses.caller_address,
             self._codec,
@@ -138,7 +162,8 @@
             read_clock_us,
             self._get_limits,
             lambda: bool(self._state.stop_requested_us),
-            self._logs,
+            caller_logs,
+            memory,
         )
         self._runner.executors = {
             AbandonSend: servers.abandon_send,
@@ -155,11 +180,13 @@
         await self._start_links()
         await enter(callers)
         self.caller_address = callers.address
-        ready = web.Server(self._answer_ready, access_log=None)
-        await start_listener(self.async_exit_stack, ready, self._addresses.ready_address)
-        for address in self._addresses.operator_addresses:
-            server = web.Server(self._answer_operator, access_log=None)
+        for handler, address in (
+            (self._answer_ready, self._addresses.ready_address),
+            *((self._answer_operator, each) for each in self._addresses.operator_addresses),
+        ):
+            server = LimitedServer(handler, CallerLimits, caller_logs, memory)
             await start_listener(self.async_exit_stack, server, address)
+            server.start_checks(self.async_exit_stack)
         source = self._create_source(self.handle, read_clock_us, self._logs, self._is_followed)
         self._runner.executors = {**self._runner.executors, ApplyFeed: source.apply_feed}
         await self.add_runtime_dependency(source)
@@ -193,6 +220,10 @@
     def _is_followed(self) -> bool:
         return has_followers(self._state.feed, read_clock_us())
 
+    def _count_closed(self, reason: str) -> None:
+        labels = (("reason", reason),)
+        self.metrics.execute(IncrementCounter("mimosapost_relay_callers_closed_total", labels))
+
     def _get_limits(self) -> CallerLimits:
         catalog = self._state.catalog
         return catalog.limits if catalog is not None else CallerLimits()
--- a/mimosapost/platform/instance_runner.py
+++ b/mimosapost/platform/instance_runner.py
@@ -65,6 +65,8 @@
         logs,
         listener,
         settings.max_held_bytes,
+        settings.caller_bounds,
+        settings.max_server_connections,
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, instance.request_stop)
--- a/mimosapost/platform/settings.py
+++ b/mimosapost/platform/settings.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
+from mimosapost.model.caller_bounds import CallerBounds
 from mimosapost.relay.state import InstanceSettings
 from mimosapost.settings.faults import Fault, create_fault
 
@@ -20,6 +21,15 @@
 # Share of the memory limit that unfinished answers of servers may take. Requests, replies and
 # the program itself need the rest.
 _ANSWER_MEMORY_SHARE = 0.25
+# Share of the memory limit that heads, bodies and answers of callers may take, all together and
+# on one connection.
+_CALLER_MEMORY_SHARE = 0.2
+_CONNECTION_MEMORY_SHARE = 0.1
+# Descriptors that the platform keeps for files, and shares of the others for connections of
+# callers and to servers. Links, the store and connections that are being closed need the rest.
+_FILE_DESCRIPTORS = 200
+_CALLER_DESCRIPTOR_SHARE = 0.5
+_SERVER_DESCRIPTOR_SHARE = 0.4
 _BYTES_PER_MB = 1024 * 1024
 # Defaults for fields that the file lacks, taken from the smallest deployment.
 _DEFAULT_GRACE_SECONDS = 6.0
@@ -27,6 +37,17 @@
 _DEFAULT_DETECTION_MS = 4_000
 _DEFAULT_APPLY_MS = 3_000
 _DEFAULT_MEMORY_MB = 256
+_DEFAULT_DESCRIPTORS = 4_096
+# Time in seconds after which a caller that reads nothing of its answer is closed.
+_DEFAULT_READ_TIMEOUT_SECONDS = 60.0
+# Fields of the project's own, all with defaults.
+_CALLER_FIELDS = (
+    "callers.memoryMb",
+    "callers.connectionMemoryMb",
+    "callers.maxConnections",
+    "callers.maxHeaderLines",
+    "callers.readTimeoutS",
+)
 # Time limits in milliseconds for applying a change of the configuration, draining a server and
 # taking a failure domain out of service.
 _APPLY_LIMIT_FIELDS = ("bounds.configApplyMs", "bounds.drainMs", "bounds.evacMs")
@@ -45,6 +66,9 @@
         which changes must be detected again.
     :param apply_limit_ms: time in milliseconds within which a change in the store must take
         effect.
+    :param caller_bounds: bounds on what callers may make the process hold.
+    :param max_server_connections: number of connections to servers above which idle ones are
+        closed.
     :param is_first_start: whether all instances start together before there is traffic.
     :param max_held_bytes: maximum number of bytes of all unfinished answers of servers.
     """
@@ -57,6 +81,8 @@
     detection_limit_ms: int
     apply_limit_ms: int
     max_held_bytes: int
+    caller_bounds: CallerBounds
+    max_server_connections: int
     is_first_start: bool = False
 
 
@@ -81,7 +107,8 @@
         for name, (expected, is_valid) in _REQUIRED_FIELDS.items()
         if not is_valid(fields.get(name, ""))
     ]
-    for name in ("bounds.graceS", "bounds.contactMs", "limits.memoryMb", *_APPLY_LIMIT_FIELDS):
+    limit_fields = ("limits.memoryMb", "limits.maxFds", *_CALLER_FIELDS)
+    for name in ("bounds.graceS", "bounds.contactMs", *limit_fields, *_APPLY_LIMIT_FIELDS):
         if name in fields and not _is_positive_number(fields[name]):
             faults.append(create_fault((name,), fields[name], "a number above 0"))
     if "portRange" in fields and not _is_port_range(fields["portRange"]):
@@ -121,11 +148,32 @@
                 int(float(fields.get(name, _DEFAULT_APPLY_MS))) for name in _APPLY_LIMIT_FIELDS
             ),
             int(memory_mb * _BYTES_PER_MB * _ANSWER_MEMORY_SHARE),
+            _create_caller_bounds(fields, memory_mb),
+            max(1, int(_count_descriptors(fields) * _SERVER_DESCRIPTOR_SHARE)),
             fields.get("bootstrap") == "true",
         )
     )
 
 
+def _count_descriptors(fields: Mapping[str, str]) -> float:
+    """Return the number of descriptors for sockets."""
+    return float(fields.get("limits.maxFds", _DEFAULT_DESCRIPTORS)) - _FILE_DESCRIPTORS
+
+
+def _create_caller_bounds(fields: Mapping[str, str], memory_mb: float) -> CallerBounds:
+    def read(name: str, default: float, factor: float = 1) -> int:
+        return int(float(fields.get(name, default)) * factor)
+
+    connections = max(1, int(_count_descriptors(fields) * _CALLER_DESCRIPTOR_SHARE))
+    return CallerBounds(
+        read("callers.memoryMb", memory_mb * _CALLER_MEMORY_SHARE, _BYTES_PER_MB),
+        read("callers.connectionMemoryMb", memory_mb * _CONNECTION_MEMORY_SHARE, _BYTES_PER_MB),
+        read("callers.maxConnections", connections),
+        read("callers.maxHeaderLines", 0),
+        read("callers.readTimeoutS", _DEFAULT_READ_TIMEOUT_SECONDS, 1_000_000),
+    )
+
+
 def _extract_regions(fields: Mapping[str, str]) -> dict[str, str]:
     prefix = "zones."
     regions = {k.removeprefix(prefix): v for k, v in fields.items() if k.startswith(prefix)}
--- a/mimosapost/platform/tests/test_translation.py
+++ b/mimosapost/platform/tests/test_translation.py
@@ -19,6 +19,7 @@
 import pytest
 from returns.result import Success
 
+from mimosapost.model.caller_bounds import CallerBounds
 from mimosapost.model.codes import ResultCode
 from mimosapost.platform.http_codec import PlatformCodec
 from mimosapost.platform.settings import METRICS_PORT, decode_settings
@@ -61,6 +62,26 @@
             pytest.fail(str(failure))
 
 
+@pytest.mark.parametrize(
+    ("lines", "expected"),
+    [
+        pytest.param(
+            "limits.memoryMb=200\nlimits.maxFds=4100",
+            CallerBounds(40 << 20, 20 << 20, 1_950, 0, 60_000_000),
+            id="of_the_machine",
+        ),
+        pytest.param(
+            "callers.memoryMb=9\ncallers.connectionMemoryMb=1\ncallers.maxConnections=70\n"
+            "callers.maxHeaderLines=64\ncallers.readTimeoutS=2.5",
+            CallerBounds(9 << 20, 1 << 20, 70, 64, 2_500_000),
+            id="own",
+        ),
+    ],
+)
+def test_bounds_on_callers_come_from_the_settings(lines, expected):
+    assert decode_settings(SETTINGS + lines).unwrap().caller_bounds == expected
+
+
 @pytest.mark.parametrize(
     ("old", "new", "expected_faults"),
     [
