--- a/mimosapost/edge/caller_connections.py
+++ b/mimosapost/edge/caller_connections.py
@@ -10,7 +10,7 @@
 import fcntl
 import struct
 import termios
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import AsyncExitStack
 from typing import Any
 
@@ -19,11 +19,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from mimosapost.edge.caller_memory import Activity, CallerMemory, Holding
-from mimosapost.edge.caller_parser import (
-    MAX_QUEUED_REQUESTS,
-    RequestParser,
-    measure_header_fields,
-)
+from mimosapost.edge.caller_parser import MAX_QUEUED_REQUESTS, RequestParser
 from mimosapost.edge.logs import Logs
 from mimosapost.model.caller_bounds import CallerBounds
 from mimosapost.relay.catalog import CallerLimits
@@ -42,8 +38,18 @@
 _UNLIMITED_SECONDS = 365 * 86_400.0
 # Time without progress after which an answer counts as not being read.
 _STALL_SECONDS = 2.0
-# Memory of an answer beside its body, in bytes.
-_ANSWER_BYTES = 2_048
+# Size in bytes above which an answer is counted while it is written; what callers have not read
+# of smaller ones is counted at each check.
+_LONG_ANSWER_BYTES = 64 * 1024
+
+
+def measure_header_fields(headers: Sequence[tuple[bytes, bytes]]) -> int:
+    """Return the number of bytes of header fields on the wire.
+
+    >>> measure_header_fields([(b"Host", b"a"), (b"X-Y", b"")])
+    16
+    """
+    return sum(len(name) + len(value) + len(b": \r\n") for name, value in headers)
 
 
 class _LimitedConnection(RequestHandler):
@@ -139,7 +145,7 @@
     def describe_holding(self) -> Holding:
         """Return what the connection holds."""
         activity = Activity.WAITS_FOR_CALLER
-        if self._answer_bytes:
+        if self._answer_bytes or self._unsent_bytes:
             if self._loop.time() - self._progress_at < _STALL_SECONDS:
                 activity = Activity.READS
         elif self.is_served:
@@ -155,14 +161,17 @@
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
         """Write a response, after which the connection is idle."""
-        self.note_progress()
-        self._answer_bytes = _ANSWER_BYTES + (resp.content_length or 0)
-        self._charge(self._answer_bytes)
+        length = resp.content_length or 0
+        if length > _LONG_ANSWER_BYTES:
+            self.note_progress()
+            self._answer_bytes = length
+            self._charge(length)
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
-            self._charge(-self._answer_bytes)
-            self._answer_bytes = 0
+            if self._answer_bytes:
+                self._charge(-self._answer_bytes)
+                self._answer_bytes = 0
             if self._parser is not None:
                 self._parser.release_request()
             self._answered += 1
--- a/mimosapost/edge/caller_memory.py
+++ b/mimosapost/edge/caller_memory.py
@@ -156,9 +156,9 @@
         self._logs = logs
         self._count_closed = count_closed
         self._read_clock = read_clock
+        self._usual_closing_bytes = bounds.process_bytes * _CLOSING_SHARE
         # Memory above which connections are closed.
-        self._closing_bytes = 0.0
-        self._reset_closing()
+        self._closing_bytes = self._usual_closing_bytes
 
     def add(self, connection: HeldConnection) -> None:
         """Count a connection that was accepted; close others if there are too many."""
@@ -193,12 +193,12 @@
             self.close(connection, "connection_memory")
         elif self.held_bytes > self._closing_bytes:
             self._free_memory()
-        elif size < 0:
+        elif self._closing_bytes > self._usual_closing_bytes:
             self._reset_closing()
 
     def is_short(self) -> bool:
         """Return whether requests that are being served hold all memory."""
-        return self.held_bytes > self.bounds.process_bytes * _CLOSING_SHARE
+        return self.held_bytes > self._usual_closing_bytes
 
     def close(self, connection: HeldConnection, reason: str) -> None:
         """Close a connection at once and count it.
@@ -219,7 +219,7 @@
 
     def _reset_closing(self) -> None:
         if not self.is_short():
-            self._closing_bytes = self.bounds.process_bytes * _CLOSING_SHARE
+            self._closing_bytes = self._usual_closing_bytes
 
     def _free_memory(self) -> None:
         allowed = self.bounds.process_bytes
--- a/mimosapost/edge/caller_parser.py
+++ b/mimosapost/edge/caller_parser.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -21,7 +22,7 @@
 from mimosapost.model.caller_bounds import CallerBounds
 from mimosapost.relay.catalog import CallerLimits
 
-__all__ = ["MAX_QUEUED_REQUESTS", "RequestParser", "measure_header_fields"]
+__all__ = ["MAX_QUEUED_REQUESTS", "RequestParser"]
 
 #: Maximum number of requests of a connection that wait behind the one that is served.
 MAX_QUEUED_REQUESTS = 4
@@ -29,9 +30,12 @@
 # Maximum number of bytes that are parsed at once.
 _PIECE_BYTES = 16 * 1024
 _END_OF_HEAD = b"\r\n\r\n"
+_CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: ?(\d{1,9})\r\n", re.IGNORECASE)
 # Memory of a header field beside its bytes, and the number of copies of these bytes.
 _LINE_BYTES = 400
 _HEAD_COPIES = 3
+# Number of header fields up to which no limit on them is looked up.
+_FEW_LINES = 32
 # Number of copies of a body's bytes.
 _BODY_COPIES = 2
 # Memory of a body's framing for each of its bytes, and the most that is counted: the parser
@@ -44,16 +48,25 @@
 # Values with which aiohttp's own limits never apply.
 _UNLIMITED = 2**31 - 1
 
+_NO_MESSAGES: tuple[tuple, bool, bytes] = ((), False, b"")
 _ParsedMessages = tuple[Sequence[tuple[Any, Any]], bool, bytes]
 
 
-def measure_header_fields(headers: Sequence[tuple[bytes, bytes]]) -> int:
-    """Return the number of bytes of header fields on the wire.
+def _is_one_request(data: bytes) -> bool:
+    r"""Return whether bytes are one head of usual size, with its body if that has a length.
 
-    >>> measure_header_fields([(b"Host", b"a"), (b"X-Y", b"")])
-    16
+    >>> _is_one_request(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    True
+    >>> _is_one_request(b"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nabc")
+    False
     """
-    return sum(len(name) + len(value) + len(b": \r\n") for name, value in headers)
+    end = data.find(_END_OF_HEAD, 0, _PIECE_BYTES) + len(_END_OF_HEAD)
+    if end < len(_END_OF_HEAD):
+        return False
+    if end == len(data):
+        return True
+    length = _CONTENT_LENGTH.search(data, 0, end)
+    return length is not None and end + int(length[1]) == len(data) <= _PIECE_BYTES
 
 
 class RequestParser(HttpRequestParser):
@@ -94,6 +107,7 @@
         self._get_limits = get_limits
         self._bounds = bounds
         self._charge = charge
+        self._few_lines = min(_FEW_LINES, bounds.header_lines or _FEW_LINES)
         self._last_payload = EMPTY_PAYLOAD
         # Bytes that are left of a body with a length; ``None`` for one in chunks.
         self._body_left: int | None = 0
@@ -105,11 +119,14 @@
         self._recent = b""
         self._unparsed = b""
         self._deferred_error: HttpProcessingError | None = None
+        # Whether a call without data has anything to do.
+        self._is_resumable = False
         self._is_refused = False
         # Memory of a refused head or framing, which lives as long as the connection, in bytes.
         self._refused_cost = 0
         # Memory of each request that is queued or served, in order, in bytes.
         self._request_costs: deque[int] = deque()
+        self._queue_cost = 0
         self._charged = 0
         self.head_bytes = 0
         self.head_lines = 0
@@ -122,20 +139,47 @@
             protocol, and the bytes of that protocol.
         :raises HttpProcessingError: if a head is malformed or too large.
         """
+        if not (data or self._is_resumable):
+            # aiohttp resumes the parser after each read of a body, paused or not.
+            return _NO_MESSAGES
+        if (
+            not (self._unparsed or self.head_bytes or self._is_refused)
+            and self._last_payload.is_eof()
+            and _is_one_request(data)
+        ):
+            return self._parse_request(data)
         if self._deferred_error is not None:
             error, self._deferred_error = self._deferred_error, None
             raise error
         if self._is_refused:
-            return (), False, b""
+            return _NO_MESSAGES
         try:
             return self._parse_pieces(self._unparsed + data if self._unparsed else data)
+        finally:
+            self._is_resumable = (
+                self._connection._reading_paused
+                or bool(self._unparsed)
+                or self._deferred_error is not None
+            )
+            self._update_charge()
+
+    def _parse_request(self, data: bytes) -> _ParsedMessages:
+        """Parse bytes that are exactly one request, as most that arrive."""
+        try:
+            parsed = self._parse_piece(data)
+            if parsed[0]:
+                self._add_cost(_BODY_COPIES * self._last_payload.total_bytes)
+            return parsed
+        except HttpProcessingError:
+            self._is_refused = True
+            raise
         finally:
             self._update_charge()
 
     def release_request(self) -> None:
         """Stop counting the oldest request, whose answer has been written."""
         if self._request_costs:
-            self._request_costs.popleft()
+            self._queue_cost -= self._request_costs.popleft()
             self._update_charge()
 
     def _parse_pieces(self, data: bytes) -> _ParsedMessages:
@@ -143,7 +187,7 @@
         position = 0
         while True:
             end = self._find_piece_end(data, position)
-            piece = data[position:end]
+            piece = data if end - position == len(data) else data[position:end]
             try:
                 parsed, is_upgraded, tail = self._parse_piece(piece)
             except HttpProcessingError as error:
@@ -190,32 +234,49 @@
         is_body = not payload.is_eof()
         if is_body and payload.exception() is not None:
             # The rest of a refused body.
-            return (), False, b""
+            return _NO_MESSAGES
         body_before = payload.total_bytes if is_body else 0
         parsed = super().feed_data(piece)
         if parsed[0]:
+            size = len(piece) - parsed[0][-1][1].total_bytes
             for message, _ in parsed[0]:
-                self._add_request(message)
+                self._add_request(message, size)
             self._begin_body(*parsed[0][-1])
         elif is_body:
-            self._check_framing(piece, payload.total_bytes - body_before)
+            self._add_cost(_BODY_COPIES * (payload.total_bytes - body_before))
+            if self._body_left is None:
+                self._check_framing(piece, payload.total_bytes - body_before)
+            else:
+                self._body_left -= len(piece)
         elif piece:
             self._check_head(piece)
         return parsed
 
-    def _add_request(self, message: Any) -> None:
+    def _add_request(self, message: Any, size: int) -> None:
         count = len(message.raw_headers)
-        if count > self._bounds.get_header_lines(self._get_limits().header_bytes):
+        if count > self._few_lines and count > self._get_max_lines():
             raise HttpProcessingError(code=431, message=f"head has {count} fields")
-        size = measure_header_fields(message.raw_headers) + len(message.path)
-        self._request_costs.append(_LINE_BYTES * count + _HEAD_COPIES * size)
+        cost = _LINE_BYTES * count + _HEAD_COPIES * (self.head_bytes + size)
+        self._request_costs.append(cost)
+        self._queue_cost += cost
+
+    def _add_cost(self, size: int) -> None:
+        """Count memory of the newest request, unless it has been answered."""
+        if self._request_costs:
+            self._request_costs[-1] += size
+            self._queue_cost += size
+
+    def _get_max_lines(self) -> int:
+        return self._bounds.get_header_lines(self._get_limits().header_bytes)
 
     def _begin_body(self, message: Any, payload: Any) -> None:
         self._last_payload = payload
-        self._body_bytes = self._trailer_bytes = self._trailer_lines = 0
         self.head_bytes = self.head_lines = 0
         self._recent = b""
-        if message.chunked or payload.is_eof():
+        if payload.is_eof():
+            return
+        self._body_bytes = self._trailer_bytes = self._trailer_lines = 0
+        if message.chunked:
             self._body_left = None
         else:
             self._body_left = int(message.headers.get("Content-Length", _UNLIMITED))
@@ -244,8 +305,6 @@
 
     def _check_framing(self, piece: bytes, body_bytes: int) -> None:
         payload = self._last_payload
-        if self._body_left is not None:
-            self._body_left -= len(piece)
         self._body_bytes += len(piece)
         if body_bytes:
             self._trailer_bytes = self._trailer_lines = 0
@@ -253,11 +312,8 @@
             self._trailer_bytes += len(piece)
             self._trailer_lines += piece.count(b"\n")
         self._note_recent(piece)
-        if self._request_costs:
-            framing = _FRAMING_COST * (len(piece) - body_bytes)
-            self._request_costs[-1] += _BODY_COPIES * body_bytes
-            if self._body_bytes * _FRAMING_COST < _MAX_FRAMING_COST_BYTES:
-                self._request_costs[-1] += framing
+        if self._body_bytes * _FRAMING_COST < _MAX_FRAMING_COST_BYTES:
+            self._add_cost(_FRAMING_COST * (len(piece) - body_bytes))
         if payload.is_eof():
             self._recent = b""
             self._trailer_bytes = self._trailer_lines = 0
@@ -279,8 +335,9 @@
         return _LINE_BYTES * lines + _HEAD_COPIES * (self.head_bytes + self._trailer_bytes)
 
     def _update_charge(self) -> None:
-        held = self._refused_cost + self._measure_unfinished()
-        held += len(self._unparsed) + sum(self._request_costs)
+        held = self._refused_cost + len(self._unparsed) + self._queue_cost
+        if self.head_bytes or self._trailer_bytes:
+            held += self._measure_unfinished()
         if held != self._charged:
             change, self._charged = held - self._charged, held
             self._charge(change)
--- a/mimosapost/edge/paced_responses.py
+++ b/mimosapost/edge/paced_responses.py
@@ -4,10 +4,10 @@
 
 from aiohttp import web
 
-__all__ = ["PacedResponse"]
+__all__ = ["PIECE_BYTES", "PacedResponse"]
 
-# Size in bytes of a piece of a body; a smaller body is written at once.
-_PIECE_BYTES = 64 * 1024
+#: Size in bytes of a piece of a body; a smaller body needs no such response.
+PIECE_BYTES = 64 * 1024
 
 
 class PacedResponse(web.Response):
@@ -16,15 +16,12 @@
     async def write_eof(self, data: bytes = b"") -> None:
         """Write the body in pieces, each when the caller has read most of the one before."""
         body = self.body
-        if self._eof_sent or self._must_be_empty_body or not isinstance(body, bytes):
-            await super().write_eof(data)
-            return
-        if len(body) <= _PIECE_BYTES:
+        if self._eof_sent or self._must_be_empty_body:
             await super().write_eof(data)
             return
         connection, view = self._req.protocol, memoryview(body)
-        for start in range(0, len(body), _PIECE_BYTES):
-            await self.write(view[start : start + _PIECE_BYTES])
+        for start in range(0, len(body), PIECE_BYTES):
+            await self.write(view[start : start + PIECE_BYTES])
             await self._payload_writer.drain()
             connection.note_progress()
         await web.StreamResponse.write_eof(self)
--- a/mimosapost/edge/relay_callers.py
+++ b/mimosapost/edge/relay_callers.py
@@ -18,7 +18,7 @@
 from mimosapost.edge.caller_connections import LimitedServer, measure_header_fields
 from mimosapost.edge.caller_memory import CallerMemory
 from mimosapost.edge.logs import Logs
-from mimosapost.edge.paced_responses import PacedResponse
+from mimosapost.edge.paced_responses import PIECE_BYTES, PacedResponse
 from mimosapost.model.events import Event
 from mimosapost.relay.catalog import CallerLimits
 from mimosapost.relay.effects import SendReply
@@ -173,7 +173,8 @@
         finally:
             connection.is_served = False
         status, headers, content = self._codec.encode_reply(reply)
-        response = PacedResponse(status=status, headers=headers, body=content)
+        create_response = PacedResponse if len(content) > PIECE_BYTES else web.Response
+        response = create_response(status=status, headers=headers, body=content)
         if self._is_stopping():
             response.force_close()
         return response
@@ -233,13 +234,14 @@
     :returns: the address as ``ip:port``; a given port 0 is replaced by the port that the
         system chose.
     """
-    runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.5)
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
     if isinstance(listener, str):
         host, _, port = listener.rpartition(":")
         listener = socket.create_server((host, int(port)), backlog=_BACKLOG)
+        stack.callback(listener.close)
         listener.setblocking(False)
+    runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.5)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
     # asyncio accepts as many connections at once as the backlog that it is given, and listens
     # with it; the backlog of the kernel is set again.
     site = web.SockSite(runner, listener, backlog=_ACCEPTED_AT_ONCE)
