Bound what callers of queries make a process hold

The own path's server kept connections, heads and unread answers without a bound for all of them. It now uses the connections and the account of the relay, with the default bounds and its limits of 64 header fields and 8,190 bytes a field. Tested in process: a hundred connections with unfinished heads, or silent ones, don't keep an ordinary caller out.

--- a/mimosapost/edge/caller_connections.py
+++ b/mimosapost/edge/caller_connections.py
@@ -24,7 +24,7 @@
 from mimosapost.model.caller_bounds import CallerBounds
 from mimosapost.relay.catalog import CallerLimits
 
-__all__ = ["LimitedServer", "measure_header_fields"]
+__all__ = ["LimitedConnection", "LimitedServer", "measure_header_fields"]
 
 # Connections are closed this long after the published idle limit, so that a caller
 # that respects the limit never sends a request on a connection that is being closed.
@@ -52,7 +52,7 @@
     return sum(len(name) + len(value) + len(b": \r\n") for name, value in headers)
 
 
-class _LimitedConnection(RequestHandler):
+class LimitedConnection(RequestHandler):
     """Connection of a caller.
 
     :param manager: server that accepted the connection.
@@ -252,6 +252,7 @@
     :param get_limits: returns the limits in force.
     :param logs: receives requests that are refused.
     :param memory: account of what the connections of all servers of the process hold.
+    :param connection_class: class of the connections.
     """
 
     def __init__(
@@ -260,17 +261,19 @@
         get_limits: Callable[[], CallerLimits],
         logs: Logs,
         memory: CallerMemory | None = None,
+        connection_class: type[LimitedConnection] = LimitedConnection,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
         clock = asyncio.get_running_loop().time
         self._memory = memory or CallerMemory(CallerBounds(), logs, lambda _: None, clock)
+        self._connection_class = connection_class
         self._get_limits = get_limits
         self._logs = logs
         self._check_timer: asyncio.TimerHandle | None = None
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a connection that is accepted."""
-        return _LimitedConnection(self, self._get_limits, self._logs, self._memory)
+        return self._connection_class(self, self._get_limits, self._logs, self._memory)
 
     def start_checks(self, stack: AsyncExitStack) -> None:
         """Close overdue connections until the exit stack closes."""
--- a/mimosapost/edge/caller_parser.py
+++ b/mimosapost/edge/caller_parser.py
@@ -34,6 +34,8 @@
 # Memory of a header field beside its bytes, and the number of copies of these bytes.
 _LINE_BYTES = 400
 _HEAD_COPIES = 3
+# Lines of a head that are no header fields: its first line and an empty line before it.
+_OTHER_LINES = 2
 # Number of header fields up to which no limit on them is looked up.
 _FEW_LINES = 32
 # Number of copies of a body's bytes.
@@ -291,7 +293,7 @@
         # The limit holds for the request line and for the header fields.
         if self.head_bytes > 2 * limit:
             reason = f"head exceeds {limit} bytes"
-        elif self.head_lines > self._bounds.get_header_lines(2 * limit):
+        elif self.head_lines > self._bounds.get_header_lines(2 * limit) + _OTHER_LINES:
             reason = f"head has {self.head_lines} lines"
         else:
             return
--- a/mimosapost/edge/caller_server.py
+++ b/mimosapost/edge/caller_server.py
@@ -10,10 +10,8 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import replace
-from typing import Any
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 
 from mimosapost.edge.caller_codec import (
     QueryFault,
@@ -22,14 +20,20 @@
     decode_query,
     encode_answer,
 )
+from mimosapost.edge.caller_connections import LimitedConnection, LimitedServer
+from mimosapost.edge.caller_memory import CallerMemory
+from mimosapost.edge.limited_logs import LimitedLogs
 from mimosapost.edge.logs import Logs
 from mimosapost.edge.metrics import Metrics
+from mimosapost.edge.paced_responses import PIECE_BYTES, PacedResponse
 from mimosapost.edge.traces import Traces, parse_traceparent
+from mimosapost.model.caller_bounds import CallerBounds
 from mimosapost.model.codes import Priority, ResultCode, RunState, get_http_status
-from mimosapost.model.effects import AnswerCaller
+from mimosapost.model.effects import AnswerCaller, IncrementCounter
 from mimosapost.model.events import CallerGone, Event, QueryArrived
 from mimosapost.model.published_settings import CallerSettings, ServiceSettings
 from mimosapost.model.queries import Answer, Query
+from mimosapost.relay.catalog import CallerLimits
 
 __all__ = ["ROUTES", "CallerServer"]
 
@@ -39,30 +43,16 @@
     ("GET", "/readyz"),
 )
 _QUERY_PATH = re.compile(r"/v1/services/([A-Za-z0-9][A-Za-z0-9._-]{0,63})/query")
-_CHUNK_BYTES = 64 * 1024
+# Maximum number of bytes of a header field and of the request target.
+_MAX_FIELD_BYTES = 8_190
 _JSON = "application/json"
+_BOUNDS = CallerBounds()
 
 
-class _Connection(RequestHandler):
+class _Connection(LimitedConnection):
     """Connection that answers protocol errors with a result code, as all other errors."""
 
-    __slots__ = ("_first_request",)
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
-        # aiohttp starts its keep-alive timer only after the first request, so a connection
-        # without any request needs a timer of its own.
-        self._first_request = self._loop.call_later(
-            self.keepalive_timeout, self._close_without_request
-        )
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        self._first_request.cancel()
-        super().connection_lost(exc)
-
-    def _close_without_request(self) -> None:
-        if self._request_count == 0:
-            self.force_close()
+    __slots__ = ()
 
     def handle_error(
         self,
@@ -80,23 +70,12 @@
         if status >= 500:
             # The request may have reached the core, so its run state is unknown here.
             run, detail = RunState.UNKNOWN, "internal error"
-            self._manager.logs.write("caller_request_failed", {"error": repr(exc)})
+            self._logs.write("caller_request_failed", {"error": repr(exc)})
         response = _create_response(Answer(code, run, detail=detail))
         response.force_close()
         return response
 
 
-class _ConnectionFactory(web.Server):
-    """aiohttp protocol factory that creates a ``_Connection`` per accepted connection."""
-
-    def __init__(self, logs: Logs, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
-        self.logs = logs
-
-    def __call__(self) -> RequestHandler:
-        return _Connection(self, loop=self._loop, **self._kwargs)
-
-
 def _create_response(answer: Answer) -> web.Response:
     return web.Response(
         body=encode_answer(answer), status=get_http_status(answer.code), content_type=_JSON
@@ -124,6 +103,7 @@
     :param next_query_id: returns query ids that are unique within the incarnation.
     :param max_body_bytes: size limit of a request body in bytes.
     :param max_headers: maximum number of headers of a request.
+    :param bounds: bounds on what all callers may make the process hold.
     :param read_timeout_s: time in seconds within which a request body must arrive completely.
         Idle connections are closed after this time or 75 s, whichever is longer.
     :param linger_s: time in seconds during which the remaining bytes of a refused body are
@@ -148,6 +128,7 @@
         next_query_id: Callable[[], int] | None = None,
         max_body_bytes: int = 256 * 1024,
         max_headers: int = 64,
+        bounds: CallerBounds = _BOUNDS,
         read_timeout_s: float = 10.0,
         linger_s: float = 2.0,
         metrics: Metrics | None = None,
@@ -165,6 +146,7 @@
         self._next_query_id = next_query_id or itertools.count(1).__next__
         self._max_body_bytes = max_body_bytes
         self._max_headers = max_headers
+        self._bounds = replace(bounds, header_lines=max_headers)
         self._read_timeout_s = read_timeout_s
         self._linger_s = linger_s
         self._metrics = metrics or Metrics()
@@ -175,20 +157,21 @@
         self.address = ""
 
     async def __aenter__(self) -> CallerServer:
-        connection_factory = _ConnectionFactory(
-            self._logs,
-            self._handle_request,
-            handler_cancellation=True,
-            access_log=None,
-            auto_decompress=False,
-            max_headers=self._max_headers,
-            keepalive_timeout=max(self._read_timeout_s, 75.0),
-            lingering_time=self._linger_s,
+        loop = asyncio.get_running_loop()
+        logs = LimitedLogs(self._logs, loop.time)
+        memory = CallerMemory(self._bounds, logs, self._count_closed, loop.time)
+        limits = CallerLimits(
+            _MAX_FIELD_BYTES * self._max_headers,
+            self._max_body_bytes,
+            int(self._read_timeout_s * 1e6),
+            int(max(self._read_timeout_s, 75.0) * 1e6),
         )
+        server = LimitedServer(self._handle_request, lambda: limits, logs, memory, _Connection)
         async with AsyncExitStack() as stack:
-            runner = web.ServerRunner(connection_factory, shutdown_timeout=60.0)
+            runner = web.ServerRunner(server, shutdown_timeout=60.0)
             await runner.setup()
             stack.push_async_callback(runner.cleanup)
+            server.start_checks(stack)
             await web.TCPSite(runner, self._host, self._port, backlog=1024).start()
             self.address = "{}:{}".format(*runner.addresses[0][:2])
             self._stack = stack.pop_all()
@@ -197,6 +180,10 @@
     async def __aexit__(self, *exc_info: object) -> None:
         await self._stack.aclose()
 
+    def _count_closed(self, reason: str) -> None:
+        labels = (("reason", reason),)
+        self._metrics.execute(IncrementCounter("mimosapost_relay_callers_closed_total", labels))
+
     @property
     def open_queries(self) -> int:
         """Number of queries that wait for an answer."""
@@ -209,6 +196,12 @@
             future.set_result(effect.answer)
 
     async def _handle_request(self, request: web.BaseRequest) -> web.StreamResponse:
+        sizes = (len(name) + len(value) for name, value in request.raw_headers)
+        if max((len(request.raw_path), *sizes)) > _MAX_FIELD_BYTES:
+            fault = QueryFault(ResultCode.MALFORMED_REQUEST, "a header field is too long")
+            response = self._create_refusal(request, fault)
+            response.force_close()
+            return response
         if request.method == "GET":
             if request.path == "/healthz":
                 return web.Response(text="alive\n")
@@ -229,11 +222,13 @@
         if span is not None:
             query = replace(query, traceparent=span.traceparent)
         code = ResultCode.CALLER_GONE
+        request.protocol.is_served = True
         try:
             answer = await self._submit_query(query)
             code = answer.code
-            return await self._write_answer(request, answer, query.traceparent)
+            return self._create_answer(answer, query.traceparent)
         finally:
+            request.protocol.is_served = False
             self._metrics.observe_query(query.service, code, self._read_clock_us() - started_us)
             if span is not None:
                 span.end(code=int(code))
@@ -350,19 +345,9 @@
             traceparent=traceparent if parse_traceparent(traceparent) else "",
         )
 
-    async def _write_answer(
-        self, request: web.BaseRequest, answer: Answer, traceparent: str
-    ) -> web.StreamResponse:
+    def _create_answer(self, answer: Answer, traceparent: str) -> web.Response:
         headers = {"traceparent": traceparent} if traceparent else {}
         body = encode_answer(answer)
         status = get_http_status(answer.code)
-        if len(body) <= _CHUNK_BYTES:
-            return web.Response(body=body, status=status, content_type=_JSON, headers=headers)
-        response = web.StreamResponse(status=status, headers=headers)
-        response.content_type = _JSON
-        response.content_length = len(body)
-        await response.prepare(request)
-        for offset in range(0, len(body), _CHUNK_BYTES):
-            await response.write(body[offset : offset + _CHUNK_BYTES])
-        await response.write_eof()
-        return response
+        create_response = PacedResponse if len(body) > PIECE_BYTES else web.Response
+        return create_response(body=body, status=status, content_type=_JSON, headers=headers)
--- a/mimosapost/edge/tests/test_caller_memory.py
+++ b/mimosapost/edge/tests/test_caller_memory.py
@@ -11,9 +11,11 @@
 
 from mimosapost.edge import caller_connections
 from mimosapost.edge.caller_memory import Activity, CallerMemory, Holding
+from mimosapost.edge.caller_server import CallerServer
 from mimosapost.edge.clock import read_clock_us
 from mimosapost.edge.limited_logs import LimitedLogs
 from mimosapost.edge.logs import Logs
+from mimosapost.edge.metrics import Metrics
 from mimosapost.edge.relay_callers import RelayCallerServer
 from mimosapost.model.caller_bounds import CallerBounds
 from mimosapost.model.codes import ResultCode
@@ -195,3 +197,39 @@
         await asyncio.sleep(0.01)
         assert (memory.held_bytes, reasons) == (0, [])
         writer.close()
+
+
+@pytest.mark.parametrize(
+    ("data", "reason"),
+    [
+        pytest.param(b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 60, "memory", id="heads"),
+        pytest.param(b"", "connections", id="silent"),
+    ],
+)
+async def test_callers_of_queries_are_bounded_too(data, reason):
+    """A hundred connections that wait for nothing don't keep others out."""
+    metrics, logs = Metrics(), Logs(io.StringIO())
+    bounds = CallerBounds(process_bytes=1_000_000, connections=80)
+    async with AsyncExitStack() as stack:
+        server = await stack.enter_async_context(
+            CallerServer(
+                lambda _: None,
+                read_clock_us,
+                lambda _: None,
+                lambda _: None,
+                bounds=bounds,
+                metrics=metrics,
+                logs=logs,
+            )
+        )
+        host, _, port = server.address.rpartition(":")
+        for _ in range(100):
+            _, writer = await asyncio.open_connection(host, int(port))
+            stack.callback(writer.close)
+            writer.write(data)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        stack.callback(writer.close)
+        writer.write(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+        async with asyncio.timeout(5):
+            assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+    assert metrics.get_count("mimosapost_relay_callers_closed_total", reason=reason) > 0
