--- a/mimosapost/edge/caller_connections.py
+++ b/mimosapost/edge/caller_connections.py
@@ -202,7 +202,8 @@
         if self._parser is None or self.transport is None:
             return
         self._check_reader()
-        if self._parser is None or self._request_count > self._answered:
+        # While answers are unread, the timeout of readers holds. Closing would wait for them.
+        if self._unsent_bytes or self._parser is None or self._request_count > self._answered:
             return
         limits, now = self._get_limits(), self._loop.time()
         if self._parser.head_bytes:
