--- a/mimosapost/edge/caller_connections.py
+++ b/mimosapost/edge/caller_connections.py
@@ -157,15 +157,22 @@
         """Note that the caller has read a piece of its answer."""
         self._progress_at = self._loop.time()
 
+    def charge_answer(self, size: int) -> None:
+        """Count the answer to the request that is being served, from now until it is written.
+
+        :param size: size of its body in bytes.
+        """
+        if size > _LONG_ANSWER_BYTES:
+            self.note_progress()
+            self._answer_bytes = size
+            self._charge(size)
+
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
         """Write a response, after which the connection is idle."""
-        length = resp.content_length or 0
-        if length > _LONG_ANSWER_BYTES:
-            self.note_progress()
-            self._answer_bytes = length
-            self._charge(length)
+        if not self._answer_bytes:
+            self.charge_answer(resp.content_length or 0)
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
--- a/mimosapost/edge/relay_callers.py
+++ b/mimosapost/edge/relay_callers.py
@@ -15,7 +15,11 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from mimosapost.edge.caller_connections import LimitedServer, measure_header_fields
+from mimosapost.edge.caller_connections import (
+    LimitedConnection,
+    LimitedServer,
+    measure_header_fields,
+)
 from mimosapost.edge.caller_memory import CallerMemory
 from mimosapost.edge.logs import Logs
 from mimosapost.edge.paced_responses import PIECE_BYTES, PacedResponse
@@ -23,7 +27,7 @@
 from mimosapost.relay.catalog import CallerLimits
 from mimosapost.relay.effects import SendReply
 from mimosapost.relay.events import CallerLeft, RequestArrived
-from mimosapost.relay.messages import RelayRequest, Reply
+from mimosapost.relay.messages import ForwardedReply, RelayRequest, Reply
 
 __all__ = ["RelayCallerServer", "RequestCodec", "start_listener"]
 
@@ -106,7 +110,7 @@
         self._logs = logs
         self._memory = memory
         self._request_numbers = itertools.count(1)
-        self._reply_futures: dict[int, asyncio.Future[Reply]] = {}
+        self._reply_futures: dict[int, tuple[asyncio.Future[Reply], LimitedConnection]] = {}
         self._handler_count = 0
         self._handlers_done = asyncio.Event()
         self._handlers_done.set()
@@ -169,7 +173,7 @@
         connection = http_request.protocol
         connection.is_served = True
         try:
-            reply = await self._wait_for_reply(request_number, request)
+            reply = await self._wait_for_reply(request_number, request, connection)
         finally:
             connection.is_served = False
         status, headers, content = self._codec.encode_reply(reply)
@@ -179,9 +183,11 @@
             response.force_close()
         return response
 
-    async def _wait_for_reply(self, request_number: int, request: RelayRequest) -> Reply:
+    async def _wait_for_reply(
+        self, request_number: int, request: RelayRequest, connection: LimitedConnection
+    ) -> Reply:
         future = asyncio.get_running_loop().create_future()
-        self._reply_futures[request_number] = future
+        self._reply_futures[request_number] = future, connection
         self._handle(RequestArrived(self._read_clock_us(), request))
         try:
             return await future
@@ -218,9 +224,12 @@
 
     def send_reply(self, effect: SendReply) -> None:
         """Execute a ``SendReply`` effect, unless the caller has closed the connection."""
-        future = self._reply_futures.get(effect.request_number)
+        future, connection = self._reply_futures.get(effect.request_number, (None, None))
         if future is not None and not future.done():
             future.set_result(effect.reply)
+            if isinstance(effect.reply, ForwardedReply):
+                # Several answers may arrive before the first of them is written.
+                connection.charge_answer(len(effect.reply.answer.body))
 
 
 async def start_listener(
