--- a/mimosapost/edge/caller_paths.py
+++ b/mimosapost/edge/caller_paths.py
@@ -14,7 +14,7 @@
 from mimosapost.model.events import Event
 from mimosapost.relay.events import ReplyDelivered
 
-__all__ = ["DeliveryWatch", "read_round_trip_us"]
+__all__ = ["DeliveryWatch", "count_unacknowledged", "read_round_trip_us"]
 
 # Offset in bytes of the round trip in the structure tcp_info of Linux, after which its
 # variation follows; both are unsigned and in microseconds.
@@ -104,13 +104,24 @@
             self._timer = None
 
 
-def _count_pending_bytes(transport: asyncio.BaseTransport) -> int | None:
-    """Return the number of unacknowledged bytes, or ``None`` if the connection is closed."""
+def count_unacknowledged(transport: asyncio.BaseTransport) -> int | None:
+    """Return the number of bytes in the socket that the peer has not acknowledged.
+
+    :returns: ``None`` if the connection is closed.
+    """
     sock = transport.get_extra_info("socket")
-    if transport.is_closing() or sock is None or sock.fileno() < 0:
+    if sock is None or sock.fileno() < 0:
         return None
     try:
         sent = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4))
     except OSError:
         return None
-    return struct.unpack("=i", sent)[0] + transport.get_write_buffer_size()
+    return struct.unpack("=i", sent)[0]
+
+
+def _count_pending_bytes(transport: asyncio.BaseTransport) -> int | None:
+    """Return the bytes that were not acknowledged, or ``None`` if the connection is closed."""
+    unacknowledged = None if transport.is_closing() else count_unacknowledged(transport)
+    if unacknowledged is None:
+        return None
+    return unacknowledged + transport.get_write_buffer_size()
--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -73,6 +73,9 @@
         "Time from the decision on a gathered reply until its caller has acknowledged it.",
         ("connection",),
     ),
+    "mimosapost_relay_caller_memory_bytes_count": Metric(
+        "gauge", "Memory of callers' heads, bodies and answers."
+    ),
     _UNDECLARED_COUNTER: Metric(
         "counter", "Counts under a name that no table declares.", ("name",)
     ),
@@ -202,6 +205,11 @@
     "Entries of a source that returned from an older copy and were not believed, by outcome.",
     ("outcome",),
 )
+declare_counter(
+    "mimosapost_relay_callers_closed_total",
+    "Connections of callers that were closed because of what they held, by reason.",
+    ("reason",),
+)
 
 
 class Metrics:
--- a/mimosapost/edge/relay_callers.py
+++ b/mimosapost/edge/relay_callers.py
@@ -16,14 +16,20 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from mimosapost.edge.caller_connections import LimitedServer, measure_header_fields
+from mimosapost.edge.caller_connections import (
+    LimitedConnection,
+    LimitedServer,
+    measure_header_fields,
+)
+from mimosapost.edge.caller_memory import CallerMemory
 from mimosapost.edge.caller_paths import DeliveryWatch
 from mimosapost.edge.logs import Logs
+from mimosapost.edge.paced_responses import PIECE_BYTES, PacedResponse
 from mimosapost.model.events import Event
 from mimosapost.relay.catalog import CallerLimits
 from mimosapost.relay.effects import SendReply
 from mimosapost.relay.events import CallerLeft, RequestArrived
-from mimosapost.relay.messages import RelayRequest, Reply
+from mimosapost.relay.messages import ForwardedReply, RelayRequest, Reply
 
 __all__ = ["RelayCallerServer", "RequestCodec", "start_listener"]
 
@@ -31,6 +37,10 @@
 # It fits into the time between the graceful stop and the platform's SIGKILL.
 _CLOSE_WAIT_SECONDS = 0.4
 _READ_BYTES = 64 * 1024
+# Time in seconds after which a caller may come back that found no memory.
+_RETRY_AFTER_SECONDS = "0.5"
+# Connections that are accepted before those accepted earlier are counted.
+_ACCEPTED_AT_ONCE = 32
 # Connections that may wait to be accepted. A burst of callers opens some hundreds at once;
 # the kernel may drop connections beyond the backlog.
 _BACKLOG = 1_024
@@ -77,6 +87,7 @@
     :param is_stopping: returns whether the instance is stopping; each connection is then
         closed after its reply.
     :param logs: receives requests that are refused as malformed or too large.
+    :param memory: account of what the connections of the process hold.
     """
 
     def __init__(
@@ -88,6 +99,7 @@
         get_limits: Callable[[], CallerLimits],
         is_stopping: Callable[[], bool],
         logs: Logs,
+        memory: CallerMemory | None = None,
     ) -> None:
         self._listener = listener
         #: ``ip:port`` that callers connect to; empty until the context is entered.
@@ -98,8 +110,9 @@
         self._get_limits = get_limits
         self._is_stopping = is_stopping
         self._logs = logs
+        self._memory = memory
         self._request_numbers = itertools.count(1)
-        self._reply_futures: dict[int, asyncio.Future[SendReply]] = {}
+        self._reply_futures: dict[int, tuple[asyncio.Future[SendReply], LimitedConnection]] = {}
         self._handler_count = 0
         self._handlers_done = asyncio.Event()
         self._handlers_done.set()
@@ -107,7 +120,11 @@
 
     async def __aenter__(self) -> RelayCallerServer:
         server = LimitedServer(
-            self._handle_request, self._get_limits, self._logs, DeliveryWatch(self._handle)
+            self._handle_request,
+            self._get_limits,
+            self._logs,
+            self._memory,
+            delivery_watch=DeliveryWatch(self._handle),
         )
         self.address = await start_listener(self._stack, server, self._listener)
         server.start_checks(self._stack)
@@ -139,6 +156,8 @@
         line = f"{http_request.method} {http_request.raw_path} HTTP/1.1"
         if max(measure_header_fields(http_request.raw_headers), len(line)) > max_bytes:
             return self._refuse(431, "the head exceeds the published limit")
+        if self._memory is not None and self._memory.is_short():
+            return self._refuse(503, "other callers hold the memory of the instance")
         try:
             body = await self._read_body(http_request)
         except _BodyTooLarge:
@@ -162,17 +181,24 @@
             return self._refuse(400, str(error))
         connection = http_request.protocol
         request = replace(request, caller_path=connection.describe_path())
-        effect = await self._wait_for_reply(request_number, request)
+        connection.is_served = True
+        try:
+            effect = await self._wait_for_reply(request_number, request, connection)
+        finally:
+            connection.is_served = False
         connection.watch_reply(effect.decided_us)
         status, headers, content = self._codec.encode_reply(effect.reply)
-        response = web.Response(status=status, headers=headers, body=content)
+        create_response = PacedResponse if len(content) > PIECE_BYTES else web.Response
+        response = create_response(status=status, headers=headers, body=content)
         if self._is_stopping():
             response.force_close()
         return response
 
-    async def _wait_for_reply(self, request_number: int, request: RelayRequest) -> SendReply:
+    async def _wait_for_reply(
+        self, request_number: int, request: RelayRequest, connection: LimitedConnection
+    ) -> SendReply:
         future = asyncio.get_running_loop().create_future()
-        self._reply_futures[request_number] = future
+        self._reply_futures[request_number] = future, connection
         self._handle(RequestArrived(self._read_clock_us(), request))
         try:
             return await future
@@ -202,14 +228,19 @@
     def _refuse(self, status: int, reason: str) -> web.StreamResponse:
         self._logs.write("request_malformed", {"status": status, "reason": reason})
         response = web.Response(status=status)
+        if status == 503:
+            response.headers["Retry-After"] = _RETRY_AFTER_SECONDS
         response.force_close()
         return response
 
     def send_reply(self, effect: SendReply) -> None:
         """Execute a ``SendReply`` effect, unless the caller has closed the connection."""
-        future = self._reply_futures.get(effect.request_number)
+        future, connection = self._reply_futures.get(effect.request_number, (None, None))
         if future is not None and not future.done():
             future.set_result(effect)
+            if isinstance(effect.reply, ForwardedReply):
+                # Several answers may arrive before the first of them is written.
+                connection.charge_answer(len(effect.reply.answer.body))
 
 
 async def start_listener(
@@ -223,15 +254,18 @@
     :returns: the address as ``ip:port``; a given port 0 is replaced by the port that the
         system chose.
     """
+    if isinstance(listener, str):
+        host, _, port = listener.rpartition(":")
+        listener = socket.create_server((host, int(port)), backlog=_BACKLOG)
+        stack.callback(listener.close)
+        listener.setblocking(False)
     runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.5)
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
-    if isinstance(listener, str):
-        host, _, port = listener.rpartition(":")
-        site = web.TCPSite(runner, host, int(port), backlog=_BACKLOG)
-    else:
-        # Without this argument asyncio would call listen() again with a shorter backlog.
-        site = web.SockSite(runner, listener, backlog=_BACKLOG)
+    # asyncio accepts as many connections at once as the backlog that it is given, and listens
+    # with it; the backlog of the kernel is set again.
+    site = web.SockSite(runner, listener, backlog=_ACCEPTED_AT_ONCE)
     await site.start()
+    listener.listen(_BACKLOG)
     host, port = runner.addresses[0][:2]
     return f"{host}:{port}"
