Take the load of a server's machine from its load report into the expected answer time

Cause: a load report with a fourth figure was dropped as a whole, so that on deployments whose servers share machines nothing was known of their load. Change: the fourth figure is decoded; one that is malformed, zero, huge or repeated is ignored and counted, and the first three stay in use.

--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -161,6 +161,10 @@
     "Answers with a header that can't be read.",
     ("header",),
 )
+declare_counter(
+    "mimosapost_relay_odd_loads_total",
+    "Load reports whose figure on the server's machine can't be used.",
+)
 declare_counter(
     "mimosapost_relay_odd_entries_total",
     "Entries of the store that were ignored, by the first part of the key.",
--- a/mimosapost/platform/http_codec.py
+++ b/mimosapost/platform/http_codec.py
@@ -4,6 +4,7 @@
 
 import re
 from collections.abc import Iterable
+from dataclasses import replace
 
 import xxhash
 from multidict import CIMultiDict
@@ -50,7 +51,10 @@
 # Signature that the server makes of its answer; it does not cover the caller's request.
 _SIGNATURE_HEADER = b"x-response-seal"
 _LOAD_HEADER = b"x-server-load"
-_LOAD_VALUE = re.compile(rb" *\d{1,6} *, *\d{1,6} *, *\d{1,6} *")
+_LOAD_VALUE = re.compile(rb" *(\d{1,6}) *, *(\d{1,6}) *, *(\d{1,6}) *(?:,(.*))?", re.DOTALL)
+# Fourth figure of a load report: time that work takes on the server's machine, in percent.
+_WORK_TIME_VALUE = re.compile(rb" *0*([1-9]\d{0,4}) *")
+_MAX_WORK_TIME_PERCENT = 10_000
 # Requests per second that a server takes from all instances together.
 _LIMIT_HEADER = b"server-limit"
 _LIMIT_VALUE = re.compile(rb"\d{1,9}(\.\d{1,9})?")
@@ -147,7 +151,7 @@
             misdirected or _NOT_RUN_HEADER in header_values,
             misdirected,
             b"close" in header_values.get(b"connection", b"").lower(),
-            _decode_load(header_values.get(_LOAD_HEADER)),
+            _decode_load(headers) if _LOAD_HEADER in header_values else None,
             *_decode_limit(headers) if _LIMIT_HEADER in header_values else (None, ()),
         )
         return answer, header_values.get(_REQUEST_ID_HEADER, b"").decode("latin-1")
@@ -190,7 +194,20 @@
     return None, (_LIMIT_HEADER.decode(),)
 
 
-def _decode_load(value: bytes | None) -> LoadReport | None:
-    if not value or not _LOAD_VALUE.fullmatch(value):
+def _decode_load(headers: Iterable[tuple[bytes, bytes]]) -> LoadReport | None:
+    """Return the load that the headers report; the last one counts if there are several.
+
+    A fourth figure that can't be used, or a repeated report, leaves the other figures in use.
+    """
+    values = [value for name, value in headers if name == _LOAD_HEADER]
+    match = _LOAD_VALUE.fullmatch(values[-1])
+    if match is None:
         return None
-    return LoadReport(*map(int, value.split(b",")))
+    load = LoadReport(*map(int, match.groups()[:3]))
+    if match[4] is None:
+        return load
+    work_time = _WORK_TIME_VALUE.fullmatch(match[4])
+    percent = int(work_time[1]) if work_time is not None and len(values) == 1 else 0
+    if not 0 < percent <= _MAX_WORK_TIME_PERCENT:
+        return replace(load, is_odd=True)
+    return replace(load, work_time_percent=percent)
--- a/mimosapost/platform/tests/test_translation.py
+++ b/mimosapost/platform/tests/test_translation.py
@@ -171,6 +171,32 @@
     assert answer.load == expected
 
 
+@pytest.mark.parametrize(
+    ("values", "expected"),
+    [
+        pytest.param((b"1,0,2,100",), LoadReport(1, 0, 2, 100), id="usual"),
+        pytest.param((b"1, 0, 2, 250 ",), LoadReport(1, 0, 2, 250), id="slow"),
+        pytest.param((b"1,0,2,10000",), LoadReport(1, 0, 2, 10_000), id="largest"),
+        pytest.param((b"1,0,2,10001",), LoadReport(1, 0, 2, is_odd=True), id="huge"),
+        pytest.param((b"1,0,2," + b"9" * 400,), LoadReport(1, 0, 2, is_odd=True), id="long"),
+        pytest.param((b"1,0,2,0",), LoadReport(1, 0, 2, is_odd=True), id="zero"),
+        pytest.param((b"1,0,2,-5",), LoadReport(1, 0, 2, is_odd=True), id="negative"),
+        pytest.param((b"1,0,2,",), LoadReport(1, 0, 2, is_odd=True), id="empty"),
+        pytest.param((b"1,0,2,1e2",), LoadReport(1, 0, 2, is_odd=True), id="not a number"),
+        pytest.param((b"1,0,2,100,100",), LoadReport(1, 0, 2, is_odd=True), id="repeated"),
+        pytest.param(
+            (b"1,0,2,100", b"2,0,2,100"), LoadReport(2, 0, 2, is_odd=True), id="two reports"
+        ),
+        pytest.param((b"1,0,2,100", b"2,0,2"), LoadReport(2, 0, 2), id="second without"),
+        pytest.param((b"1,x,2,100",), None, id="another figure malformed"),
+    ],
+)
+def test_time_of_work_is_decoded_or_left_out(values, expected):
+    headers = [(b"x-server-load", value) for value in values]
+    answer, _ = CODEC.decode_answer(200, headers, b"")
+    assert answer.load == expected
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "not_run", "signed"),
     [
--- a/mimosapost/relay/latency_pools.py
+++ b/mimosapost/relay/latency_pools.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-__all__ = ["DISTANCES", "LatencyPool", "get_distance"]
+__all__ = ["DISTANCES", "LatencyPool", "get_distance", "get_work_us"]
 
 #: Distance classes of a server: same failure domain, same region, another region.
 DISTANCES = (0, 1, 2)
@@ -30,12 +30,21 @@
     return 1 if region == server_region else 2
 
 
+def get_work_us(pools: tuple[LatencyPool, ...]) -> float:
+    """Return the usual time of the work of a route at a server, in microseconds.
+
+    It is the time of quick answers in the distance class where they come soonest: they neither
+    come a long way nor wait for the processor of this instance behind other answers.
+    """
+    return min(pool.quick_us for pool in pools)
+
+
 class LatencyPool:
     """Recent answer times of all servers of one route in one distance class.
 
     Shards of a route do the same kind of work, so their times are pooled: 20 shards fill the
-    window within a few queries, while a single server would take seconds. ``median_us`` and
-    ``slow_us``, the 0.9 quantile, are in microseconds.
+    window within a few queries, while a single server would take seconds. ``median_us``,
+    ``quick_us``, the 0.1 quantile, and ``slow_us``, the 0.9 quantile, are in microseconds.
 
     :param distance: distance class, an index into :data:`DISTANCES`.
 
@@ -46,12 +55,13 @@
     (11000, 19000)
     """
 
-    __slots__ = ("_new", "_samples", "median_us", "slow_us")
+    __slots__ = ("_new", "_samples", "median_us", "quick_us", "slow_us")
 
     def __init__(self, distance: int) -> None:
         self._samples: deque[int] = deque(maxlen=_WINDOW_SAMPLES)
         self._new = 0
         self.median_us = _INITIAL_MEDIAN_US[distance]
+        self.quick_us = self.median_us // 2
         self.slow_us = 2 * _INITIAL_MEDIAN_US[distance]
 
     def record(self, elapsed_us: int) -> None:
@@ -65,9 +75,12 @@
             self._new = 0
             ordered = sorted(self._samples)
             self.median_us = ordered[len(ordered) // 2]
+            self.quick_us = ordered[int(len(ordered) * _QUICK_QUANTILE)]
             self.slow_us = ordered[int(len(ordered) * SLOW_QUANTILE)]
 
 
+# Quantile of the answer times that ``quick_us`` estimates.
+_QUICK_QUANTILE = 0.1
 # Quantile of the answer times that ``slow_us`` estimates. About 1 in 10 sends takes longer and
 # may be hedged, which stays below the budget for hedges and retries.
 SLOW_QUANTILE = 0.9
--- a/mimosapost/relay/messages.py
+++ b/mimosapost/relay/messages.py
@@ -86,11 +86,18 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load that a server reported in an answer."""
+    """Load that a server reported in an answer.
+
+    :param work_time_percent: time that work takes on the server's machine, which it shares with
+        others, in percent of the usual time; ``None`` if the server does not tell it.
+    :param is_odd: whether the server told a value of it that can't be used.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_time_percent: int | None = None
+    is_odd: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/mimosapost/relay/send_outcomes.py
+++ b/mimosapost/relay/send_outcomes.py
@@ -27,6 +27,7 @@
     queue_held_hedges,
     start_send,
 )
+from mimosapost.relay.server_loads import explain_extra_us
 from mimosapost.relay.server_notes import note_server
 from mimosapost.relay.server_selection import (
     record_failure,
@@ -67,6 +68,8 @@
     record = send.record
     if answer.load is not None:
         record.load, record.load_us = answer.load, now_us
+        if answer.load.is_odd:
+            effects.append(IncrementCounter("mimosapost_relay_odd_loads_total"))
     if answer.misdirected:
         record.misdirected = True
         _log_server(effects, "server_misdirected", send, answer.status)
@@ -86,11 +89,12 @@
     record_survival(state, send)
     if not answer.closing:
         record.connection_used_us = now_us
-    record_latency(record, send.pool, now_us - send.sent_us, now_us)
+    elapsed_us = now_us - send.sent_us
+    extra_us = explain_extra_us(elapsed_us, answer.load, send.work_us)
+    record_latency(record, send.pool, elapsed_us, now_us, extra_us)
     if not send.abandoned_us:
-        send.pool.record(now_us - send.sent_us)
+        send.pool.record(elapsed_us)
         distance = str(record.distance)
-        elapsed_us = now_us - send.sent_us
         effects.append(ObserveDuration("mimosapost_relay_send_seconds", distance, elapsed_us))
     if not answer.signature or answer.status >= 500:
         record_failure(record, now_us)
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -12,6 +12,7 @@
 from mimosapost.model.peer_messages import GatherCancel
 from mimosapost.relay.effects import AbandonSend, StartSend
 from mimosapost.relay.eligibility import is_usable
+from mimosapost.relay.latency_pools import get_work_us
 from mimosapost.relay.rate_limits import (
     get_rate_wait_us,
     may_send,
@@ -296,7 +297,8 @@
     """
     take_send(state, record, now_us)
     send_id, state.next_send_id = state.next_send_id, state.next_send_id + 1
-    pool = state.get_pools(open_request.route)[record.distance]
+    pools = state.get_pools(open_request.route)
+    pool = pools[record.distance]
     is_repeat = bool(part.tried_servers)
     if not part.is_counted:
         part.is_counted = True
@@ -311,6 +313,7 @@
         open_request.request.fingerprint,
         is_repeat,
         ran_alone=ran_alone,
+        work_us=get_work_us(pools),
     )
     if ran_alone:
         record.reserved_until_us = now_us + _RESERVATION_US
--- a/mimosapost/relay/server_selection.py
+++ b/mimosapost/relay/server_selection.py
@@ -12,8 +12,9 @@
 from dataclasses import dataclass, field
 
 from mimosapost.limits.rates import SendRate
-from mimosapost.relay.latency_pools import LatencyPool
+from mimosapost.relay.latency_pools import LatencyPool, get_work_us
 from mimosapost.relay.messages import BackendServer, LoadReport
+from mimosapost.relay.server_loads import get_extra_work_us
 
 __all__ = [
     "ServerRecord",
@@ -121,7 +122,11 @@
 
 
 def estimate_us(
-    record: ServerRecord, pool: LatencyPool, now_us: int, is_linked: bool = False
+    record: ServerRecord,
+    pool: LatencyPool,
+    now_us: int,
+    is_linked: bool = False,
+    work_us: float = 0.0,
 ) -> float:
     """Return the expected time to the answer of a send to a server, in microseconds.
 
@@ -130,10 +135,14 @@
     :param now_us: monotonic time in microseconds.
     :param is_linked: whether an instance near the server would send to it over a connection of
         its own.
+    :param work_us: usual time of the work at a server, which its machine may prolong.
     """
     weight = 0.5 ** ((now_us - record.observed_us) / _OBSERVATION_HALF_LIFE_US)
     typical = pool.median_us
     expected = typical * (1 + (record.latency_ratio - 1) * weight)
+    extra_us = get_extra_work_us(record.load, now_us - record.load_us, work_us)
+    # The work is only a part of the expected time.
+    expected = max(expected + extra_us, expected / 2)
     if record.open_sends:
         # The age of the oldest open send is newer evidence than earlier answers.
         expected = max(expected, float(now_us - next(iter(record.open_sends.values()))))
@@ -210,20 +219,23 @@
     rng: random.Random,
     is_linked: bool = False,
 ) -> float:
-    score = estimate_us(record, pools[record.distance], now_us, is_linked)
+    work_us = get_work_us(pools) if record.load is not None else 0.0
+    score = estimate_us(record, pools[record.distance], now_us, is_linked, work_us)
     score *= 1 + _SCORE_JITTER * rng.random()
     return score + _MAX_BLOCK_US if record.is_hung(now_us) else score
 
 
 def record_latency(
-    record: ServerRecord, pool: LatencyPool, elapsed_us: int, now_us: int
+    record: ServerRecord, pool: LatencyPool, elapsed_us: int, now_us: int, extra_us: int = 0
 ) -> None:
     """Record the time to an answer, or the time after which an unanswered send was given up.
 
     A single slow answer does not change the estimate, because the server may only have paused.
     A second one in a row shows that the server is slow.
+
+    :param extra_us: share of the time that the load of the server's machine explains.
     """
-    ratio = elapsed_us / max(1, pool.median_us)
+    ratio = (elapsed_us - extra_us) / max(1, pool.median_us)
     times = 1
     if ratio < _SLOW_RATIO:
         record.consecutive_slow_answers = 0
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -320,6 +320,7 @@
     :param is_repeat: whether the send is a hedge or a retry, paid from the budget for repeats.
     :param abandoned_us: time at which the send was given up, or 0.
     :param ran_alone: whether the request is a suspect and runs alone at the server.
+    :param work_us: usual time of the work at the server, in microseconds.
     """
 
     send_id: int
@@ -332,6 +333,7 @@
     is_repeat: bool
     abandoned_us: int = 0
     ran_alone: bool = False
+    work_us: float = 0.0
 
 
 @dataclass(slots=True)
