Find partners before the first query needs them

Cause: an instance looked for partners only once a query had parts for their domain. Change: domains with servers of enough shards of a gathered route are demanded at any time (relay/expected_gathers.py).

--- a/mimosapost/relay/gossip.py
+++ b/mimosapost/relay/gossip.py
@@ -13,6 +13,7 @@
 from mimosapost.model.events import PeerMessageArrived
 from mimosapost.model.peer_messages import Gossip, Hello, MemberReport
 from mimosapost.relay.events import InstanceStarted
+from mimosapost.relay.expected_gathers import expect_gathers
 from mimosapost.relay.feed_choices import list_followers
 from mimosapost.relay.feeds import request_feed
 from mimosapost.relay.partners import (
@@ -81,6 +82,7 @@
     round_us = _FIRST_ROUND_US if peers.round_number <= _FIRST_ROUNDS else _ROUND_US
     state.timers.add(now_us + round_us, TimerKind.GOSSIP)
     peers.members.delete_silent(now_us)
+    expect_gathers(state, now_us)
     pinged = {
         partner.name: partner
         for domain, demanded_us in peers.demanded_us.items()
--- a/mimosapost/relay/partners.py
+++ b/mimosapost/relay/partners.py
@@ -52,6 +52,8 @@
     :param seed_addresses: peer addresses of some instances, which may be out of date.
     :param partners: partner of each domain that queries lately had parts for.
     :param demanded_us: time of the last query with parts for a domain, by domain.
+    :param expected_domains: domains for which gathered routes demand a partner at any time.
+    :param expected_version: version of the configuration that they were looked up in.
     :param heard_us: time of the last answer of an instance, by name. An answer shows that
         messages pass in both directions.
     :param pinged_us: time of the last ping from an instance, by name.
@@ -63,6 +65,8 @@
     members: MemberTable
     partners: dict[str, Member] = field(default_factory=dict)
     demanded_us: dict[str, int] = field(default_factory=dict)
+    expected_domains: frozenset[str] = frozenset()
+    expected_version: int = -1
     heard_us: dict[str, int] = field(default_factory=dict)
     pinged_us: dict[str, int] = field(default_factory=dict)
     health: dict[str, _Health] = field(default_factory=dict)
