--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -195,6 +195,10 @@
     "Workspaces and keys that a configuration lost.",
     ("kind",),
 )
+declare_counter(
+    "mimosapost_relay_odd_loads_total",
+    "Load reports whose figure on the server's machine can't be used.",
+)
 declare_counter(
     "mimosapost_relay_odd_entries_total",
     "Entries of the store that were ignored, by the first part of the key.",
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -330,6 +330,7 @@
     :param abandoned_us: time at which the send was given up, or 0.
     :param ran_alone: whether the request is a suspect and runs alone at the server.
     :param goal_us: latency objective of the route, in microseconds.
+    :param work_us: usual time of the work at the server, in microseconds.
     """
 
     send_id: int
@@ -343,6 +344,7 @@
     abandoned_us: int = 0
     ran_alone: bool = False
     goal_us: int = 0
+    work_us: float = 0.0
 
 
 @dataclass(slots=True)
