Find the pace of servers that have started or recovered from their answers

Cause: a new record counts as good as the others, and a server that recovers is tried by all instances in the same moment, when their observations have aged.

Change: such servers get a share of their usual sends. It rises by a step with good answers that report free slots, is cut by late answers, rejections, failures and full queues, and rises slowly without evidence. Notes between instances carry it. A withheld server counts as four times as slow and is never left out; the limit of cold servers holds as before. Warm servers without trouble have no pace.

--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -114,6 +114,11 @@
     "Notes on servers that were sent to and adopted from other instances.",
     ("outcome",),
 )
+declare_counter(
+    "mimosapost_relay_server_paces_total",
+    "Changes of the paces of servers that have started or recovered.",
+    ("change",),
+)
 declare_counter(
     "mimosapost_relay_feed_updates_total",
     "Updates of the source between instances by outcome.",
--- a/mimosapost/membership/codec.py
+++ b/mimosapost/membership/codec.py
@@ -542,6 +542,8 @@
                 "failurePercent": note.failure_percent,
                 "hungMs": note.hung_ms,
                 "ageMs": note.age_ms,
+                "sharePercent": note.share_percent,
+                "shareAgeMs": note.share_age_ms,
             }
             for note in _check_length(message.notes, _MAX_NOTES, "notes")
         ],
@@ -560,9 +562,11 @@
                 _check_name(note.serverId, "serverId", _MAX_SERVER_ID_BYTES),
                 note.processStartedMs,
                 note.latencyPercent,
-                _check_percent(note.failurePercent),
+                _check_percent("failurePercent", note.failurePercent),
                 note.hungMs,
                 note.ageMs,
+                _check_percent("sharePercent", note.sharePercent),
+                note.shareAgeMs,
             )
             for note in _check_length(reader.notes, _MAX_NOTES, "notes")
         ),
@@ -570,9 +574,9 @@
     )
 
 
-def _check_percent(value: int) -> int:
+def _check_percent(field: str, value: int) -> int:
     if value > 100:
-        raise CodecError(f"failurePercent is {value}; at most 100 allowed")
+        raise CodecError(f"{field} is {value}; at most 100 allowed")
     return value
 
 
--- a/mimosapost/membership/peer.capnp
+++ b/mimosapost/membership/peer.capnp
@@ -144,6 +144,8 @@
   failurePercent @3 :UInt8;
   hungMs @4 :UInt32;
   ageMs @5 :UInt32;
+  sharePercent @6 :UInt8;
+  shareAgeMs @7 :UInt32;
 }
 
 struct ServerNotes {
--- a/mimosapost/membership/tests/test_codec.py
+++ b/mimosapost/membership/tests/test_codec.py
@@ -62,7 +62,7 @@
     FeedUpdate(5, 9, b"packed", 3),
     ServerNotes(
         2,
-        (ServerNote("i-1", 2**64 - 1, 2**32 - 1, 100, 2**32 - 1, 7),),
+        (ServerNote("i-1", 2**64 - 1, 2**32 - 1, 100, 2**32 - 1, 7, 99, 2**32 - 1),),
         (SuspectNote(2**64 - 1, 2, 60_000_000),),
     ),
     TrialMessage(TrialStep.REQUESTED, 2**64 - 1, 2**64 - 1, 0, (SuspectNote(1, 2, 3),)),
--- a/mimosapost/model/peer_messages.py
+++ b/mimosapost/model/peer_messages.py
@@ -308,6 +308,9 @@
     :param failure_percent: share of failed sends, in percent.
     :param hung_ms: time in milliseconds for which the server is to be used last.
     :param age_ms: time in milliseconds since the observation.
+    :param share_percent: share of its usual sends that the server can take, in percent; 0 if
+        nothing is told of it.
+    :param share_age_ms: time in milliseconds since the evidence for that.
     """
 
     server_id: str
@@ -316,6 +319,8 @@
     failure_percent: int
     hung_ms: int
     age_ms: int
+    share_percent: int = 0
+    share_age_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/mimosapost/relay/send_outcomes.py
+++ b/mimosapost/relay/send_outcomes.py
@@ -17,6 +17,7 @@
 )
 from mimosapost.relay.events import AnswerArrived, ExchangeFailed, ProbeEnded, ProbeOutcome
 from mimosapost.relay.messages import ServerAnswer
+from mimosapost.relay.paced_servers import observe_answer, observe_failure
 from mimosapost.relay.rate_limits import record_named_limit
 from mimosapost.relay.record_merge import RECORD_BYTES, merge_records
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
@@ -81,6 +82,8 @@
         # sends prefer other servers, because each retry after a rejection spends budget that
         # a hedge or another retry would need.
         record_failure(record, now_us)
+        if not answer.misdirected:
+            observe_failure(record, "rejected", now_us, effects)
         _retry_or_fail(state, send, "rejected", now_us, effects)
         return
     record_survival(state, send)
@@ -94,12 +97,15 @@
         effects.append(ObserveDuration("mimosapost_relay_send_seconds", distance, elapsed_us))
     if not answer.signature or answer.status >= 500:
         record_failure(record, now_us)
+        observe_failure(record, "failed", now_us, effects)
         open_request = state.requests.get(send.request_number)
         if open_request is not None and answer.signature:
             open_request.failed_answer = answer
         _retry_or_fail(state, send, "server_failed", now_us, effects)
         return
     record_success(record)
+    usual_us, elapsed_us = send.pool.median_us, now_us - send.sent_us
+    observe_answer(record, usual_us, elapsed_us, answer.load, now_us, effects)
     _complete_part(state, send, answer, now_us, effects)
 
 
@@ -156,11 +162,13 @@
             if not record.is_hung(now_us):
                 _log_server(effects, "server_hung", send, waited_us // 1_000)
             record_hang(record, now_us)
+            observe_failure(record, "hung", now_us, effects, is_lost=True)
     else:
         unreachable = event.kind is FailureKind.REFUSED
         if unreachable and not record.is_blocked(now_us):
             _log_server(effects, "server_blocked", send, event.kind.value)
         record_failure(record, now_us, unreachable)
+        observe_failure(record, event.kind.value, now_us, effects, is_lost=unreachable)
         if unreachable:
             address = record.server.address
             record_crash(
@@ -188,6 +196,7 @@
     elif event.outcome is ProbeOutcome.REFUSED:
         if record is not None:
             record_failure(record, now_us, unreachable=True)
+            observe_failure(record, "refused", now_us, effects, is_lost=True)
             note_server(state, record, now_us)
         record_crash(state, server.address, "refused", REFUSAL_WINDOW_US, now_us, effects)
     for held in state.held_parts.pop(server.address, ()):
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -173,7 +173,9 @@
 ) -> StartResult:
     limit = _get_cold_limit(state, part.service)
     warm = _list_warm(state, part, usable, now_us)
-    record = choose_server(warm, state.get_pools(open_request.route), now_us, state.rng)
+    pools = state.get_pools(open_request.route)
+    is_assigned = open_request.served is not None
+    record = choose_server(warm, pools, now_us, state.rng, is_assigned)
     if record is None and limit:
         cold = [record for record in usable if record.cold_until_us > now_us]
         record = _choose_cold(state, cold, limit, now_us)
--- a/mimosapost/relay/server_notes.py
+++ b/mimosapost/relay/server_notes.py
@@ -18,6 +18,7 @@
 from mimosapost.model.events import PeerMessageArrived
 from mimosapost.model.peer_messages import ServerNote, ServerNotes, SuspectNote
 from mimosapost.relay.feed_choices import list_followers, list_readers
+from mimosapost.relay.paced_servers import adopt_told_share, get_told_percent
 from mimosapost.relay.registry import Effects, TimerKind, handles_message, handles_timer
 from mimosapost.relay.server_selection import (
     ServerRecord,
@@ -37,6 +38,8 @@
 LAST_STAGE = 2
 # A server that is still in trouble is noted again after this time.
 _RENEWAL_US = 1_000_000
+# Change of the share of a pace that others are told.
+_NOTED_SHARE_STEP = 0.1
 # Distance class of servers in another region, of which an instance sends no notes.
 _OTHER_REGION = 2
 
@@ -47,9 +50,11 @@
     if state.peers is None or record.distance == _OTHER_REGION:
         return
     is_recent = not level or now_us - record.noted_us < _RENEWAL_US
-    if level == record.noted_level and is_recent:
+    share = record.pace.share if record.pace is not None else 1.0
+    is_share_told = abs(share - record.noted_share) < _NOTED_SHARE_STEP
+    if level == record.noted_level and is_recent and is_share_told:
         return
-    record.noted_level, record.noted_us = level, now_us
+    record.noted_level, record.noted_us, record.noted_share = level, now_us, share
     _queue(state, record.server.server_id, 0, now_us)
 
 
@@ -121,6 +126,7 @@
 
 def _create_note(record: ServerRecord, now_us: int) -> ServerNote:
     hung_until_us = max(record.hung_until_us, record.blocked_until_us)
+    share_percent, share_age_ms = get_told_percent(record, now_us)
     return ServerNote(
         record.server.server_id,
         record.server.process_started_ms,
@@ -128,6 +134,8 @@
         int(record.failure_rate * 100),
         max(0, hung_until_us - now_us) // 1_000,
         max(0, now_us - record.observed_us) // 1_000,
+        share_percent,
+        share_age_ms,
     )
 
 
@@ -142,13 +150,17 @@
         record = state.servers.get(note.server_id)
         if record is None or record.server.process_started_ms != note.process_started_ms:
             continue
-        if not adopt_observation(
+        has_share = adopt_told_share(
+            record, note.share_percent, note.share_age_ms * 1_000, now_us, effects
+        )
+        has_observation = adopt_observation(
             record,
             note.latency_percent / 100,
             note.failure_percent / 100,
             now_us + note.hung_ms * 1_000,
             now_us - note.age_ms * 1_000,
-        ):
+        )
+        if not (has_observation or has_share):
             continue
         adopted += 1
         record.noted_level, record.noted_us = get_trouble_level(record, now_us), now_us
--- a/mimosapost/relay/server_selection.py
+++ b/mimosapost/relay/server_selection.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from mimosapost.limits.rates import SendRate
 from mimosapost.relay.latency_pools import LatencyPool
 from mimosapost.relay.messages import BackendServer, LoadReport
+from mimosapost.relay.pace import Pace, list_withheld
 
 __all__ = [
     "ServerRecord",
@@ -57,6 +58,9 @@
 # Time for which a server that hung is used last. Healthy servers pause for less than the wait
 # after which a send counts as hung, so the server is slow or does not answer at all.
 _HANG_US = 1_500_000
+# A server that its pace withholds from a send counts as this many times as slow, so that it is
+# used where the others have no room either.
+_WITHHELD_RATIO = 4.0
 # Observed answer times and failures from which a server counts as worse than usual and as much
 # worse. A server whose sends all fail counts as one that is five times as slow.
 _TROUBLE_RATIOS = (2.5, 8.0)
@@ -85,6 +89,10 @@
     :param send_rate: rate of the sends of this instance, once the server has named a limit.
     :param reserved_until_us: time until which a request that may crash servers runs alone
         there.
+    :param pace: pace of a server that has started or recovered; ``None`` if it carries its
+        whole share.
+    :param pace_ended_us: time of the evidence that ended the last pace; 0 if there was none.
+    :param noted_share: share that other instances were last told, or told this one.
     """
 
     server: BackendServer
@@ -109,6 +117,9 @@
     limit_heard_us: int = 0
     send_rate: SendRate | None = None
     reserved_until_us: int = 0
+    pace: Pace | None = None
+    pace_ended_us: int = 0
+    noted_share: float = 1.0
     misdirected: bool = False
 
     def is_blocked(self, now_us: int) -> bool:
@@ -149,10 +160,11 @@
 
 
 def choose_server(
-    records: Iterable[ServerRecord],
+    records: Collection[ServerRecord],
     pools: tuple[LatencyPool, ...],
     now_us: int,
     rng: random.Random,
+    is_assigned: bool = False,
 ) -> ServerRecord | None:
     """Return the server with the lowest estimate of its answer time.
 
@@ -163,18 +175,22 @@
     :param pools: answer times of the route by distance class.
     :param now_us: monotonic time in microseconds.
     :param rng: source of the random increases of the estimates.
+    :param is_assigned: whether another instance has already taken the paces of the servers into
+        account.
     :returns: the server, or ``None`` if ``records`` is empty.
     """
+    withheld = _list_withheld(records, now_us, None if is_assigned else rng)
     best, best_score = None, 0.0
     for record in records:
-        score = _score(record, pools, now_us, rng)
+        is_withheld = record.server.server_id in withheld
+        score = _score(record, pools, now_us, rng, is_withheld)
         if best is None or score < best_score:
             best, best_score = record, score
     return best
 
 
 def rank_servers(
-    records: Iterable[ServerRecord],
+    records: Collection[ServerRecord],
     pools: tuple[LatencyPool, ...],
     linked_domains: Collection[str],
     now_us: int,
@@ -188,10 +204,12 @@
     :param linked_domains: failure domains with an instance that can send to the servers there.
     :returns: servers, the one with the lowest estimate first.
     """
-    scores = [
-        (_score(record, pools, now_us, rng, record.server.domain in linked_domains), record)
-        for record in records
-    ]
+    withheld = _list_withheld(records, now_us, rng)
+    scores = []
+    for record in records:
+        is_withheld = record.server.server_id in withheld
+        is_linked = record.server.domain in linked_domains
+        scores.append((_score(record, pools, now_us, rng, is_withheld, is_linked), record))
     if not scores:
         return ()
     scores.sort(key=lambda entry: entry[0])
@@ -203,15 +221,27 @@
     )
 
 
+def _list_withheld(
+    records: Collection[ServerRecord], now_us: int, rng: random.Random | None
+) -> frozenset[str]:
+    if len(records) < 2 or all(record.pace is None for record in records):
+        return frozenset()
+    paces = ((r.server.server_id, r.pace, len(r.open_sends), r.server.slots) for r in records)
+    return list_withheld(paces, now_us, rng)
+
+
 def _score(
     record: ServerRecord,
     pools: tuple[LatencyPool, ...],
     now_us: int,
     rng: random.Random,
+    is_withheld: bool,
     is_linked: bool = False,
 ) -> float:
     score = estimate_us(record, pools[record.distance], now_us, is_linked)
     score *= 1 + _SCORE_JITTER * rng.random()
+    if is_withheld:
+        score *= _WITHHELD_RATIO
     return score + _MAX_BLOCK_US if record.is_hung(now_us) else score
 
 
--- a/mimosapost/relay/service_discovery.py
+++ b/mimosapost/relay/service_discovery.py
@@ -17,6 +17,7 @@
 )
 from mimosapost.relay.latency_pools import get_distance
 from mimosapost.relay.messages import BackendServer
+from mimosapost.relay.paced_servers import start_pace
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
 from mimosapost.relay.server_selection import ServerRecord
 from mimosapost.relay.state import RelayState
@@ -65,7 +66,7 @@
     listed = {server.server_id for server in event.servers}
     changes: Effects = []
     for server in event.servers:
-        _upsert_server(state, server, event.now_us, changes)
+        _upsert_server(state, server, event.now_us, changes, is_first)
     if is_first:
         # One line for each of some hundred servers would delay the requests that wait for it.
         services = len(state.by_service)
@@ -131,10 +132,20 @@
 
 
 def _upsert_server(
-    state: RelayState, server: BackendServer, now_us: int, effects: Effects
+    state: RelayState,
+    server: BackendServer,
+    now_us: int,
+    effects: Effects,
+    is_first: bool = False,
 ) -> None:
+    """Add or update one server.
+
+    :param is_first: whether the server is in the first list, in which all are new to this
+        instance, whether they have just started or not.
+    """
     record = state.servers.get(server.server_id)
     instance_settings = state.instance_settings
+    is_new = False
     if record is not None and record.server.process_started_ms != server.process_started_ms:
         # The server process restarted, so observations of the earlier process no longer apply.
         _drop_server(state, server.server_id, "restarted", effects)
@@ -150,6 +161,7 @@
         state.servers[server.server_id] = record
         state.by_service.setdefault(server.service, []).append(record)
         _log_server(effects, "server_listed", server, "new")
+        is_new = not is_first
     elif record.server.service != server.service:
         _drop_server(state, server.server_id, "moved", effects)
         _upsert_server(state, server, now_us, effects)
@@ -159,8 +171,11 @@
             _log_server(effects, "server_listed", server, "state_changed")
         record.server = server
     record.misdirected = False
+    was_cold = now_us < record.cold_until_us
     if server.cold_remaining_us:
         record.cold_until_us = now_us + server.cold_remaining_us
+    if is_new or (server.cold_remaining_us and not was_cold):
+        start_pace(record, "started" if is_new else "cold", now_us, effects)
     state.pending_removals = {
         key: name for key, name in state.pending_removals.items() if name != server.server_id
     }
