--- a/mimosapost/relay/pace.py
+++ b/mimosapost/relay/pace.py
@@ -48,8 +48,11 @@
 # Time in microseconds in which the share rises from 0 to 1 without any evidence.
 _QUIET_RISE_US = 8_000_000
 # Answers up to this multiple of the usual time are good, and bad from the second one.
-_GOOD_RATIO = 1.75
+_GOOD_RATIO = 2.0
 _BAD_RATIO = 2.5
+# Servers whose shares are within this ratio of the largest one have about as much room. A choice
+# among them would only send to farther servers.
+_EQUAL_SHARE_RATIO = 0.6
 # Evidence of other instances is ignored after this time, in microseconds.
 _TOLD_VALID_US = 3_000_000
 # Time in microseconds in which a note reaches all instances. Evidence that is less apart was
@@ -233,6 +236,10 @@
         if share < 1
         and (
             busy >= get_open_limit(share, slots)
-            or (rng is not None and rng.random() * largest >= share)
+            or (rng is not None and not _is_drawn(share / largest, rng))
         )
     )
+
+
+def _is_drawn(relative_share: float, rng: random.Random) -> bool:
+    return relative_share >= _EQUAL_SHARE_RATIO or rng.random() < relative_share
