--- a/mimosapost/relay/pace.py
+++ b/mimosapost/relay/pace.py
@@ -50,9 +50,11 @@
 # Answers up to this multiple of the usual time are good, and bad from the second one.
 _GOOD_RATIO = 2.0
 _BAD_RATIO = 2.5
-# Servers whose shares are within this ratio of the largest one have about as much room. A choice
-# among them would only send to farther servers.
+# Servers whose shares are within this ratio of the largest one have about as much room. A
+# choice among them would only send to farther servers.
 _EQUAL_SHARE_RATIO = 0.6
+# Share from which a server has room for the sends that are withheld from others.
+_ROOM_SHARE = 0.6
 # Evidence of other instances is ignored after this time, in microseconds.
 _TOLD_VALID_US = 3_000_000
 # Time in microseconds in which a note reaches all instances. Evidence that is less apart was
@@ -218,8 +220,8 @@
 ) -> frozenset[str]:
     """Return the servers that a send is to use only where the others are much slower.
 
-    The shares count relative to the largest one among the servers: where all of a shard have
-    just come back, none of them has more room than the others.
+    The shares count relative to the largest one among the servers. Where all of a shard have
+    just come back, none has room for the sends of another one, so none is withheld.
 
     :param paces: id, pace, number of open sends and number of slots of each server.
     :param rng: source of the choice; ``None`` where another instance has already made it, so
@@ -230,6 +232,8 @@
         for server_id, pace, busy, slots in paces
     ]
     largest = max(share for _, share, _, _ in known)
+    if largest < _ROOM_SHARE:
+        return frozenset()
     return frozenset(
         server_id
         for server_id, share, busy, slots in known
--- a/mimosapost/relay/server_selection.py
+++ b/mimosapost/relay/server_selection.py
@@ -61,6 +61,7 @@
 # A server that its pace withholds from a send counts as this many times as slow, so that it is
 # used where the others have no room either.
 _WITHHELD_RATIO = 4.0
+_NONE_WITHHELD: frozenset[str] = frozenset()
 # Observed answer times and failures from which a server counts as worse than usual and as much
 # worse. A server whose sends all fail counts as one that is five times as slow.
 _TROUBLE_RATIOS = (2.5, 8.0)
@@ -182,7 +183,7 @@
     withheld = _list_withheld(records, now_us, None if is_assigned else rng)
     best, best_score = None, 0.0
     for record in records:
-        is_withheld = record.server.server_id in withheld
+        is_withheld = bool(withheld) and record.server.server_id in withheld
         score = _score(record, pools, now_us, rng, is_withheld)
         if best is None or score < best_score:
             best, best_score = record, score
@@ -207,7 +208,7 @@
     withheld = _list_withheld(records, now_us, rng)
     scores = []
     for record in records:
-        is_withheld = record.server.server_id in withheld
+        is_withheld = bool(withheld) and record.server.server_id in withheld
         is_linked = record.server.domain in linked_domains
         scores.append((_score(record, pools, now_us, rng, is_withheld, is_linked), record))
     if not scores:
@@ -224,8 +225,12 @@
 def _list_withheld(
     records: Collection[ServerRecord], now_us: int, rng: random.Random | None
 ) -> frozenset[str]:
-    if len(records) < 2 or all(record.pace is None for record in records):
-        return frozenset()
+    # A plain loop, because this check is all that a send to warm servers pays for paces.
+    for record in records:
+        if record.pace is not None:
+            break
+    else:
+        return _NONE_WITHHELD
     paces = ((r.server.server_id, r.pace, len(r.open_sends), r.server.slots) for r in records)
     return list_withheld(paces, now_us, rng)
 
