--- a/mimosapost/relay/tests/test_pace.py
+++ b/mimosapost/relay/tests/test_pace.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.relay import server_selection
 from mimosapost.relay.catalog import ServiceRules
 from mimosapost.relay.events import ServerListed
@@ -289,6 +290,37 @@
     assert 3 <= sent <= 10 * 20 / 40 + 1
 
 
+@pytest.mark.parametrize(
+    ("outcome", "reason"),
+    [
+        pytest.param("cold", "cold", id="cold again"),
+        pytest.param(FailureKind.REFUSED, "refused", id="unreachable"),
+        pytest.param(FailureKind.WITHDRAWN, "hung", id="hung"),
+        pytest.param("rejected", "rejected", id="full"),
+        pytest.param("slow", "slow", id="slow twice in a row"),
+        pytest.param("usual", None, id="in time"),
+    ],
+)
+def test_one_rule_begins_the_pace_of_servers_in_trouble(outcome, reason):
+    relay = create_single_relay(("a1",), goal_us=900 * MS)
+    (record,) = relay.state.servers.values()
+    if outcome == "cold":
+        cold = replace(record.server, cold_remaining_us=3_000 * MS)
+        relay.apply_event(ServerListed(relay.now_us, cold))
+    for _ in range(2 if outcome == "slow" else 1):
+        relay.request("/look/x", deadline_ms=900)
+        (send,) = relay.pop_sends()
+        relay.advance({"slow": 100, FailureKind.WITHDRAWN: 400}.get(outcome, 10))
+        if isinstance(outcome, FailureKind):
+            relay.fail(send, outcome, RunState.UNKNOWN)
+        else:
+            relay.answer(send, not_run=outcome == "rejected")
+        relay.advance(1)
+    assert (record.pace.reason if record.pace else None) == reason
+    begun = [e for e in relay.effects if getattr(e, "event", "") == "server_pace_begun"]
+    assert len(begun) <= 1
+
+
 def test_the_answers_of_one_instance_end_the_pace_at_all():
     fleet = create_fleet(server_domains=("a1",))
     server = replace(get_record(fleet, "n1", "one-0").server, process_started_ms=9)
