Keep domains that a source's copy lacks out for 15 s

Cause: they came back after 5 s like the entries of servers, but operators write an evacuation again by hand, later than programs write theirs. Until then the servers of the domain received sends.

Change: domains have a time of their own, 15 s from the rewound statement; servers are released after 5 s as before.

Tests: relay/tests/test_rewound_source.py replays an evacuation that is written again after 5 s and just before 15 s, and one that is not.

--- a/mimosapost/relay/registry.py
+++ b/mimosapost/relay/registry.py
@@ -48,6 +48,7 @@
     INTRODUCTION = 14
     REWOUND = 19
     LIMIT = 20
+    REWOUND_DOMAINS = 21
 
 
 _EVENT_HANDLERS: dict[type[Event], Callable[..., None]] = {}
--- a/mimosapost/relay/rewound_source.py
+++ b/mimosapost/relay/rewound_source.py
@@ -16,6 +16,7 @@
 from mimosapost.relay.registry import Effects
 
 __all__ = [
+    "REWOUND_DOMAINS_US",
     "REWOUND_US",
     "RewoundSource",
     "has_returned",
@@ -27,6 +28,9 @@
 #: Time after the return of a source in which its writers write their entries again, and the
 #: entries of servers that have ended expire. Silent entries expire after 3.6 s.
 REWOUND_US = 5_000_000
+#: Time for which domains that a copy lacks stay out. Operators write them again by hand, which
+#: takes longer than the programs that write the other entries.
+REWOUND_DOMAINS_US = 15_000_000
 # Age of a removal from which a copy can't list the server any more.
 _REMOVED_US = 60_000_000
 _METRIC = "mimosapost_relay_rewound_entries_total"
@@ -41,12 +45,14 @@
         that were removed lately, by id, oldest first.
     :param held: servers that the copy lists although they were removed, by id.
     :param domains_out: domains that the copy lacks and that stay out.
+    :param domains_until_us: time until which they stay out, or 0.
     """
 
     until_us: int = 0
     removed: dict[str, tuple[int, int]] = field(default_factory=dict)
     held: dict[str, BackendServer] = field(default_factory=dict)
     domains_out: frozenset[str] = frozenset()
+    domains_until_us: int = 0
 
 
 def record_removed(rewound: RewoundSource, server: BackendServer, now_us: int) -> None:
--- a/mimosapost/relay/service_discovery.py
+++ b/mimosapost/relay/service_discovery.py
@@ -19,6 +19,7 @@
 from mimosapost.relay.messages import BackendServer
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
 from mimosapost.relay.rewound_source import (
+    REWOUND_DOMAINS_US,
     REWOUND_US,
     has_returned,
     keep_domains,
@@ -114,6 +115,9 @@
 def set_domains_out(state: RelayState, event: DomainsOut, effects: Effects) -> None:
     """Replace the set of failure domains whose servers receive no sends."""
     before = state.domains_out
+    if event.is_rewound:
+        state.rewound.domains_until_us = event.now_us + REWOUND_DOMAINS_US
+        state.timers.add(state.rewound.domains_until_us, TimerKind.REWOUND_DOMAINS, 0)
     domains = keep_domains(state.rewound, before, event.domains, event.is_rewound)
     _apply_domains_out(state, domains, effects)
 
@@ -126,14 +130,21 @@
 
 
 @handles_timer(TimerKind.REWOUND)
-def release_kept(state: RelayState, _key: int, now_us: int, effects: Effects) -> None:
-    """Use what the source's copy brought back, unless its writers have corrected it."""
+def release_held(state: RelayState, _key: int, now_us: int, effects: Effects) -> None:
+    """Use servers that the source's copy brought back, unless their entries were corrected."""
     if now_us < state.rewound.until_us:
         # The source has returned from another copy since.
         return
     held, state.rewound.held = state.rewound.held, {}
     for server in held.values():
         _upsert_server(state, server, now_us, effects)
+
+
+@handles_timer(TimerKind.REWOUND_DOMAINS)
+def release_domains(state: RelayState, _key: int, now_us: int, effects: Effects) -> None:
+    """Use the domains that the source's copy lacks, unless operators took them out again."""
+    if now_us < state.rewound.domains_until_us:
+        return
     kept, state.rewound.domains_out = state.rewound.domains_out, frozenset()
     _apply_domains_out(state, state.domains_out - kept, effects)
 
--- a/mimosapost/relay/tests/test_rewound_source.py
+++ b/mimosapost/relay/tests/test_rewound_source.py
@@ -19,7 +19,7 @@
 )
 from mimosapost.relay.messages import BackendServer
 from mimosapost.relay.reducer import reduce
-from mimosapost.relay.rewound_source import REWOUND_US
+from mimosapost.relay.rewound_source import REWOUND_DOMAINS_US, REWOUND_US
 from mimosapost.relay.state import InstanceSettings, UnansweredSend, create_relay_state
 
 START_US = 1_000_000
@@ -133,28 +133,40 @@
     reduce(state, TimerFired(START_US + 2 + REWOUND_US))
     assert (describe(state), state.domains_out) == ({}, {"a1"})
     reduce(state, TimerFired(START_US + 2 * REWOUND_US))
-    assert (describe(state), state.domains_out) == ({"i-1": (5, False)}, frozenset())
+    assert (describe(state), state.domains_out) == ({"i-1": (5, False)}, {"a1"})
+    reduce(state, TimerFired(START_US + 2 + REWOUND_DOMAINS_US))
+    assert state.domains_out == {"a1"}
+    reduce(state, TimerFired(START_US + REWOUND_US + REWOUND_DOMAINS_US))
+    assert state.domains_out == frozenset()
 
 
 @pytest.mark.parametrize(
-    ("later_domains", "at_end"),
+    ("written_us", "later_domains", "at_end"),
     [
-        (None, frozenset()),
-        ((frozenset({"a1"}),), {"a1"}),
-        ((frozenset({"a1"}), frozenset()), ()),
+        (3, None, frozenset()),
+        (3, (frozenset({"a1"}),), {"a1"}),
+        (3, (frozenset({"a1"}), frozenset()), ()),
+        (REWOUND_US + 3, (frozenset({"a1"}),), {"a1"}),
+        (REWOUND_DOMAINS_US - 1, (frozenset({"a1"}),), {"a1"}),
     ],
-    ids=["not_written_again", "written_again", "written_and_withdrawn"],
+    ids=["not_written_again", "written_again", "written_and_withdrawn", "later", "last"],
 )
-def test_domains_stay_out_until_they_can_be_written_again(later_domains, at_end):
+def test_domains_stay_out_until_they_can_be_written_again(written_us, later_domains, at_end):
     state = create_state(RUNNING)
     reduce(state, DomainsOut(START_US + 1, frozenset({"a1"})))
     reduce(state, DomainsOut(START_US + 2, frozenset(), is_rewound=True))
     reduce(state, ServersReplaced(START_US + 2, (RUNNING,), is_rewound=True))
     assert state.domains_out == {"a1"}
+    if written_us > REWOUND_US:
+        reduce(state, TimerFired(START_US + 2 + REWOUND_US))
+        assert state.domains_out == {"a1"}
     for domains in later_domains or ():
-        reduce(state, DomainsOut(START_US + 3, domains))
+        reduce(state, DomainsOut(START_US + written_us, domains))
         assert state.domains_out == domains
-    reduce(state, TimerFired(START_US + 2 + REWOUND_US))
+    if later_domains is None:
+        reduce(state, TimerFired(START_US + 1 + REWOUND_DOMAINS_US))
+        assert state.domains_out == {"a1"}
+    reduce(state, TimerFired(START_US + 2 + REWOUND_DOMAINS_US))
     assert state.domains_out == frozenset(at_end)
 
 
