Explain where a request would go now, without sending it

Cause: nothing told operators why an instance refuses a request or which servers it would use; they had to infer it from logs of requests that had been sent.

Change: mimosapost route asks a running instance at its operators' address (GET /explain). The instance runs admission itself on a copy of its state with a copy of its random numbers, and describes what excludes each server before admission takes tokens there. Effects are dropped. Calls of members and route to instances share a module.

Result: tests explain 14 load patterns five times each (12 times for the limit of a workspace); the state is the same before and after, and the next real request meets what was explained.

--- a/mimosapost/commands/members.py
+++ b/mimosapost/commands/members.py
@@ -7,16 +7,11 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-import aiohttp
-import msgspec
-
+from mimosapost.commands.operator_client import fetch_object, format_line
 from mimosapost.commands.registry import CommandError, command
 
 __all__ = ["members"]
 
-# Time limit for the whole answer of an instance.
-_TIMEOUT_SECONDS = 5.0
-
 
 @command("members")
 def members(address: str) -> None:
@@ -34,35 +29,19 @@
 
 
 async def _fetch_status(address: str) -> Mapping[str, Any]:
-    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS)
-    try:
-        async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
-            session.get(f"http://{address}/status", allow_redirects=False) as response,
-        ):
-            if response.status != 200:
-                raise CommandError(f"{address} answered with status {response.status}")
-            status = msgspec.json.decode(await response.read())
-    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-        reason = str(error) or type(error).__name__
-        raise CommandError(f"cannot read the status of {address}: {reason}") from error
-    if not isinstance(status, dict) or "partners" not in status:
+    status = await fetch_object(address, "status")
+    if "partners" not in status:
         raise CommandError(f"{address} is not an instance on the users' platform")
     return status
 
 
 def _format_status(status: Mapping[str, Any]) -> Iterator[str]:
     fields = {k: v for k, v in status.items() if not isinstance(v, dict | list)}
-    yield _format_line("instance", fields | status["links"])
+    yield format_line("instance", fields | status["links"])
     # Instances of earlier releases have no feeds.
     if (feed := status.get("feed")) is not None:
-        yield _format_line("feed", feed | {"followers": ",".join(feed["followers"])})
+        yield format_line("feed", feed | {"followers": ",".join(feed["followers"])})
     for partner in status["partners"]:
-        yield _format_line("partner", partner)
+        yield format_line("partner", partner)
     for member in status["members"]:
-        yield _format_line("member", member)
-
-
-def _format_line(kind: str, fields: Mapping[str, Any]) -> str:
-    pairs = (f"{key}={msgspec.json.encode(value).decode()}" for key, value in fields.items())
-    return " ".join((kind, *pairs))
+        yield format_line("member", member)
--- a/mimosapost/commands/registry.py
+++ b/mimosapost/commands/registry.py
@@ -17,6 +17,7 @@
     "check",
     "explain",
     "members",
+    "route",
     "reference",
     "demo",
     "standin",
--- a/mimosapost/edge/relay_callers.py
+++ b/mimosapost/edge/relay_callers.py
@@ -56,6 +56,11 @@
         :raises ValueError: if the request is malformed.
         """
 
+    def create_request(
+        self, method: str, target: str, host: str, deadline_us: int
+    ) -> RelayRequest:
+        """Return a request without headers and body that is not to be sent."""
+
     def encode_reply(self, reply: Reply) -> tuple[int, CIMultiDict[str], bytes]:
         """Return status, headers and body of a reply."""
 
--- a/mimosapost/edge/relay_instance.py
+++ b/mimosapost/edge/relay_instance.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from mimosapost.edge.clock import read_clock_us
+from mimosapost.edge.explanations import answer_explanation
 from mimosapost.edge.logs import Logs
 from mimosapost.edge.metrics import Metrics
 from mimosapost.edge.peer_links import PeerLinks
@@ -65,7 +66,7 @@
 
     :param caller_address: accepts requests of callers.
     :param ready_address: answers readiness checks of the load balancer.
-    :param operator_addresses: serve metrics.
+    :param operator_addresses: serve metrics, the status and explanations.
     """
 
     caller_address: str
@@ -204,6 +205,10 @@
         if request.path == "/status":
             body = msgspec.json.encode(self._describe())
             return web.Response(body=body, content_type="application/json")
+        if request.path == "/explain":
+            return answer_explanation(
+                self._state, self._codec.create_request, request.query, read_clock_us()
+            )
         if request.path != "/metrics":
             return web.Response(status=404)
         body, headers = self.metrics.render(request.headers.getall("Accept", []))
--- a/mimosapost/platform/http_codec.py
+++ b/mimosapost/platform/http_codec.py
@@ -64,6 +64,17 @@
 _DEFAULT_REMAINING_MS = 10_000
 
 
+def compute_fingerprint(method: str, target: str, host: bytes, body: bytes) -> int:
+    """Return the hash that repeats of a request share.
+
+    :param target: path and query string as the caller sent them.
+    :param host: value of the Host header.
+    """
+    digest = xxhash.xxh3_64(f"{method} {target} ".encode("latin-1", "replace") + host.lower())
+    digest.update(body)
+    return digest.intdigest()
+
+
 class PlatformCodec:
     """Decodes callers' requests and servers' answers; encodes sends and replies."""
 
@@ -106,23 +117,33 @@
         keys = [value for lower_name, _, value in pairs if lower_name == _KEY_HEADER]
         if body or b"content-length" in header_values or b"transfer-encoding" in header_values:
             head_lines.append(b"Content-Length: %d" % len(body))
-        host = header_values.get(b"host", b"").lower()
-        digest = xxhash.xxh3_64(f"{method} {target} ".encode("latin-1", "replace") + host)
-        digest.update(body)
+        host = header_values.get(b"host", b"")
         return RelayRequest(
             request_number,
             header_values[_REQUEST_ID_HEADER].decode("latin-1"),
-            header_values.get(b"host", b"").decode("latin-1"),
+            host.decode("latin-1"),
             target,
             now_us + remaining_ms * 1_000,
             b"\r\n".join(head_lines),
             body,
-            digest.intdigest(),
+            compute_fingerprint(method, target, host, body),
             # Of several keys none is certain to be the caller's.
             digest_key(keys[0]) if len(keys) == 1 and keys[0] else b"",
             b"\r\n".join(workspace_lines),
         )
 
+    def create_request(
+        self, method: str, target: str, host: str, deadline_us: int
+    ) -> RelayRequest:
+        """Return a request without headers and body that is not to be sent.
+
+        :param deadline_us: monotonic time by which its caller would expect the reply.
+        """
+        fingerprint = compute_fingerprint(
+            method, target, host.encode("latin-1", "replace"), b""
+        )
+        return RelayRequest(0, "", host, target, deadline_us, b"", b"", fingerprint)
+
     def encode_send(self, send: StartSend, now_us: int) -> bytes:
         """Return the bytes of a request to a server.
 
--- a/mimosapost/relay/admission.py
+++ b/mimosapost/relay/admission.py
@@ -39,7 +39,7 @@
 )
 from mimosapost.suspects.tracker import SuspicionState
 
-__all__ = ["admit_granted_requests", "admit_held_requests"]
+__all__ = ["admit", "admit_granted_requests", "admit_held_requests"]
 
 # Reserved before the caller's deadline for writing the reply and its way to the caller.
 _REPLY_MARGIN_US = 12_000
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -37,6 +37,7 @@
     "hedge_stragglers",
     "is_restricted",
     "list_usable",
+    "list_warm",
     "queue_hedge",
     "queue_held_hedges",
     "rank_warm_servers",
@@ -173,7 +174,7 @@
     ran_alone: bool = False,
 ) -> StartResult:
     limit = _get_cold_limit(state, part.service)
-    warm = _list_warm(state, part, usable, now_us)
+    warm = list_warm(state, part, usable, now_us)
     record = choose_server(warm, state.get_pools(open_request.route), now_us, state.rng)
     if record is None and limit:
         cold = [record for record in usable if record.cold_until_us > now_us]
@@ -249,14 +250,15 @@
     :returns: the server that a send would use, then those that are about as quick.
     """
     usable = list_usable(state, open_request, part, now_us)
-    warm = _list_warm(state, part, usable, now_us)
+    warm = list_warm(state, part, usable, now_us)
     pools = state.get_pools(open_request.route)
     return rank_servers(warm, pools, linked_domains, now_us, state.rng)
 
 
-def _list_warm(
+def list_warm(
     state: RelayState, part: Part, usable: list[ServerRecord], now_us: int
 ) -> list[ServerRecord]:
+    """Return the usable servers that are warm and have room for a send now."""
     connections = _get_connections(state, part.service)
     limit = _get_cold_limit(state, part.service)
     return [
