--- a/mimosapost/edge/relay_instance.py
+++ b/mimosapost/edge/relay_instance.py
@@ -16,6 +16,7 @@
 from mimosapost.edge.caller_connections import LimitedServer
 from mimosapost.edge.caller_memory import CallerMemory
 from mimosapost.edge.clock import read_clock_us
+from mimosapost.edge.explanations import answer_explanation
 from mimosapost.edge.limited_logs import LimitedLogs
 from mimosapost.edge.logs import Logs
 from mimosapost.edge.metrics import Metrics
@@ -70,7 +71,7 @@
 
     :param caller_address: accepts requests of callers.
     :param ready_address: answers readiness checks of the load balancer.
-    :param operator_addresses: serve metrics.
+    :param operator_addresses: serve metrics, the status and explanations.
     """
 
     caller_address: str
@@ -235,6 +236,10 @@
         if request.path == "/status":
             body = msgspec.json.encode(self._describe())
             return web.Response(body=body, content_type="application/json")
+        if request.path == "/explain":
+            return answer_explanation(
+                self._state, self._codec.create_request, request.query, read_clock_us()
+            )
         if request.path != "/metrics":
             return web.Response(status=404)
         body, headers = self.metrics.render(request.headers.getall("Accept", []))
--- a/mimosapost/relay/sends.py
+++ b/mimosapost/relay/sends.py
@@ -38,6 +38,7 @@
     "hedge_stragglers",
     "is_restricted",
     "list_usable",
+    "list_warm",
     "queue_hedge",
     "queue_held_hedges",
     "rank_warm_servers",
@@ -174,7 +175,7 @@
     ran_alone: bool = False,
 ) -> StartResult:
     limit = _get_cold_limit(state, part.service)
-    warm = _list_warm(state, part, usable, now_us)
+    warm = list_warm(state, part, usable, now_us)
     pools = state.get_pools(open_request.route)
     is_assigned = open_request.served is not None
     record = choose_server(warm, pools, now_us, state.rng, is_assigned)
@@ -252,14 +253,15 @@
     :returns: the server that a send would use, then those that are about as quick.
     """
     usable = list_usable(state, open_request, part, now_us)
-    warm = _list_warm(state, part, usable, now_us)
+    warm = list_warm(state, part, usable, now_us)
     pools = state.get_pools(open_request.route)
     return rank_servers(warm, pools, linked_domains, now_us, state.rng)
 
 
-def _list_warm(
+def list_warm(
     state: RelayState, part: Part, usable: list[ServerRecord], now_us: int
 ) -> list[ServerRecord]:
+    """Return the usable servers that are warm and have room for a send now."""
     connections = _get_connections(state, part.service)
     limit = _get_cold_limit(state, part.service)
     return [
