Deliver answers that are ready together, up to the bound of memory

An answer counted as one that its caller reads from its arrival on, so that a round of answers above 0.9 of the account's bound was cut although no caller had had time to read. An answer that arrived less than 2 s ago now ranks as a request that is being served: it is closed only above the bound.

Above the bound itself answers are still cut.

--- a/mimosapost/edge/caller_connections.py
+++ b/mimosapost/edge/caller_connections.py
@@ -65,6 +65,7 @@
 
     __slots__ = (
         "_answer_bytes",
+        "_answer_since",
         "_answered",
         "_get_limits",
         "_held_since",
@@ -101,7 +102,7 @@
         self._memory = memory
         self.held_bytes = 0
         self.is_served = False
-        self._held_since = self._progress_at = self._loop.time()
+        self._held_since = self._progress_at = self._answer_since = self._loop.time()
         # Memory of the answer that is being written, and of what the transport keeps of earlier
         # ones.
         self._answer_bytes = self._unsent_bytes = 0
@@ -145,8 +146,12 @@
     def describe_holding(self) -> Holding:
         """Return what the connection holds."""
         activity = Activity.WAITS_FOR_CALLER
-        if self._answer_bytes or self._unsent_bytes:
-            if self._loop.time() - self._progress_at < _STALL_SECONDS:
+        now = self._loop.time()
+        if self._answer_bytes and now - self._answer_since < _STALL_SECONDS:
+            # Its caller has had no time to read the answer.
+            activity = Activity.IS_SERVED
+        elif self._answer_bytes or self._unsent_bytes:
+            if now - self._progress_at < _STALL_SECONDS:
                 activity = Activity.READS
         elif self.is_served:
             activity = Activity.IS_SERVED
@@ -164,6 +169,7 @@
         """
         if size > _LONG_ANSWER_BYTES:
             self.note_progress()
+            self._answer_since = self._progress_at
             self._answer_bytes = size
             self._charge(size)
 
--- a/mimosapost/edge/caller_memory.py
+++ b/mimosapost/edge/caller_memory.py
@@ -44,9 +44,9 @@
 
     #: No complete request, or an answer that isn't read.
     WAITS_FOR_CALLER = 0
-    #: An answer that is being read.
+    #: An answer that is being read and has been for a while.
     READS = 1
-    #: A request that is being served.
+    #: A request that is being served, or an answer that has just arrived.
     IS_SERVED = 2
 
 
