Free memory again when answers that had arrived aren't read

An answer ranks so for 0.5 s, and a request that would be refused for want of memory tries again to free it, at most every 0.1 s.

--- a/mimosapost/edge/caller_connections.py
+++ b/mimosapost/edge/caller_connections.py
@@ -38,6 +38,8 @@
 _UNLIMITED_SECONDS = 365 * 86_400.0
 # Time without progress after which an answer counts as not being read.
 _STALL_SECONDS = 2.0
+# Time after its arrival in which an answer is closed as late as a request that is being served.
+_ARRIVAL_SECONDS = 0.5
 # Size in bytes above which an answer is counted while it is written; what callers have not read
 # of smaller ones is counted at each check.
 _LONG_ANSWER_BYTES = 64 * 1024
@@ -147,7 +149,7 @@
         """Return what the connection holds."""
         activity = Activity.WAITS_FOR_CALLER
         now = self._loop.time()
-        if self._answer_bytes and now - self._answer_since < _STALL_SECONDS:
+        if self._answer_bytes and now - self._answer_since < _ARRIVAL_SECONDS:
             # Its caller has had no time to read the answer.
             activity = Activity.IS_SERVED
         elif self._answer_bytes or self._unsent_bytes:
--- a/mimosapost/edge/caller_memory.py
+++ b/mimosapost/edge/caller_memory.py
@@ -33,6 +33,8 @@
 _SPARE_CONNECTIONS_SHARE = 0.05
 # Growth, as a share of the bound, after which it is tried again to free memory.
 _RETRY_SHARE = 0.01
+# Time in seconds after which it is tried again although nothing has grown.
+_RETRY_SECONDS = 0.1
 # Added to the age of what a connection holds, in seconds, so that a new one counts too.
 _MIN_AGE_SECONDS = 1.0
 
@@ -159,6 +161,8 @@
         self._usual_closing_bytes = bounds.process_bytes * _CLOSING_SHARE
         # Memory above which connections are closed.
         self._closing_bytes = self._usual_closing_bytes
+        # Time of the last attempt to free memory, in seconds.
+        self._tried_at = 0.0
 
     def add(self, connection: HeldConnection) -> None:
         """Count a connection that was accepted; close others if there are too many."""
@@ -198,6 +202,11 @@
 
     def is_short(self) -> bool:
         """Return whether requests that are being served hold all memory."""
+        if self.held_bytes <= self._usual_closing_bytes:
+            return False
+        # Others may have stopped to read since the last attempt, which changes no account.
+        if self._read_clock() - self._tried_at >= _RETRY_SECONDS:
+            self._free_memory()
         return self.held_bytes > self._usual_closing_bytes
 
     def close(self, connection: HeldConnection, reason: str) -> None:
@@ -218,10 +227,11 @@
         self._logs.write("caller_closed", fields)
 
     def _reset_closing(self) -> None:
-        if not self.is_short():
+        if self.held_bytes <= self._usual_closing_bytes:
             self._closing_bytes = self._usual_closing_bytes
 
     def _free_memory(self) -> None:
+        self._tried_at = self._read_clock()
         allowed = self.bounds.process_bytes
         excess = self.held_bytes - int(allowed * _FREED_SHARE)
         for chosen in choose_holders(self._describe(), excess, self._read_clock()):
--- a/mimosapost/edge/tests/test_caller_memory.py
+++ b/mimosapost/edge/tests/test_caller_memory.py
@@ -77,6 +77,23 @@
     assert memory.is_short() is (memory.held_bytes > 90)
 
 
+def test_memory_is_freed_when_what_was_served_is_not_read():
+    """New requests were refused for as long as nothing grew."""
+    now = [10.0]
+    memory = CallerMemory(
+        CallerBounds(process_bytes=100), Logs(io.StringIO()), lambda _: None, lambda: now[0]
+    )
+    connections = [FakeConnection(SERVED), FakeConnection(SERVED)]
+    for connection in connections:
+        memory.add(connection)
+        memory.charge(connection, 48)
+    assert memory.is_short()
+    connections[0].activity = WAITS
+    now[0] += 1.0
+    assert not memory.is_short()
+    assert [each.is_closed for each in connections] == [True, False]
+
+
 def test_silent_connections_make_room_for_new_ones():
     reasons = []
     memory = create_memory(reasons, connections=4)
