--- a/mimosapost/edge/caller_connections.py
+++ b/mimosapost/edge/caller_connections.py
@@ -42,6 +42,8 @@
 _UNLIMITED_SECONDS = 365 * 86_400.0
 # Time without progress after which an answer counts as not being read.
 _STALL_SECONDS = 2.0
+# Time after its arrival in which an answer is closed as late as a request that is being served.
+_ARRIVAL_SECONDS = 0.5
 # Size in bytes above which an answer is counted while it is written; what callers have not read
 # of smaller ones is counted at each check.
 _LONG_ANSWER_BYTES = 64 * 1024
@@ -69,6 +71,7 @@
 
     __slots__ = (
         "_answer_bytes",
+        "_answer_since",
         "_answered",
         "_decided_us",
         "_get_limits",
@@ -107,7 +110,7 @@
         self._memory = memory
         self.held_bytes = 0
         self.is_served = False
-        self._held_since = self._progress_at = self._loop.time()
+        self._held_since = self._progress_at = self._answer_since = self._loop.time()
         # Memory of the answer that is being written, and of what the transport keeps of earlier
         # ones.
         self._answer_bytes = self._unsent_bytes = 0
@@ -172,8 +175,12 @@
     def describe_holding(self) -> Holding:
         """Return what the connection holds."""
         activity = Activity.WAITS_FOR_CALLER
-        if self._answer_bytes or self._unsent_bytes:
-            if self._loop.time() - self._progress_at < _STALL_SECONDS:
+        now = self._loop.time()
+        if self._answer_bytes and now - self._answer_since < _ARRIVAL_SECONDS:
+            # Its caller has had no time to read the answer.
+            activity = Activity.IS_SERVED
+        elif self._answer_bytes or self._unsent_bytes:
+            if now - self._progress_at < _STALL_SECONDS:
                 activity = Activity.READS
         elif self.is_served:
             activity = Activity.IS_SERVED
@@ -191,6 +198,7 @@
         """
         if size > _LONG_ANSWER_BYTES:
             self.note_progress()
+            self._answer_since = self._progress_at
             self._answer_bytes = size
             self._charge(size)
 
--- a/mimosapost/edge/tests/test_caller_memory.py
+++ b/mimosapost/edge/tests/test_caller_memory.py
@@ -77,6 +77,23 @@
     assert memory.is_short() is (memory.held_bytes > 90)
 
 
+def test_memory_is_freed_when_what_was_served_is_not_read():
+    """New requests were refused for as long as nothing grew."""
+    now = [10.0]
+    memory = CallerMemory(
+        CallerBounds(process_bytes=100), Logs(io.StringIO()), lambda _: None, lambda: now[0]
+    )
+    connections = [FakeConnection(SERVED), FakeConnection(SERVED)]
+    for connection in connections:
+        memory.add(connection)
+        memory.charge(connection, 48)
+    assert memory.is_short()
+    connections[0].activity = WAITS
+    now[0] += 1.0
+    assert not memory.is_short()
+    assert [each.is_closed for each in connections] == [True, False]
+
+
 def test_silent_connections_make_room_for_new_ones():
     reasons = []
     memory = create_memory(reasons, connections=4)
@@ -102,17 +119,25 @@
 
 
 @asynccontextmanager
-async def run_server(bounds: CallerBounds, body: bytes = b"done"):
-    """Serve callers, each with the same answer; yields the address and closing reasons."""
+async def run_server(bounds: CallerBounds, body: bytes = b"done", together: int = 1):
+    """Serve callers, each with the same answer; yields the address and closing reasons.
+
+    :param together: number of requests that are answered in one round of the event loop.
+    """
     reasons, logs = [], Logs(io.StringIO())
     loop = asyncio.get_running_loop()
     memory = CallerMemory(bounds, logs, reasons.append, loop.time)
     reply = ForwardedReply(ResultCode.COMPLETE, ServerAnswer(200, (), body))
 
+    waiting = []
+
     def handle(event):
         if isinstance(event, RequestArrived):
-            number = event.request.request_number
-            loop.call_soon(server.send_reply, SendReply(number, reply))
+            waiting.append(event.request.request_number)
+        if len(waiting) == together:
+            for number in waiting:
+                loop.call_soon(server.send_reply, SendReply(number, reply))
+            waiting.clear()
 
     server = RelayCallerServer(
         "127.0.0.1:0",
@@ -160,6 +185,28 @@
     assert memory.held_bytes == 0
 
 
+async def test_answers_that_are_ready_together_are_delivered():
+    """Below the bound, callers lost answers that they had no time to begin to read."""
+    count, body = 10, LONG_BODY[:200_000]
+    bounds = CallerBounds(process_bytes=count * len(body) * 105 // 100)
+    async with (
+        run_server(bounds, body, together=count) as (address, memory, reasons),
+        AsyncExitStack() as stack,
+    ):
+        readers = []
+        for _ in range(count):
+            reader, writer = await asyncio.open_connection(*address)
+            stack.callback(writer.close)
+            writer.write(REQUEST + b"\r\n")
+            readers.append(reader)
+        async with asyncio.timeout(5):
+            for reader in readers:
+                await reader.readuntil(b"\r\n\r\n")
+                assert await reader.readexactly(len(body)) == body
+        await asyncio.sleep(0.01)
+        assert (memory.held_bytes, reasons) == (0, [])
+
+
 @pytest.mark.parametrize(
     ("data", "answers"),
     [
