Refuse less after a restart of all instances

An account of a young instance computed waits from a share that rises as the others are met, so that callers far below their limits got a Retry-After of some seconds; an instance that asked a less preferred account was refused.

--- a/mimosapost/relay/tests/test_workspace_limits.py
+++ b/mimosapost/relay/tests/test_workspace_limits.py
@@ -34,6 +34,8 @@
 HOT_RATE = 12 * USUAL
 EVERYONE = [f"n{number}" for number in range(1, len(DOMAINS) + 1)]
 STEP_MS = 10
+UNEVEN_RATES = {f"w{number}": 20 / (number + 1) ** 1.3 / 3 for number in range(80)}
+UNEVEN_LIMITS = [(name, max(5.0, 1.6 * usual), 5.0) for name, usual in UNEVEN_RATES.items()]
 
 
 class LimitedFleet:
@@ -42,6 +44,7 @@
     :ivar runs: times in milliseconds at which requests ran, by workspace.
     :ivar waits: times in milliseconds that they waited for an account.
     :ivar refused: number of refused requests, by workspace.
+    :ivar retries: workspace and Retry-After in milliseconds of each refusal.
     """
 
     def __init__(self, domains=DOMAINS, limits=((HOT, LIMIT, BURST),), met_ms=20_000) -> None:
@@ -53,6 +56,7 @@
         self.runs: dict[str, list[float]] = defaultdict(list)
         self.waits: list[float] = []
         self.refused: Counter[str] = Counter()
+        self.retries: list[tuple[str, float]] = []
         self.owner: dict[tuple[str, int], tuple[str, float]] = {}
         self.next_number = 1
         for relay in self.fleet.relays.values():
@@ -101,6 +105,7 @@
                 workspace, arrived_ms = self.owner[name, effect.request_number]
                 if effect.reply.code is ResultCode.CALLER_LIMIT:
                     self.refused[workspace] += 1
+                    self.retries.append((workspace, effect.reply.retry_after_us / MS))
                     assert effect.reply.retry_after_us > 0
                 else:
                     self.runs[workspace].append(self.now_ms)
@@ -242,11 +247,9 @@
 
 
 def test_uneven_workspaces_do_not_lose_to_a_hot_one():
-    sizes = {f"w{number}": 20 / (number + 1) ** 1.3 / 3 for number in range(80)}
-    limits = [(name, max(5.0, 1.6 * usual), 5.0) for name, usual in sizes.items()]
-    fleet = LimitedFleet(limits=[(HOT, LIMIT, BURST), *limits])
+    fleet = LimitedFleet(limits=[(HOT, LIMIT, BURST), *UNEVEN_LIMITS])
     for names in (EVERYONE[0::3], EVERYONE[1::3]):
-        fleet.play(5, {HOT: 10 * USUAL, **sizes}, names)
+        fleet.play(5, {HOT: 10 * USUAL, **UNEVEN_RATES}, names)
     assert set(fleet.refused) == {HOT}
     assert all(fleet.find_peak(name) <= fleet.get_allowed(name) for name in fleet.workspaces)
     # A report and a reply for a request at most, and few introductions.
@@ -255,6 +258,22 @@
     assert fleet.fleet.count_messages(WorkspaceGrant) <= reports <= requests
 
 
+@pytest.mark.parametrize("hot_rate", [USUAL, 10 * USUAL], ids=str)
+@pytest.mark.parametrize("seed", range(2))
+def test_usual_traffic_is_not_refused_when_all_instances_have_restarted(seed, hot_rate):
+    fleet = LimitedFleet(limits=[(HOT, LIMIT, BURST), *UNEVEN_LIMITS])
+    fleet.rng.seed(seed)
+    rates = {HOT: hot_rate, **UNEVEN_RATES}
+    fleet.play(5, rates, EVERYONE)
+    fleet.restart(*EVERYONE)
+    fleet.play(8, rates, EVERYONE)
+    usual_refusals = [ms for name, ms in fleet.retries if name != HOT or hot_rate < LIMIT]
+    assert len(usual_refusals) <= 0.015 * len(fleet.waits)
+    assert max(usual_refusals, default=0) <= 500
+    assert bool(fleet.refused[HOT]) or hot_rate < LIMIT
+    assert all(fleet.find_peak(name) <= fleet.get_allowed(name) for name in fleet.workspaces)
+
+
 def test_nothing_is_sent_for_a_workspace_without_a_limit():
     fleet = LimitedFleet(limits=[(HOT, 0.0, 0.0)])
     fleet.play(2, {HOT: HOT_RATE}, EVERYONE)
--- a/mimosapost/relay/workspace_accounts.py
+++ b/mimosapost/relay/workspace_accounts.py
@@ -34,6 +34,7 @@
 
 __all__ = [
     "MAX_SPREAD_US",
+    "add_candidates",
     "choose_account",
     "count_instances",
     "find_limit",
@@ -117,6 +118,19 @@
         _forget_workspaces(state)
 
 
+def add_candidates(state: RelayState, now_us: int) -> None:
+    """Add instances that were met since the last survey to those that may keep accounts.
+
+    The share that this instance gives out stays as it is until the next survey.
+    """
+    if state.peers is None:
+        return
+    limits = state.limits
+    heard = state.peers.members.list_heard(now_us - _MIN_SILENCE_US)
+    met = {m.name for m in state.peers.members.list_members() if not m.leaving} & heard
+    limits.candidates = tuple(sorted(met.union(limits.candidates)))
+
+
 def _forget_instances(state: RelayState, now_us: int) -> None:
     limits = state.limits
     for table, age_us in (
@@ -145,9 +159,11 @@
     An instance that has just started may not have met them all.
     """
     known = len(state.limits.names)
-    if state.peers is None or now_us - state.started_us >= _MEETING_US:
-        return max(1, known)
-    return max(known, ASSUMED_INSTANCES)
+    return max(known, ASSUMED_INSTANCES) if _is_meeting(state, now_us) else max(1, known)
+
+
+def _is_meeting(state: RelayState, now_us: int) -> bool:
+    return state.peers is not None and now_us - state.started_us < _MEETING_US
 
 
 def choose_account(state: RelayState, workspace: str, passed_over: Iterable[str] = ()) -> str:
@@ -198,19 +214,22 @@
     per_second = limit.per_second * share
     capacity = max(1.0, (limit.burst + _SPARE_TOKENS * headroom) * share)
     bucket = account.bucket
+    is_meeting = _is_meeting(state, now_us)
     if is_first:
         bucket.tokens = min(capacity, _FIRST_TOKENS * headroom * share)
     bucket.refill(per_second, capacity, now_us)
     bucket.charge(report.used, -_MAX_DEBT_SECONDS * per_second)
     granted = bucket.take(report.asked)
     is_open = bucket.tokens >= max(1.0, _OPEN_SHARE * capacity)
-    wait_us = bucket.get_wait_us(per_second)
+    # The share rises when the others are met, before its present rate gives a token.
+    return_rate = limit.per_second if is_meeting else per_second
+    wait_us = bucket.get_wait_us(return_rate)
     refused = report.asked - granted
     room_us = 0
     if refused:
         first_us = max(now_us + wait_us, min(account.room_us, now_us + MAX_SPREAD_US))
         room_us = first_us - now_us
-        account.room_us = first_us + int(refused / per_second * 1e6)
+        account.room_us = first_us + int(refused / return_rate * 1e6)
     _record_change(account, name, is_open, share, report, now_us, effects)
     return WorkspaceGrant(report.report_id, granted, is_open, wait_us, room_us)
 
@@ -251,11 +270,11 @@
     account = state.limits.accounts.get(name)
     is_new = account is None or event.peer not in account.asked_us
     reply = grant(state, event.peer, event.message, now_us, effects)
-    member = state.peers.members.find_by_name(event.peer)
-    if member is not None:
-        effects.append(SendPeer(event.peer, member.peer_address, reply))
     better = choose_account(state, name, state.limits.passed_until_us)
     if is_new and better != state.instance_settings.name:
-        # The other instance may not have met the better one yet.
+        # The other instance may not have met the better one yet, and asks it before it refuses.
         message = create_introduction(state, event.peer, better, now_us)
         effects += [message] if message is not None else []
+    member = state.peers.members.find_by_name(event.peer)
+    if member is not None:
+        effects.append(SendPeer(event.peer, member.peer_address, reply))
