--- a/mimosapost/relay/workspace_accounts.py
+++ b/mimosapost/relay/workspace_accounts.py
@@ -34,7 +34,6 @@
 
 __all__ = [
     "MAX_SPREAD_US",
-    "add_candidates",
     "choose_account",
     "count_instances",
     "find_limit",
@@ -118,19 +117,6 @@
         _forget_workspaces(state)
 
 
-def add_candidates(state: RelayState, now_us: int) -> None:
-    """Add instances that were met since the last survey to those that may keep accounts.
-
-    The share that this instance gives out stays as it is until the next survey.
-    """
-    if state.peers is None:
-        return
-    limits = state.limits
-    heard = state.peers.members.list_heard(now_us - _MIN_SILENCE_US)
-    met = {m.name for m in state.peers.members.list_members() if not m.leaving} & heard
-    limits.candidates = tuple(sorted(met.union(limits.candidates)))
-
-
 def _forget_instances(state: RelayState, now_us: int) -> None:
     limits = state.limits
     for table, age_us in (
@@ -214,7 +200,6 @@
     per_second = limit.per_second * share
     capacity = max(1.0, (limit.burst + _SPARE_TOKENS * headroom) * share)
     bucket = account.bucket
-    is_meeting = _is_meeting(state, now_us)
     if is_first:
         bucket.tokens = min(capacity, _FIRST_TOKENS * headroom * share)
     bucket.refill(per_second, capacity, now_us)
@@ -222,7 +207,7 @@
     granted = bucket.take(report.asked)
     is_open = bucket.tokens >= max(1.0, _OPEN_SHARE * capacity)
     # The share rises when the others are met, before its present rate gives a token.
-    return_rate = limit.per_second if is_meeting else per_second
+    return_rate = limit.per_second if _is_meeting(state, now_us) else per_second
     wait_us = bucket.get_wait_us(return_rate)
     refused = report.asked - granted
     room_us = 0
@@ -270,11 +255,11 @@
     account = state.limits.accounts.get(name)
     is_new = account is None or event.peer not in account.asked_us
     reply = grant(state, event.peer, event.message, now_us, effects)
+    member = state.peers.members.find_by_name(event.peer)
+    if member is not None:
+        effects.append(SendPeer(event.peer, member.peer_address, reply))
     better = choose_account(state, name, state.limits.passed_until_us)
     if is_new and better != state.instance_settings.name:
-        # The other instance may not have met the better one yet, and asks it before it refuses.
+        # The other instance may not have met the better one yet.
         message = create_introduction(state, event.peer, better, now_us)
         effects += [message] if message is not None else []
-    member = state.peers.members.find_by_name(event.peer)
-    if member is not None:
-        effects.append(SendPeer(event.peer, member.peer_address, reply))
--- a/mimosapost/relay/workspace_limits.py
+++ b/mimosapost/relay/workspace_limits.py
@@ -25,7 +25,6 @@
 from mimosapost.relay.state import OpenRequest, RelayState
 from mimosapost.relay.workspace_accounts import (
     MAX_SPREAD_US,
-    add_candidates,
     choose_account,
     count_instances,
     find_limit,
@@ -43,7 +42,7 @@
 # An instance without a reply is passed over: for the first time, and the bound of the doubling.
 _PASS_OVER_US = 1_000_000
 _MAX_PASS_OVER_US = 8_000_000
-# A request that has waited this long isn't held for another account.
+# A request that has waited this long when an account gave no reply isn't held for another one.
 _MAX_WAIT_US = 100_000
 # After the start, this many windows pass before an earlier process of the instance no longer
 # counts.
@@ -118,7 +117,8 @@
     while not use.report_id and (use.unreported or use.waiting):
         use.report_id, limits.next_report_id = limits.next_report_id, limits.next_report_id + 1
         used, use.unreported, use.asked = use.unreported, 0, len(use.waiting)
-        use.account_name = choose_account(state, name, _list_passed(state, now_us))
+        passed = {n for n, until_us in limits.passed_until_us.items() if now_us < until_us}
+        use.account_name = choose_account(state, name, passed)
         report = WorkspaceReport(use.report_id, name, used, use.asked)
         if use.account_name == state.instance_settings.name:
             reply = grant(state, use.account_name, report, now_us, effects)
@@ -164,10 +164,6 @@
         state.limits.granted.append(request_number)
         _count(name, "granted", effects)
     refused = asked[reply.granted :]
-    if refused and _knows_better(state, name, use, now_us):
-        kept = [number for number in refused if _may_wait(state, number, now_us)]
-        refused = [number for number in refused if number not in kept]
-        use.waiting = kept + use.waiting
     if refused:
         use.refused_until_us = now_us + reply.wait_us
         limit = find_limit(state, name)
@@ -178,23 +174,6 @@
         use.room_us = now_us + reply.room_us
 
 
-def _knows_better(state: RelayState, name: str, use: LimitUse, now_us: int) -> bool:
-    """Return whether this instance has met a better account than the one that it asked."""
-    # The introduction of the better one arrived just before the reply.
-    add_candidates(state, now_us)
-    return choose_account(state, name, _list_passed(state, now_us)) != use.account_name
-
-
-def _list_passed(state: RelayState, now_us: int) -> set[str]:
-    """Return the names of the instances that lately gave no reply."""
-    return {n for n, until_us in state.limits.passed_until_us.items() if now_us < until_us}
-
-
-def _may_wait(state: RelayState, request_number: int, now_us: int) -> bool:
-    _, arrived_us = state.limits.held.get(request_number, (None, now_us))
-    return now_us - arrived_us < _MAX_WAIT_US
-
-
 @handles_timer(TimerKind.LIMIT)
 def expire_report(state: RelayState, key: int, now_us: int, effects: Effects) -> None:
     """Pass over an account that did not reply, and use the advance of this instance."""
@@ -219,7 +198,8 @@
         limits.granted.append(request_number)
         _count(name, "advanced", effects)
     for request_number in waiting[len(advanced) :]:
-        if _may_wait(state, request_number, now_us):
+        _, arrived_us = limits.held.get(request_number, (None, now_us))
+        if now_us - arrived_us < _MAX_WAIT_US:
             use.waiting.append(request_number)
         else:
             _refuse_held(name, request_number, _UNKNOWN_ROOM_US, state, effects)
