--- a/mimosapost/relay/workspace_accounts.py
+++ b/mimosapost/relay/workspace_accounts.py
@@ -145,9 +145,11 @@
     An instance that has just started may not have met them all.
     """
     known = len(state.limits.names)
-    if state.peers is None or now_us - state.started_us >= _MEETING_US:
-        return max(1, known)
-    return max(known, ASSUMED_INSTANCES)
+    return max(known, ASSUMED_INSTANCES) if _is_meeting(state, now_us) else max(1, known)
+
+
+def _is_meeting(state: RelayState, now_us: int) -> bool:
+    return state.peers is not None and now_us - state.started_us < _MEETING_US
 
 
 def choose_account(state: RelayState, workspace: str, passed_over: Iterable[str] = ()) -> str:
@@ -204,13 +206,15 @@
     bucket.charge(report.used, -_MAX_DEBT_SECONDS * per_second)
     granted = bucket.take(report.asked)
     is_open = bucket.tokens >= max(1.0, _OPEN_SHARE * capacity)
-    wait_us = bucket.get_wait_us(per_second)
+    # The share rises when the others are met, before its present rate gives a token.
+    return_rate = limit.per_second if _is_meeting(state, now_us) else per_second
+    wait_us = bucket.get_wait_us(return_rate)
     refused = report.asked - granted
     room_us = 0
     if refused:
         first_us = max(now_us + wait_us, min(account.room_us, now_us + MAX_SPREAD_US))
         room_us = first_us - now_us
-        account.room_us = first_us + int(refused / per_second * 1e6)
+        account.room_us = first_us + int(refused / return_rate * 1e6)
     _record_change(account, name, is_open, share, report, now_us, effects)
     return WorkspaceGrant(report.report_id, granted, is_open, wait_us, room_us)
 
