--- a/mimosapost/edge/caller_parser.py
+++ b/mimosapost/edge/caller_parser.py
@@ -194,6 +194,12 @@
                 parsed, is_upgraded, tail = self._parse_piece(piece)
             except HttpProcessingError as error:
                 self._unparsed, self._is_refused = b"", True
+                if not self._last_payload.is_eof():
+                    # The body of the newest request is malformed, so that one is refused.
+                    self._last_payload.set_exception(
+                        web.RequestPayloadError("malformed body"), error
+                    )
+                    return messages, False, b""
                 if not messages:
                     raise
                 # The requests before it are answered first.
--- a/mimosapost/relay/graceful_stop.py
+++ b/mimosapost/relay/graceful_stop.py
@@ -61,7 +61,8 @@
 @handles_timer(TimerKind.STOP)
 def end_stop(state: RelayState, _key: int, now_us: int, effects: Effects) -> None:
     """Stop serving once no request is open, or when the time for the stop is over."""
-    if state.requests and now_us < state.stop_requested_us + state.instance_settings.stop_us:
+    is_busy = bool(state.requests or state.limits.held)
+    if is_busy and now_us < state.stop_requested_us + state.instance_settings.stop_us:
         state.timers.add(now_us + _STOP_CHECK_INTERVAL_US, TimerKind.STOP)
         return
     effects.append(WriteLog("stop_ended", (("open_requests", len(state.requests)),)))
--- a/mimosapost/relay/tests/test_graceful_stop.py
+++ b/mimosapost/relay/tests/test_graceful_stop.py
@@ -113,3 +113,14 @@
     relay.advance(LAST_REPLY_MS + 10)
     for number in unsent:
         assert relay.get_reply(number).code is ResultCode.STOPPING
+
+
+def test_a_stop_waits_for_requests_that_wait_for_an_account():
+    relay = create_single_relay()
+    relay.state.limits.held[99] = (None, relay.now_us)
+    begin_stop(relay)
+    relay.advance(LAST_REPLY_MS - 100)
+    assert not any(isinstance(effect, StopServing) for effect in relay.effects)
+    relay.state.limits.held.clear()
+    relay.advance(200)
+    assert any(isinstance(effect, StopServing) for effect in relay.effects)
--- a/mimosapost/relay/tests/test_workspace_limits.py
+++ b/mimosapost/relay/tests/test_workspace_limits.py
@@ -68,7 +68,7 @@
         # A request that was granted after a wait is admitted again, finds no route, and is
         # refused for that reason.
         relay.state.catalog = SimpleNamespace(
-            version=1, workspaces=self.workspaces, find_route=lambda *_: None
+            version=1, hosts={}, workspaces=self.workspaces, find_route=lambda *_: None
         )
 
     @property
@@ -217,6 +217,17 @@
     assert len(fleet.runs[HOT]) > 4 * limit[0]
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_the_sum_of_instances_that_are_all_cut_off_stays_within_the_tolerance(seed):
+    fleet = LimitedFleet(limits=[(HOT, 16.0, 5.0)])
+    fleet.rng.seed(seed)
+    rates = {HOT: 7.5 * 16.0}
+    fleet.play(4, rates, EVERYONE)
+    cut_off_all(fleet)
+    fleet.play(9, rates, EVERYONE)
+    assert fleet.find_peak() <= fleet.get_allowed()
+
+
 def test_an_account_that_freezes_and_wakes_grants_nothing_twice():
     fleet = LimitedFleet()
     fleet.play(4, {HOT: HOT_RATE}, EVERYONE)
