Hedge as before while services are short of room

Cause: a rule withheld hedges of all but the most urgent rank while a service was short. On a site with noisy servers that took parts from queries that had room. Change: the rule is gone; admission alone decides on room.

--- a/mimosapost/relay/hedges.py
+++ b/mimosapost/relay/hedges.py
@@ -21,7 +21,6 @@
     rank_warm_servers,
 )
 from mimosapost.relay.server_selection import ServerRecord
-from mimosapost.relay.shortage import may_take_room
 from mimosapost.relay.state import HedgeDue, OpenRequest, Part, RelayState
 from mimosapost.suspects.tracker import SuspicionState
 
@@ -72,8 +71,6 @@
             open_request.held_hedges.append(hedge)
             continue
         choices = rank_warm_servers(state, open_request, part, linked_domains, now_us)
-        if not may_take_room(state, open_request, part.service):
-            continue
         if not choices or not state.get_budget(part.service).try_spend():
             continue
         due_by_shard[part.shard] = hedge
--- a/mimosapost/relay/shortage.py
+++ b/mimosapost/relay/shortage.py
@@ -1,4 +1,4 @@
-"""Decisions while services are short of room: admission, refusal and hedges.
+"""Decisions while services are short of room: admission and refusal.
 
 Load pattern: requests of several ranks compete for servers that can't run all of them in time.
 The less urgent ones are refused at once, unsent, with the time at which room is expected; the
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 import xxhash
 
 from mimosapost.model.codes import ResultCode
@@ -30,7 +28,7 @@
 from mimosapost.relay.server_selection import ServerRecord, estimate_us
 from mimosapost.relay.state import OpenRequest, OpenSend, RelayState
 
-__all__ = ["admit_within_room", "may_take_room", "record_answer", "record_rejection"]
+__all__ = ["admit_within_room", "record_answer", "record_rejection"]
 
 # Share of a route's latency objective after which an answer of a server with a queue is late.
 _LATE_SHARE = 0.5
@@ -151,18 +149,3 @@
     refuse_request(state, request.request_number, request.request_id, refusal, effects, fields)
     labels = (("rank", str(demand.rank)), ("early", str(early).lower()))
     effects.append(IncrementCounter("mimosapost_relay_room_refusals_total", labels))
-
-
-def may_take_room(state: RelayState, open_request: OpenRequest, service: str) -> bool:
-    """Return whether a request may be sent to a service once more.
-
-    A hedge of a less urgent request would take room that a more urgent one needs.
-    """
-    if service not in state.room.services:
-        return True
-    rank = choose_rank(open_request.route, open_request.workspace)
-    return rank <= _get_first_rank(state.room.demand.values(), service)
-
-
-def _get_first_rank(demands: Iterable[RouteDemand], service: str) -> int:
-    return min((d.rank for d in demands if service in d.services), default=0)
