--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -591,8 +591,8 @@
         "limits": {
             "maxHeaderBytes": 16_384,
             "maxBodyBytes": 262_144,
-            "headerTimeoutMs": 10_000,
-            "idleTimeoutMs": 9_000,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
         },
     }
 
