--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -261,7 +261,8 @@
     :ivar work_seconds: function of the request that returns how long the work takes.
     :ivar body: function of the request that returns the body of the answer.
     :ivar is_leaving: whether answers say that the leaf leaves.
-    :ivar arrivals: time, request id and whether it was run, in order.
+    :ivar arrivals: time and id of each request that it began to run, in order.
+    :ivar is_quiet: whether the record has no line for the answers.
     """
 
     def __init__(self, record: Record, leaf_id: str, service: str, zone: str) -> None:
@@ -270,6 +271,7 @@
         self.work_seconds = lambda _request: 0.01
         self.body = lambda _request: self.leaf_id.encode().ljust(16, b".")[:16]
         self.is_leaving = False
+        self.is_quiet = False
         self.slots = 3
         self.arrivals: list[tuple[float, str]] = []
         self.open_ids: set[str] = set()
@@ -314,7 +316,8 @@
         with contextlib.suppress(asyncio.CancelledError):
             await closed
         self.open_ids.discard(request_id)
-        self.record.add("leaf_answers", leaf=self.leaf_id, request=request_id)
+        if not self.is_quiet:
+            self.record.add("leaf_answers", leaf=self.leaf_id, request=request_id)
         leaving = {"Server_Leaving": "1"} if self.is_leaving else {}
         return create_response(
             200,
@@ -348,6 +351,8 @@
     store_address: str
     seeds: tuple[str, ...]
     grace_seconds: int = 6
+    memory_mb: int = 560
+    descriptors: int = 8_200
     handle: asyncio.subprocess.Process | None = None
     exit_at: float | None = None
     _waiter: asyncio.Task | None = field(default=None, repr=False)
@@ -376,8 +381,8 @@
             "bootstrap": "true",
             "limits.cpuShare": "0.717",
             "limits.cpuCores": "3",
-            "limits.memoryMb": "560",
-            "limits.maxFds": "8200",
+            "limits.memoryMb": str(self.memory_mb),
+            "limits.maxFds": str(self.descriptors),
             "limits.linkMbps": "2000.0",
             "discovery": "platform",
             "entry": "vip",
@@ -476,13 +481,24 @@
 
 
 class Consumer:
-    """A consumer with one connection, which it keeps for several requests."""
+    """A consumer with one connection, which it keeps for several requests.
 
-    def __init__(self, record: Record, machine: Machine, host: str) -> None:
+    :param is_quiet: whether each request gets one line in the record, at its end.
+    """
+
+    def __init__(
+        self, record: Record, machine: Machine, host: str, is_quiet: bool = False
+    ) -> None:
         self.record, self.machine, self.host = record, machine, host
+        self._is_quiet = is_quiet
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is kept, as far as the consumer has seen."""
+        return self._writer is not None and not self._reader.at_eof()
+
     async def open(self) -> None:
         """Open the connection."""
         address = self.machine.front.rpartition(":")
@@ -511,7 +527,8 @@
         :returns: status and answer; status 0 if the connection closed without a whole answer,
             -1 if the deadline passed.
         """
-        if self._writer is None:
+        if not self.is_open:
+            self.close()
             await self.open()
         method = method or ("POST" if body else "GET")
         lines = [
@@ -522,7 +539,8 @@
         ]
         if body:
             lines.append(f"Content-Length: {len(body)}")
-        self.record.add("consumer_sends", request=request_id, method=method, path=path)
+        if not self._is_quiet:
+            self.record.add("consumer_sends", request=request_id, method=method, path=path)
         started = self.record.now()
         try:
             async with asyncio.timeout(deadline_ms / 1_000 + 0.2):
@@ -535,7 +553,7 @@
                     await self._writer.drain()
                     if number < pieces - 1:
                         await asyncio.sleep(upload_seconds / (pieces - 1))
-                if body:
+                if body and not self._is_quiet:
                     self.record.add("consumer_sent_last_byte", request=request_id)
                 answer = await read_message(self._reader)
         except TimeoutError:
@@ -552,13 +570,19 @@
             )
             self.close()
             return 0, None
-        self.record.add(
-            "consumer_gets",
-            request=request_id,
-            status=answer.status,
-            retry_after=answer.headers.get("retry-after", "-"),
-            leaving=answer.headers.get("server-leaving", "-"),
-        )
+        if self._is_quiet:
+            sent = f"{started:.3f}"
+            self.record.add(
+                "consumer_gets", request=request_id, sent=sent, status=answer.status
+            )
+        else:
+            self.record.add(
+                "consumer_gets",
+                request=request_id,
+                status=answer.status,
+                retry_after=answer.headers.get("retry-after", "-"),
+                leaving=answer.headers.get("server-leaving", "-"),
+            )
         if answer.headers.get("connection", "").lower() == "close":
             self.close()
         return answer.status, answer
