Log servers that say in their answers that they leave

The codec now decodes the header, the relay keeps the time and writes server_leaving with the request, the state of the server's entry and the age of the source's loss. No decision uses it yet.

--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -169,6 +169,11 @@
     "Requests refused unsent because more urgent ones need the room of their services.",
     ("rank", "early"),
 )
+declare_counter(
+    "mimosapost_relay_server_signals_total",
+    "Servers that asked for no sends in their answers, by signal.",
+    ("signal",),
+)
 declare_counter(
     "mimosapost_relay_malformed_headers_total",
     "Answers with a header that can't be read.",
--- a/mimosapost/platform/http_codec.py
+++ b/mimosapost/platform/http_codec.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
+from typing import Any
 
 import xxhash
 from multidict import CIMultiDict
@@ -63,6 +64,9 @@
 # Requests per second that a server takes from all instances together.
 _LIMIT_HEADER = b"server-limit"
 _LIMIT_VALUE = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+# Whether the server will end soon and wants no further requests.
+_LEAVING_HEADER = b"server-leaving"
+_LEAVING_VALUE = b"1"
 _NOT_FORWARDED = _HOP_BY_HOP.union((_LOAD_HEADER, _LIMIT_HEADER))
 _MISDIRECTED_STATUS = 421
 _DEFAULT_REMAINING_MS = 10_000
@@ -187,7 +191,7 @@
             misdirected,
             b"close" in header_values.get(b"connection", b"").lower(),
             _decode_load(headers) if _LOAD_HEADER in header_values else None,
-            *_decode_limit(headers) if _LIMIT_HEADER in header_values else (None, ()),
+            **_decode_signals(headers, header_values),
         )
         return answer, header_values.get(_REQUEST_ID_HEADER, b"").decode("latin-1")
 
@@ -219,14 +223,54 @@
     return get_http_status(code)
 
 
-def _decode_limit(
-    headers: Iterable[tuple[bytes, bytes]],
-) -> tuple[float | None, tuple[str, ...]]:
-    """Return the limit that the headers name, and the name of the header if it is malformed."""
-    values = [value.strip() for name, value in headers if name == _LIMIT_HEADER]
-    if len(values) == 1 and _LIMIT_VALUE.fullmatch(values[0]):
-        return float(values[0]), ()
-    return None, (_LIMIT_HEADER.decode(),)
+SignalDecoder = Callable[[list[bytes]], dict[str, Any]]
+_SIGNAL_DECODERS: dict[bytes, SignalDecoder] = {}
+
+
+def _decodes_signal(name: bytes) -> Callable[[SignalDecoder], SignalDecoder]:
+    """Register the decoder of a header in which a server states what it wants.
+
+    A decoder is called with the values of the header, without spaces around them. It returns
+    fields of :class:`ServerAnswer`, or raises ``ValueError`` if the values can't be used.
+    """
+
+    def decorate(function: SignalDecoder) -> SignalDecoder:
+        _SIGNAL_DECODERS[name] = function
+        return function
+
+    return decorate
+
+
+def _decode_signals(
+    headers: Iterable[tuple[bytes, bytes]], header_values: Mapping[bytes, bytes]
+) -> dict[str, Any]:
+    """Return the fields of an answer in which its server states what it wants."""
+    fields: dict[str, Any] = {}
+    if _SIGNAL_DECODERS.keys().isdisjoint(header_values):
+        return fields
+    malformed = []
+    for name, decode in _SIGNAL_DECODERS.items():
+        if name not in header_values:
+            continue
+        try:
+            fields |= decode([value.strip() for other, value in headers if other == name])
+        except ValueError:
+            malformed.append(name.decode())
+    return fields | {"malformed_headers": tuple(malformed)}
+
+
+@_decodes_signal(_LIMIT_HEADER)
+def _decode_limit(values: list[bytes]) -> dict[str, Any]:
+    if len(values) != 1 or not _LIMIT_VALUE.fullmatch(values[0]):
+        raise ValueError(f"{values} is not one decimal number")
+    return {"limit_per_second": float(values[0])}
+
+
+@_decodes_signal(_LEAVING_HEADER)
+def _decode_leaving(values: list[bytes]) -> dict[str, Any]:
+    if set(values) != {_LEAVING_VALUE}:
+        raise ValueError(f"{values} is not {_LEAVING_VALUE}")
+    return {"leaving": True}
 
 
 def _decode_load(headers: Iterable[tuple[bytes, bytes]]) -> LoadReport | None:
--- /dev/null
+++ b/mimosapost/platform/tests/test_server_signals.py
@@ -0,0 +1,73 @@
+"""Checks what servers ask for in the headers of their answers, from the bytes to the log."""
+
+from __future__ import annotations
+
+import pytest
+from aiohttp import web
+
+from mimosapost.platform.http_codec import PlatformCodec
+from mimosapost.platform.tests.test_end_to_end import run_relay
+
+CODEC = PlatformCodec()
+LEAVING = (b"server-leaving", b"1")
+
+
+def add_headers(server, headers, status=200):
+    """Let a server answer with a status and further headers."""
+
+    async def respond(request):
+        seal = f"{server.server_id}.{request.headers['X-Request-Id']}"
+        record = server.server_id.encode().ljust(16, b".")
+        return web.Response(
+            status=status, body=record, headers={"X-Response-Seal": seal} | headers
+        )
+
+    server.respond = respond
+
+
+@pytest.mark.parametrize(
+    ("headers", "leaving", "malformed"),
+    [
+        pytest.param([], False, (), id="none"),
+        pytest.param([LEAVING], True, (), id="leaving"),
+        pytest.param([(b"server-leaving", b" 1 ")], True, (), id="spaces"),
+        pytest.param([LEAVING, LEAVING], True, (), id="twice the same"),
+        *(
+            pytest.param(
+                [(b"server-leaving", value)], False, ("server-leaving",), id=repr(value)
+            )
+            for value in (
+                b"",
+                b"0",
+                b"2",
+                b"-1",
+                b"1.0",
+                b"11",
+                b"true",
+                b"yes",
+                b"1,1",
+                b"\xb9",
+            )
+        ),
+        pytest.param(
+            [LEAVING, (b"server-leaving", b"0")], False, ("server-leaving",), id="both"
+        ),
+        pytest.param(
+            [LEAVING, (b"server-limit", b"many")], True, ("server-limit",), id="other header"
+        ),
+    ],
+)
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+def test_only_the_stated_value_shows_that_a_server_leaves(status, headers, leaving, malformed):
+    answer, _ = CODEC.decode_answer(status, headers, b"")
+    assert (answer.leaving, answer.malformed_headers) == (leaving, malformed)
+
+
+async def test_the_log_tells_when_a_server_first_said_that_it_leaves():
+    async with run_relay() as relay:
+        for server in relay.servers.values():
+            add_headers(server, {"Server-Leaving": "1"})
+        assert (await relay.send_request("/order/x")).status == 200
+        (line,) = [line for line in relay.log.getvalue().splitlines() if "leaving" in line]
+        for field in ('event="server_leaving"', 'request="id/order/x"', "draining=false"):
+            assert field in line
--- a/mimosapost/relay/messages.py
+++ b/mimosapost/relay/messages.py
@@ -117,6 +117,7 @@
     :param closing: whether the server asked to close the connection.
     :param limit_per_second: requests per second that the server takes from all instances
         together; ``None`` if it names no limit.
+    :param leaving: whether the server states that it will end and wants no further requests.
     :param malformed_headers: names of headers that were ignored because of their values.
     """
 
@@ -129,6 +130,7 @@
     closing: bool = False
     load: LoadReport | None = None
     limit_per_second: float | None = None
+    leaving: bool = False
     malformed_headers: tuple[str, ...] = ()
 
 
--- a/mimosapost/relay/rate_limits.py
+++ b/mimosapost/relay/rate_limits.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection
 
 from mimosapost.limits.rates import SendRate
-from mimosapost.model.effects import IncrementCounter, WriteLog
+from mimosapost.model.effects import WriteLog
 from mimosapost.relay.messages import ServerAnswer
 from mimosapost.relay.registry import Effects
 from mimosapost.relay.server_selection import ServerRecord
@@ -39,12 +39,6 @@
 ) -> None:
     """Record the limit that a server names in an answer, or that it names none any more."""
     record = send.record
-    for name in answer.malformed_headers:
-        fields = (("server", record.server.server_id), ("header", name))
-        effects.append(WriteLog("answer_header_malformed", fields))
-        labels = (("header", name),)
-        metric = "mimosapost_relay_malformed_headers_total"
-        effects.append(IncrementCounter(metric, labels))
     limit = answer.limit_per_second
     if limit is None:
         # An answer to an earlier send may have been written before the limit was named.
--- a/mimosapost/relay/send_outcomes.py
+++ b/mimosapost/relay/send_outcomes.py
@@ -18,7 +18,6 @@
 from mimosapost.relay.events import AnswerArrived, ExchangeFailed, ProbeEnded, ProbeOutcome
 from mimosapost.relay.messages import ServerAnswer
 from mimosapost.relay.paced_servers import observe_answer, observe_failure
-from mimosapost.relay.rate_limits import record_named_limit
 from mimosapost.relay.record_merge import RECORD_BYTES, merge_records
 from mimosapost.relay.registry import Effects, TimerKind, handles, handles_timer
 from mimosapost.relay.sends import (
@@ -37,6 +36,7 @@
     record_success,
 )
 from mimosapost.relay.shortage import record_answer, record_rejection
+from mimosapost.relay.signal_recording import record_signals
 from mimosapost.relay.state import OpenRequest, OpenSend, Part, RelayState
 from mimosapost.relay.trials import start_parts_after_trial
 
@@ -76,7 +76,7 @@
         record.misdirected = True
         _log_server(effects, "server_misdirected", send, answer.status)
     else:
-        record_named_limit(state, send, answer, now_us, effects)
+        record_signals(state, send, answer, now_us, effects)
     if answer.not_run:
         if not answer.misdirected:
             record_survival(state, send)
--- a/mimosapost/relay/server_selection.py
+++ b/mimosapost/relay/server_selection.py
@@ -16,6 +16,7 @@
 from mimosapost.relay.messages import BackendServer, LoadReport
 from mimosapost.relay.pace import Pace, list_withheld
 from mimosapost.relay.server_loads import get_extra_work_us
+from mimosapost.relay.server_signals import NO_SIGNALS, ServerSignals
 
 __all__ = [
     "ServerRecord",
@@ -95,6 +96,7 @@
         whole share.
     :param pace_ended_us: time of the evidence that ended the last pace; 0 if there was none.
     :param noted_share: share that other instances were last told, or told this one.
+    :param signals: what the server has asked for in its answers.
     """
 
     server: BackendServer
@@ -123,6 +125,7 @@
     pace_ended_us: int = 0
     noted_share: float = 1.0
     misdirected: bool = False
+    signals: ServerSignals = NO_SIGNALS
 
     def is_blocked(self, now_us: int) -> bool:
         """Return whether the server receives no sends because it was unreachable lately."""
--- /dev/null
+++ b/mimosapost/relay/signal_recording.py
@@ -0,0 +1,73 @@
+"""Recording of the signals that servers give in their answers.
+
+Load pattern: the source of the server list turns an instance away for seconds while a server
+leaves. The answers of that server are then the only notice that the instance gets before the
+server ends with all requests that it has open.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from mimosapost.model.effects import IncrementCounter, WriteLog
+from mimosapost.relay.messages import ServerAnswer
+from mimosapost.relay.rate_limits import record_named_limit
+from mimosapost.relay.registry import Effects
+from mimosapost.relay.state import OpenSend, RelayState
+
+__all__ = ["record_signals"]
+
+
+def record_signals(
+    state: RelayState, send: OpenSend, answer: ServerAnswer, now_us: int, effects: Effects
+) -> None:
+    """Record what a server asks for in an answer to a send.
+
+    The answer of another server, which now uses the address, must not be passed in.
+    """
+    for name in answer.malformed_headers:
+        fields = (("server", send.record.server.server_id), ("header", name))
+        effects.append(WriteLog("answer_header_malformed", fields))
+        labels = (("header", name),)
+        metric = "mimosapost_relay_malformed_headers_total"
+        effects.append(IncrementCounter(metric, labels))
+    record_named_limit(state, send, answer, now_us, effects)
+    if answer.leaving:
+        _record_leaving(state, send, now_us, effects)
+
+
+def _record_leaving(state: RelayState, send: OpenSend, now_us: int, effects: Effects) -> None:
+    record = send.record
+    is_new = record.signals.leaving_us is None
+    record.signals = replace(record.signals, leaving_us=now_us)
+    if not is_new:
+        return
+    _log_signal(state, send, "server_leaving", now_us, effects)
+    _count(effects, "leaving")
+
+
+def _log_signal(
+    state: RelayState,
+    send: OpenSend,
+    event: str,
+    now_us: int,
+    effects: Effects,
+    details: tuple[tuple[str, str | int], ...] = (),
+) -> None:
+    server = send.record.server
+    open_request = state.requests.get(send.request_number)
+    lost_us = state.source_lost_us
+    fields = (
+        ("server", server.server_id),
+        ("service", server.service),
+        ("request", open_request.request.request_id if open_request is not None else ""),
+        ("draining", server.draining),
+        ("source_lost_ms", (now_us - lost_us) // 1_000 if lost_us else 0),
+        ("open_sends", len(send.record.open_sends)),
+    )
+    effects.append(WriteLog(event, fields + details))
+
+
+def _count(effects: Effects, signal: str) -> None:
+    labels = (("signal", signal),)
+    effects.append(IncrementCounter("mimosapost_relay_server_signals_total", labels))
--- a/mimosapost/relay/state_copies.py
+++ b/mimosapost/relay/state_copies.py
@@ -14,6 +14,7 @@
 from mimosapost.core.timers import Timers
 from mimosapost.relay.messages import BackendServer, LoadReport
 from mimosapost.relay.server_selection import ServerRecord
+from mimosapost.relay.server_signals import ServerSignals
 from mimosapost.relay.state import RelayState
 
 __all__ = ["copy_state"]
@@ -40,7 +41,17 @@
 _FLAT = frozenset(("open_sends",))
 _RECORD_NAMES = tuple(field.name for field in fields(ServerRecord))
 # Types whose values never change.
-_IMMUTABLE = (int, float, str, bytes, frozenset, type(None), BackendServer, LoadReport)
+_IMMUTABLE = (
+    int,
+    float,
+    str,
+    bytes,
+    frozenset,
+    type(None),
+    BackendServer,
+    LoadReport,
+    ServerSignals,
+)
 
 
 def copy_state(state: RelayState) -> RelayState:
