Send nothing to a server that has said that it leaves (DRAIN)

Cause: eligibility rested on the source's entry alone. The answers of the server said that it leaves, and nothing read that.

Waiting parts are tried again at once. A word that the source contradicts for a minute lapses, so that a false one takes no sound server out for good.

--- a/mimosapost/platform/tests/test_server_signals.py
+++ b/mimosapost/platform/tests/test_server_signals.py
@@ -71,3 +71,30 @@
         (line,) = [line for line in relay.log.getvalue().splitlines() if "leaving" in line]
         for field in ('event="server_leaving"', 'request="id/order/x"', "draining=false"):
             assert field in line
+
+
+@pytest.mark.parametrize("status", [200, 404, 500])
+async def test_a_server_that_leaves_gets_no_requests_while_the_store_is_away(status):
+    async with run_relay() as relay:
+        relay.store.mode = "busy"
+        server = relay.servers["s0-a1"]
+        add_headers(server, {"Server-Leaving": "1"}, status)
+        assert (await relay.send_request("/order/x")).status == status
+        count = len(server.requests)
+        for number in range(5):
+            assert (await relay.send_request(f"/order/{number}")).status == 200
+            assert (await relay.send_request(f"/search/{number}")).status == 200
+        assert len(server.requests) == count
+        assert len(relay.servers["s0-b1"].requests) >= 10
+
+
+async def test_callers_are_refused_at_once_if_all_servers_leave():
+    async with run_relay() as relay:
+        for name in ("s0-a1", "s0-b1"):
+            add_headers(relay.servers[name], {"Server-Leaving": "1"})
+        for _ in range(2):
+            assert (await relay.send_request("/order/x")).status == 200
+        response = await relay.send_request("/order/y")
+        assert response.status == 503
+        assert float(response.headers["Retry-After"]) > 0
+        assert (await relay.send_request("/search/y")).headers["X-Missing-Parts"] == "1"
--- a/mimosapost/relay/explanations.py
+++ b/mimosapost/relay/explanations.py
@@ -382,6 +382,10 @@
 # no warm one has room, and a busy one is left to a suspect only where no other is idle.
 _REASONS: tuple[tuple[str, Reason], ...] = (
     ("draining", lambda _state, _request, record, _now: record.server.draining),
+    (
+        "leaving",
+        lambda _state, _request, record, _now: record.signals.leaving_us is not None,
+    ),
     ("misdirected", lambda _state, _request, record, _now: record.misdirected),
     (
         "domain_out",
--- a/mimosapost/relay/registry.py
+++ b/mimosapost/relay/registry.py
@@ -49,6 +49,7 @@
     REWOUND = 19
     LIMIT = 20
     REWOUND_DOMAINS = 21
+    LEAVING = 22
 
 
 _EVENT_HANDLERS: dict[type[Event], Callable[..., None]] = {}
--- a/mimosapost/relay/retry_after.py
+++ b/mimosapost/relay/retry_after.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from mimosapost.relay.eligibility import is_leaving
 from mimosapost.relay.rate_limits import get_rate_wait_us
 from mimosapost.relay.return_times import MAX_RETURN_SHARE
 from mimosapost.relay.state import OpenRequest, RelayState
@@ -55,7 +56,7 @@
         for record in records:
             if record.is_blocked(now_us):
                 waits.append(record.blocked_until_us - now_us)
-            elif not record.server.draining:
+            elif not is_leaving(record):
                 pool = state.get_pools(open_request.route)[record.distance]
                 queued = len(record.open_sends) / max(1, record.server.slots)
                 waits.append(pool.median_us * queued)
--- a/mimosapost/relay/service_discovery.py
+++ b/mimosapost/relay/service_discovery.py
@@ -5,6 +5,7 @@
 from mimosapost.model.effects import IncrementCounter, WriteLog
 from mimosapost.relay.crashes import RESTART_WINDOW_US, record_crash
 from mimosapost.relay.effects import ForgetServer
+from mimosapost.relay.eligibility import is_leaving
 from mimosapost.relay.events import (
     CatalogRead,
     DomainsOut,
@@ -238,7 +239,7 @@
     regained_us = now_us if state.source_lost_us else state.source_regained_us
     due_us = regained_us + RELIST_GRACE_US
     source_unavailable = state.source_lost_us or (state.source_regained_us and now_us < due_us)
-    if not source_unavailable or state.servers[server_id].server.draining:
+    if not source_unavailable or is_leaving(state.servers[server_id]):
         record_removed(state.rewound, state.servers[server_id].server, now_us)
         _drop_server(state, server_id, reason, effects)
         return
--- a/mimosapost/relay/signal_recording.py
+++ b/mimosapost/relay/signal_recording.py
@@ -12,11 +12,15 @@
 from mimosapost.model.effects import IncrementCounter, WriteLog
 from mimosapost.relay.messages import ServerAnswer
 from mimosapost.relay.rate_limits import record_named_limit
-from mimosapost.relay.registry import Effects
+from mimosapost.relay.registry import Effects, TimerKind, handles_timer
 from mimosapost.relay.state import OpenSend, RelayState
 
 __all__ = ["record_signals"]
 
+# Time for which the source lists a server as ready after which its answer counts as false.
+# Servers change or remove their entries when they begin to leave, and end within seconds.
+_CONTRADICTED_US = 60_000_000
+
 
 def record_signals(
     state: RelayState, send: OpenSend, answer: ServerAnswer, now_us: int, effects: Effects
@@ -44,6 +48,39 @@
         return
     _log_signal(state, send, "server_leaving", now_us, effects)
     _count(effects, "leaving")
+    # Parts that wait for this server would wait until their deadline if it was the last one.
+    state.services_to_dispatch.add(record.server.service)
+    _schedule_check(state, record.server.server_id, now_us + _CONTRADICTED_US)
+
+
+def _schedule_check(state: RelayState, server_id: str, due_us: int) -> None:
+    key, state.next_timer_key = state.next_timer_key, state.next_timer_key + 1
+    state.leaving_checks[key] = server_id
+    state.timers.add(due_us, TimerKind.LEAVING, key)
+
+
+@handles_timer(TimerKind.LEAVING)
+def check_leaving(state: RelayState, key: int, now_us: int, effects: Effects) -> None:
+    """Use a server again that the source still lists as ready long after its answer.
+
+    A false answer must not take a sound server out for good.
+    """
+    server_id = state.leaving_checks.pop(key)
+    record = state.servers.get(server_id)
+    if record is None or record.signals.leaving_us is None:
+        return
+    due_us = max(record.signals.leaving_us, state.source_regained_us) + _CONTRADICTED_US
+    if state.source_lost_us or record.server.draining:
+        due_us = now_us + _CONTRADICTED_US
+    if now_us < due_us:
+        _schedule_check(state, server_id, due_us)
+        return
+    age_ms = (now_us - record.signals.leaving_us) // 1_000
+    record.signals = replace(record.signals, leaving_us=None)
+    fields = (("server", server_id), ("service", record.server.service), ("age_ms", age_ms))
+    effects.append(WriteLog("server_leaving_contradicted", fields))
+    _count(effects, "contradicted")
+    state.services_to_dispatch.add(record.server.service)
 
 
 def _log_signal(
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -362,6 +362,8 @@
     :param parts_to_retry: parts that wait for a delayed retry, by timer key.
     :param pending_removals: servers that are removed unless they are listed again, by timer
         key.
+    :param leaving_checks: servers that said that they leave, and are used again if the source
+        contradicts them, by timer key.
     :param rewound: what is known beyond a source that returned from an older copy.
     :param source_lost_us: time at which the source was lost, or 0 if it is reachable.
     :param source_regained_us: time at which the source last recovered, or 0.
@@ -412,6 +414,7 @@
     parts_to_retry: dict[int, tuple[int, Part]] = field(default_factory=dict)
     suspects: SuspectTracker = field(default_factory=SuspectTracker)
     pending_removals: dict[int, str] = field(default_factory=dict)
+    leaving_checks: dict[int, str] = field(default_factory=dict)
     rewound: RewoundSource = field(default_factory=RewoundSource)
     source_lost_us: int = 0
     source_regained_us: int = 0
