Keep what a server process has said when its entry lapses (DRAIN)

What callers would see: a server that leaves gets requests again when its entry lapsed or was removed and the same process is listed again, as after a loss of the source.

Cause: the signals ended with the record of the entry.

Change: signals of dropped servers are kept by id with the start of the process and restored for the same process only.

Measured: test_a_process_that_is_listed_again_is_still_leaving failed in both cases before (the server was used), and passes.

--- a/mimosapost/relay/service_discovery.py
+++ b/mimosapost/relay/service_discovery.py
@@ -29,6 +29,7 @@
     record_removed,
 )
 from mimosapost.relay.server_selection import ServerRecord
+from mimosapost.relay.signal_recording import keep_signals, restore_signals
 from mimosapost.relay.state import RelayState
 from mimosapost.relay.workspaces import report_workspace_faults, update_open_requests
 
@@ -208,6 +209,7 @@
             instance_settings.domain, instance_settings.region, server.domain, region
         )
         record = ServerRecord(server, distance, region)
+        restore_signals(state, record, now_us)
         state.servers[server.server_id] = record
         state.by_service.setdefault(server.service, []).append(record)
         _log_server(effects, "server_listed", server, "new")
@@ -270,6 +272,7 @@
     if not state.by_service[service]:
         del state.by_service[service]
     state.cold_rates.pop(server_id, None)
+    keep_signals(state, record)
     _log_server(effects, "server_dropped", record.server, reason)
     effects.append(ForgetServer(server_id))
 
--- a/mimosapost/relay/signal_recording.py
+++ b/mimosapost/relay/signal_recording.py
@@ -13,13 +13,17 @@
 from mimosapost.relay.messages import ServerAnswer
 from mimosapost.relay.rate_limits import record_named_limit
 from mimosapost.relay.registry import Effects, TimerKind, handles_timer
+from mimosapost.relay.server_selection import ServerRecord
+from mimosapost.relay.server_signals import NO_SIGNALS
 from mimosapost.relay.state import OpenSend, RelayState
 
-__all__ = ["record_signals"]
+__all__ = ["keep_signals", "record_signals", "restore_signals"]
 
 # Time for which the source lists a server as ready after which its answer counts as false.
 # Servers change or remove their entries when they begin to leave, and end within seconds.
 _CONTRADICTED_US = 60_000_000
+# Number of dropped servers whose signals are kept.
+_MAX_DROPPED = 1_000
 
 
 def record_signals(
@@ -65,7 +69,7 @@
 
     A false answer must not take a sound server out for good.
     """
-    server_id = state.leaving_checks.pop(key)
+    server_id = state.leaving_checks.pop(key, "")
     record = state.servers.get(server_id)
     if record is None or record.signals.leaving_us is None:
         return
@@ -83,6 +87,34 @@
     state.services_to_dispatch.add(record.server.service)
 
 
+def keep_signals(state: RelayState, record: ServerRecord) -> None:
+    """Keep the signals of a server that is dropped, in case its process is listed again.
+
+    Entries lapse while the source is away, and come back although the process has not changed.
+    """
+    server = record.server
+    state.leaving_checks = {
+        key: name for key, name in state.leaving_checks.items() if name != server.server_id
+    }
+    if record.signals == NO_SIGNALS or not server.process_started_ms:
+        return
+    state.dropped_signals.pop(server.server_id, None)
+    state.dropped_signals[server.server_id] = (server.process_started_ms, record.signals)
+    if len(state.dropped_signals) > _MAX_DROPPED:
+        del state.dropped_signals[next(iter(state.dropped_signals))]
+
+
+def restore_signals(state: RelayState, record: ServerRecord, now_us: int) -> None:
+    """Restore the signals of a server whose process was dropped and is listed again."""
+    server = record.server
+    started_ms, signals = state.dropped_signals.pop(server.server_id, (0, NO_SIGNALS))
+    if not 0 < started_ms == server.process_started_ms:
+        return
+    record.signals = signals
+    if signals.leaving_us is not None:
+        _schedule_check(state, server.server_id, now_us + _CONTRADICTED_US)
+
+
 def _log_signal(
     state: RelayState,
     send: OpenSend,
--- a/mimosapost/relay/state.py
+++ b/mimosapost/relay/state.py
@@ -23,6 +23,7 @@
 from mimosapost.relay.rewound_source import RewoundSource
 from mimosapost.relay.room import RoomTable
 from mimosapost.relay.server_selection import ServerRecord
+from mimosapost.relay.server_signals import ServerSignals
 from mimosapost.relay.weighted_round_robin import WeightedRoundRobin
 from mimosapost.suspects.tracker import SuspectTracker
 
@@ -364,6 +365,7 @@
         key.
     :param leaving_checks: servers that said that they leave, and are used again if the source
         contradicts them, by timer key.
+    :param dropped_signals: process start and signals of dropped servers, by id, oldest first.
     :param rewound: what is known beyond a source that returned from an older copy.
     :param source_lost_us: time at which the source was lost, or 0 if it is reachable.
     :param source_regained_us: time at which the source last recovered, or 0.
@@ -415,6 +417,7 @@
     suspects: SuspectTracker = field(default_factory=SuspectTracker)
     pending_removals: dict[int, str] = field(default_factory=dict)
     leaving_checks: dict[int, str] = field(default_factory=dict)
+    dropped_signals: dict[str, tuple[int, ServerSignals]] = field(default_factory=dict)
     rewound: RewoundSource = field(default_factory=RewoundSource)
     source_lost_us: int = 0
     source_regained_us: int = 0
--- a/mimosapost/relay/tests/test_server_signals.py
+++ b/mimosapost/relay/tests/test_server_signals.py
@@ -214,6 +214,29 @@
     assert list_used(relay) == {"one-1"}
 
 
+@pytest.mark.parametrize("change", [relist, lose_entry])
+def test_a_process_that_is_listed_again_is_still_leaving(change):
+    relay = create_single_relay()
+    list_again(relay, process_started_ms=7)
+    send_to_server(relay, leaving=True)
+    change(relay)
+    assert list_used(relay) == {"one-1"}
+    relay.advance(MINUTE_MS)
+    assert list_used(relay) == {"one-0", "one-1"}, "the source has contradicted it"
+
+
+def test_signals_of_dropped_servers_take_bounded_memory():
+    relay = create_single_relay(("a1",))
+    for number in range(1_010):
+        server = find_server(relay, server_id=f"one-{number}-new", process_started_ms=7)
+        relay.apply_event(ServerListed(relay.now_us, server))
+        send_to_server(relay, server.server_id, leaving=True)
+        relay.apply_event(ServerUnlisted(relay.now_us, server.server_id, "removed"))
+        relay.effects.clear()
+    assert len(relay.state.dropped_signals) == 1_000
+    assert not relay.state.leaving_checks
+
+
 @pytest.mark.parametrize("started_ms", [0, 7])
 @pytest.mark.parametrize("change", [list_again, relist, lose_entry])
 def test_a_new_process_may_be_used_whatever_the_earlier_one_said(change, started_ms):
