Send nothing to a server before the end of the pause that it asks for (BUDGET)

What callers saw: where all servers of a service rejected requests with 503 and Retry-After, further requests were sent to them and rejected, and callers were told to come back within 1.5 s, however long the pause was.

Cause: as for servers that leave, the header was not read.

Change: a pause is a limit of nothing until its end and takes the way of named limits: may_send denies it, so that first sends, hedges, repeats, cold sends and gathers choose other servers, and parts wait for a short one or fail at once. Retry-After to callers covers the first pause that ends. Values that are no number of seconds above 0 and up to 300 are ignored and counted.

--- a/mimosapost/platform/http_codec.py
+++ b/mimosapost/platform/http_codec.py
@@ -67,6 +67,13 @@
 # Whether the server will end soon and wants no further requests.
 _LEAVING_HEADER = b"server-leaving"
 _LEAVING_VALUE = b"1"
+# Time in seconds for which a server that answers with status 503 wants no further requests of
+# this instance.
+_PAUSE_HEADER = b"retry-after"
+_PAUSE_VALUE = _LIMIT_VALUE
+_PAUSE_STATUS = 503
+# A longer pause counts as malformed, because it would take a server out that is well again.
+_MAX_PAUSE_SECONDS = 300
 _NOT_FORWARDED = _HOP_BY_HOP.union((_LOAD_HEADER, _LIMIT_HEADER))
 _MISDIRECTED_STATUS = 421
 _DEFAULT_REMAINING_MS = 10_000
@@ -191,7 +198,7 @@
             misdirected,
             b"close" in header_values.get(b"connection", b"").lower(),
             _decode_load(headers) if _LOAD_HEADER in header_values else None,
-            **_decode_signals(headers, header_values),
+            **_decode_signals(status, headers, header_values),
         )
         return answer, header_values.get(_REQUEST_ID_HEADER, b"").decode("latin-1")
 
@@ -223,15 +230,16 @@
     return get_http_status(code)
 
 
-SignalDecoder = Callable[[list[bytes]], dict[str, Any]]
+SignalDecoder = Callable[[int, list[bytes]], dict[str, Any]]
 _SIGNAL_DECODERS: dict[bytes, SignalDecoder] = {}
 
 
 def _decodes_signal(name: bytes) -> Callable[[SignalDecoder], SignalDecoder]:
     """Register the decoder of a header in which a server states what it wants.
 
-    A decoder is called with the values of the header, without spaces around them. It returns
-    fields of :class:`ServerAnswer`, or raises ``ValueError`` if the values can't be used.
+    A decoder is called with the status of the answer and the values of the header, without
+    spaces around them. It returns fields of :class:`ServerAnswer`, or raises ``ValueError`` if
+    the values can't be used.
     """
 
     def decorate(function: SignalDecoder) -> SignalDecoder:
@@ -242,7 +250,7 @@
 
 
 def _decode_signals(
-    headers: Iterable[tuple[bytes, bytes]], header_values: Mapping[bytes, bytes]
+    status: int, headers: Iterable[tuple[bytes, bytes]], header_values: Mapping[bytes, bytes]
 ) -> dict[str, Any]:
     """Return the fields of an answer in which its server states what it wants."""
     fields: dict[str, Any] = {}
@@ -253,26 +261,39 @@
         if name not in header_values:
             continue
         try:
-            fields |= decode([value.strip() for other, value in headers if other == name])
+            values = [value.strip() for other, value in headers if other == name]
+            fields |= decode(status, values)
         except ValueError:
             malformed.append(name.decode())
     return fields | {"malformed_headers": tuple(malformed)}
 
 
 @_decodes_signal(_LIMIT_HEADER)
-def _decode_limit(values: list[bytes]) -> dict[str, Any]:
+def _decode_limit(_status: int, values: list[bytes]) -> dict[str, Any]:
     if len(values) != 1 or not _LIMIT_VALUE.fullmatch(values[0]):
         raise ValueError(f"{values} is not one decimal number")
     return {"limit_per_second": float(values[0])}
 
 
 @_decodes_signal(_LEAVING_HEADER)
-def _decode_leaving(values: list[bytes]) -> dict[str, Any]:
+def _decode_leaving(_status: int, values: list[bytes]) -> dict[str, Any]:
     if set(values) != {_LEAVING_VALUE}:
         raise ValueError(f"{values} is not {_LEAVING_VALUE}")
     return {"leaving": True}
 
 
+@_decodes_signal(_PAUSE_HEADER)
+def _decode_pause(status: int, values: list[bytes]) -> dict[str, Any]:
+    if status != _PAUSE_STATUS:
+        return {}
+    if len(values) != 1 or not _PAUSE_VALUE.fullmatch(values[0]):
+        raise ValueError(f"{values} is not one decimal number")
+    seconds = float(values[0])
+    if not 0 < seconds <= _MAX_PAUSE_SECONDS:
+        raise ValueError(f"{seconds} is not above 0 and at most {_MAX_PAUSE_SECONDS}")
+    return {"pause_us": int(seconds * 1e6)}
+
+
 def _decode_load(headers: Iterable[tuple[bytes, bytes]]) -> LoadReport | None:
     """Return the load that the headers report; the last one counts if there are several.
 
--- a/mimosapost/relay/explanations.py
+++ b/mimosapost/relay/explanations.py
@@ -20,7 +20,7 @@
 from mimosapost.relay.latency_pools import LatencyPool
 from mimosapost.relay.messages import GatheredReply, Refusal, RelayRequest
 from mimosapost.relay.partners import list_linked_domains
-from mimosapost.relay.rate_limits import may_send
+from mimosapost.relay.rate_limits import is_paused, may_send
 from mimosapost.relay.sends import can_start, is_restricted, list_warm
 from mimosapost.relay.server_selection import ServerRecord, estimate_us
 from mimosapost.relay.state import OpenRequest, Part, RelayState
@@ -395,9 +395,12 @@
     ("region", _is_outside),
     ("cold", _is_cold),
     ("reserved", lambda _state, _request, record, now_us: record.reserved_until_us > now_us),
+    ("paused", lambda _state, _request, record, now_us: is_paused(record, now_us)),
     (
         "named_limit",
-        lambda state, _request, record, now_us: not may_send(state, record, now_us),
+        lambda state, _request, record, now_us: (
+            not is_paused(record, now_us) and not may_send(state, record, now_us)
+        ),
     ),
     (
         "busy_for_suspect",
--- a/mimosapost/relay/messages.py
+++ b/mimosapost/relay/messages.py
@@ -118,6 +118,8 @@
     :param limit_per_second: requests per second that the server takes from all instances
         together; ``None`` if it names no limit.
     :param leaving: whether the server states that it will end and wants no further requests.
+    :param pause_us: time in microseconds for which the server wants no requests of this
+        instance; 0 if it asks for no pause.
     :param malformed_headers: names of headers that were ignored because of their values.
     """
 
@@ -131,6 +133,7 @@
     load: LoadReport | None = None
     limit_per_second: float | None = None
     leaving: bool = False
+    pause_us: int = 0
     malformed_headers: tuple[str, ...] = ()
 
 
--- a/mimosapost/relay/rate_limits.py
+++ b/mimosapost/relay/rate_limits.py
@@ -1,7 +1,8 @@
 """Limits on the rate of sends to a server: of a cold server, and named by the server itself.
 
 Both hold for all instances together. Instances see only their own sends, so each one uses its
-share of the limit. Load that does not fit goes to other servers.
+share of the limit. Load that does not fit goes to other servers. A pause that a server asks
+this instance for is a limit of nothing until its end.
 """
 
 from __future__ import annotations
@@ -17,7 +18,9 @@
 
 __all__ = [
     "ASSUMED_INSTANCES",
+    "get_pause_us",
     "get_rate_wait_us",
+    "is_paused",
     "may_send",
     "record_named_limit",
     "take_cold_send",
@@ -59,8 +62,24 @@
     record.named_limit, record.limit_heard_us = limit, now_us
 
 
+def is_paused(record: ServerRecord, now_us: int) -> bool:
+    """Return whether a server has asked this instance for a pause that has not ended."""
+    return now_us < record.signals.paused_until_us
+
+
+def get_pause_us(records: Collection[ServerRecord], now_us: int) -> int:
+    """Return the time until the first pause of some servers ends, in microseconds.
+
+    :returns: 0 if there is no server, or if one of them does not pause.
+    """
+    until_us = min((record.signals.paused_until_us for record in records), default=now_us)
+    return max(0, until_us - now_us)
+
+
 def may_send(state: RelayState, record: ServerRecord, now_us: int) -> bool:
-    """Return whether the limit that a server names allows a send of this instance now."""
+    """Return whether pause and limit of a server allow a send of this instance now."""
+    if is_paused(record, now_us):
+        return False
     return record.named_limit is None or not _get_wait_us(state, record, now_us)
 
 
@@ -76,12 +95,15 @@
     """Return the time until one of some servers allows another send of this instance.
 
     :param queued: number of sends that wait for the same servers.
-    :returns: time in microseconds, or ``None`` if a server has no limit or allows a send.
+    :returns: time in microseconds, or ``None`` if a server allows a send now.
     """
     if not records or any(may_send(state, record, now_us) for record in records):
         return None
-    per_second = sum(_get_share(state, record) for record in records)
     first_us = min(_get_wait_us(state, record, now_us) for record in records)
+    if any(record.named_limit is None for record in records):
+        # The servers that only pause take all that waits.
+        return first_us
+    per_second = sum(_get_share(state, record) for record in records)
     return first_us + int(queued / per_second * 1e6)
 
 
@@ -101,7 +123,10 @@
 
 
 def _get_wait_us(state: RelayState, record: ServerRecord, now_us: int) -> int:
-    return record.send_rate.get_wait_us(_get_share(state, record), now_us)
+    pause_us = get_pause_us((record,), now_us)
+    if record.named_limit is None:
+        return pause_us
+    return max(pause_us, record.send_rate.get_wait_us(_get_share(state, record), now_us))
 
 
 def _get_share(state: RelayState, record: ServerRecord) -> float:
--- a/mimosapost/relay/retry_after.py
+++ b/mimosapost/relay/retry_after.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from mimosapost.relay.eligibility import is_leaving
-from mimosapost.relay.rate_limits import get_rate_wait_us
+from mimosapost.relay.rate_limits import get_pause_us, get_rate_wait_us
 from mimosapost.relay.return_times import MAX_RETURN_SHARE
 from mimosapost.relay.state import OpenRequest, RelayState
 
@@ -44,22 +44,25 @@
         times.
     """
     waits: list[float] = []
+    longest_us = _MAX_RETRY_AFTER_US
     for part in open_request.parts:
         if part.is_answered:
             continue
-        records = state.by_service.get(part.service, ())
+        records = [r for r in state.by_service.get(part.service, ()) if not is_leaving(r)]
         queued = len(state.waiting.get(part.service, ()))
         limited_us = get_rate_wait_us(state, records, queued, now_us)
         if limited_us is not None:
             waits.append(limited_us)
+            # A caller that came back before the end of a pause would be refused again.
+            longest_us = max(longest_us, get_pause_us(records, now_us))
             continue
         for record in records:
             if record.is_blocked(now_us):
                 waits.append(record.blocked_until_us - now_us)
-            elif not is_leaving(record):
+            else:
                 pool = state.get_pools(open_request.route)[record.distance]
                 queued = len(record.open_sends) / max(1, record.server.slots)
                 waits.append(pool.median_us * queued)
     wait_us = min(waits) if waits else NOT_CONFIGURED_RETRY_US
-    wait_us = min(max(wait_us, _MIN_RETRY_AFTER_US), _MAX_RETRY_AFTER_US)
+    wait_us = min(max(wait_us, _MIN_RETRY_AFTER_US), longest_us)
     return int(wait_us * (1 + _RETRY_JITTER * state.rng.random()))
--- a/mimosapost/relay/server_signals.py
+++ b/mimosapost/relay/server_signals.py
@@ -17,9 +17,12 @@
 
     :param leaving_us: monotonic time of the last answer that stated that the server is leaving,
         in microseconds; ``None`` if there was none.
+    :param paused_until_us: monotonic time until which the server wants no requests of this
+        instance, in microseconds.
     """
 
     leaving_us: int | None = None
+    paused_until_us: int = 0
 
 
 #: Signals of a server that has asked for nothing.
--- a/mimosapost/relay/signal_recording.py
+++ b/mimosapost/relay/signal_recording.py
@@ -11,7 +11,7 @@
 
 from mimosapost.model.effects import IncrementCounter, WriteLog
 from mimosapost.relay.messages import ServerAnswer
-from mimosapost.relay.rate_limits import record_named_limit
+from mimosapost.relay.rate_limits import is_paused, record_named_limit
 from mimosapost.relay.registry import Effects, TimerKind, handles_timer
 from mimosapost.relay.server_selection import ServerRecord
 from mimosapost.relay.server_signals import NO_SIGNALS
@@ -42,6 +42,22 @@
     record_named_limit(state, send, answer, now_us, effects)
     if answer.leaving:
         _record_leaving(state, send, now_us, effects)
+    if answer.pause_us:
+        _record_pause(state, send, answer.pause_us, now_us, effects)
+
+
+def _record_pause(
+    state: RelayState, send: OpenSend, pause_us: int, now_us: int, effects: Effects
+) -> None:
+    record = send.record
+    is_new = not is_paused(record, now_us)
+    until_us = max(record.signals.paused_until_us, now_us + pause_us)
+    record.signals = replace(record.signals, paused_until_us=until_us)
+    if is_new:
+        details = (("pause_ms", pause_us // 1_000),)
+        _log_signal(state, send, "server_paused", now_us, effects, details)
+        _count(effects, "paused")
+        state.services_to_dispatch.add(record.server.service)
 
 
 def _record_leaving(state: RelayState, send: OpenSend, now_us: int, effects: Effects) -> None:
--- a/mimosapost/relay/tests/test_server_signals.py
+++ b/mimosapost/relay/tests/test_server_signals.py
@@ -32,6 +32,7 @@
 )
 
 MINUTE_MS = 60_000
+SECOND_US = 1_000_000
 
 
 def send_alone(relay, server_id, path):
@@ -313,3 +314,132 @@
     (send,) = relay.pop_sends()
     relay.answer(send, leaving=True)
     assert isinstance(relay.get_reply(number), ForwardedReply)
+
+
+def reject(relay, server_id="one-0", pause_us=3 * SECOND_US, **changes):
+    """Let a server reject a request and ask for a pause."""
+    answer = {"status": 503, "not_run": True, "signature": "", "pause_us": pause_us}
+    send_to_server(relay, server_id, **(answer | changes))
+
+
+@pytest.mark.parametrize("pause_ms", [600, 3_000, 20_000])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param({}, id="rejection"),
+        pytest.param({"not_run": False, "signature": "sig"}, id="failure after a run"),
+    ],
+)
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_a_server_that_asks_for_a_pause_gets_no_sends_before_its_end(
+    repeatable, answer, pause_ms
+):
+    relay = create_single_relay(repeatable=repeatable)
+    reject(relay, pause_us=pause_ms * MS, **answer)
+    until_us = relay.now_us + pause_ms * MS
+    while relay.now_us < until_us - 300 * MS:
+        assert "one-0" not in list_used(relay)
+    relay.advance(400)
+    assert "one-0" in list_used(relay)
+
+
+def test_the_longest_pause_counts():
+    relay = create_single_relay()
+    reject(relay, pause_us=5 * SECOND_US)
+    first, second = relay.state.servers.values()
+    relay.advance(100)
+    assert not send_alone(relay, "one-0", "/look/x")
+    reject(relay, "one-1", pause_us=SECOND_US)
+    assert first.signals.paused_until_us > second.signals.paused_until_us
+    relay.advance(2_000)
+    assert list_used(relay) == {"one-1"}
+    relay.advance(3_000)
+    assert list_used(relay) == {"one-0", "one-1"}
+
+
+def test_an_answer_to_an_earlier_send_does_not_shorten_a_pause():
+    relay = create_single_relay(("a1",), slots=4, repeatable=False)
+    for _ in range(3):
+        relay.request("/look/x")
+    first, second, third = relay.pop_sends()
+    rejection = {"status": 503, "not_run": True, "signature": ""}
+    relay.answer(first, pause_us=5 * SECOND_US, **rejection)
+    relay.answer(second, pause_us=SECOND_US, **rejection)
+    relay.answer(third)
+    relay.advance(4_000)
+    assert list_used(relay) == set()
+    relay.advance(1_000)
+    assert list_used(relay) == {"one-0"}
+
+
+@pytest.mark.parametrize("pause_ms", [400, 900, 4_000])
+def test_requests_are_refused_at_once_until_the_first_pause_ends(pause_ms):
+    relay = create_single_relay(repeatable=False)
+    reject(relay, "one-0", pause_us=pause_ms * MS)
+    reject(relay, "one-1", pause_us=(pause_ms + 2_000) * MS)
+    number = relay.request("/look/x", deadline_ms=10_000)
+    refusal = relay.get_reply(number)
+    assert refusal.code is ResultCode.OVERLOADED
+    left_us = relay.state.servers["one-0"].signals.paused_until_us - relay.now_us
+    assert left_us <= refusal.retry_after_us <= 1.5 * left_us
+    relay.advance(refusal.retry_after_us / MS)
+    relay.request("/look/x")
+    (send,) = relay.pop_sends()
+    assert send.server.server_id == "one-0"
+
+
+def test_a_request_waits_for_a_short_pause():
+    relay = create_single_relay(("a1",), repeatable=False, goal_us=400 * MS)
+    reject(relay, pause_us=100 * MS)
+    number = relay.request("/look/x")
+    assert relay.get_reply(number) is None
+    relay.advance(90)
+    assert relay.pop_sends() == []
+    relay.advance(20)
+    sends = relay.pop_sends()
+    assert len(sends) == 2, "the request that was rejected has waited as well"
+    for send in sends:
+        relay.answer(send)
+    assert isinstance(relay.get_reply(number), ForwardedReply)
+
+
+def test_waiting_requests_are_refused_at_once_when_their_last_server_pauses():
+    relay = create_single_relay(("a1",), slots=1, repeatable=False)
+    numbers = [relay.request("/look/x") for _ in range(20)]
+    first, *sends = relay.pop_sends()
+    assert len(sends) + 1 < 20
+    relay.answer(first, status=503, not_run=True, signature="", pause_us=3 * SECOND_US)
+    assert relay.pop_sends() == []
+    refusals = [r for r in map(relay.get_reply, numbers) if r is not None]
+    assert len(refusals) == 20 - len(sends)
+    assert all(refusal.retry_after_us > 2 * SECOND_US for refusal in refusals)
+
+
+def test_hedges_and_repeats_avoid_a_server_that_pauses():
+    relay = create_gathered_relay()
+    relay.request()
+    rejected = relay.pop_sends()
+    rejection = {"status": 503, "not_run": True, "signature": "", "pause_us": 5 * SECOND_US}
+    for send in rejected:
+        relay.answer(send, **rejection)
+    paused = {send.server.server_id for send in rejected}
+    for _ in range(5):
+        relay.request()
+        relay.advance(90)
+        sends = relay.pop_sends()
+        assert sends
+        relay.fail(sends[0])
+        sends += relay.pop_sends()
+        assert not paused & {send.server.server_id for send in sends}
+        relay.advance(600)
+
+
+@pytest.mark.parametrize("change", [list_again, relist, lose_entry])
+def test_a_pause_holds_for_the_process_that_asked_for_it(change):
+    relay = create_single_relay()
+    list_again(relay, process_started_ms=7)
+    reject(relay, pause_us=20 * SECOND_US)
+    change(relay)
+    assert list_used(relay) == {"one-1"}
+    change(relay, process_started_ms=8)
+    assert "one-0" in list_used(relay)
