Keep the limit that a server process has named when its entry lapses (LIMIT)

What callers would see: nothing; a server in need gets requests beyond the limit that it named, when its entry lapsed and the same process is listed again.

Cause: the limit was a field of the record, which ends with the entry.

Change: the limit is one of the signals of the process, which are kept and restored. Three assertions of test_named_limits.py read it from there; they check the same values.

--- a/mimosapost/relay/rate_limits.py
+++ b/mimosapost/relay/rate_limits.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from dataclasses import replace
 
 from mimosapost.limits.rates import SendRate
 from mimosapost.model.effects import WriteLog
@@ -41,25 +42,26 @@
     state: RelayState, send: OpenSend, answer: ServerAnswer, now_us: int, effects: Effects
 ) -> None:
     """Record the limit that a server names in an answer, or that it names none any more."""
-    record = send.record
+    record, before = send.record, send.record.signals.limit_per_second
     limit = answer.limit_per_second
     if limit is None:
         # An answer to an earlier send may have been written before the limit was named.
-        is_older = send.sent_us <= record.limit_heard_us
-        if record.named_limit is None or is_older or answer.not_run or answer.malformed_headers:
+        is_older = send.sent_us <= record.signals.limit_heard_us
+        if before is None or is_older or answer.not_run or answer.malformed_headers:
             return
-    if limit != record.named_limit:
+    if limit != before:
         fields = (
             ("server", record.server.server_id),
             ("service", record.server.service),
             ("per_second", limit if limit is not None else -1),
-            ("before", record.named_limit if record.named_limit is not None else -1),
+            ("before", before if before is not None else -1),
             ("instances", _count_instances(state)),
         )
         effects.append(WriteLog("server_limit_named", fields))
-    if limit is not None and record.send_rate is None:
-        record.send_rate = SendRate(now_us, state.rng)
-    record.named_limit, record.limit_heard_us = limit, now_us
+    if limit is not None:
+        # The rate counts from the first answer with a limit, not from the next send.
+        _get_rate(state, record, now_us)
+    record.signals = replace(record.signals, limit_per_second=limit, limit_heard_us=now_us)
 
 
 def is_paused(record: ServerRecord, now_us: int) -> bool:
@@ -80,13 +82,13 @@
     """Return whether pause and limit of a server allow a send of this instance now."""
     if is_paused(record, now_us):
         return False
-    return record.named_limit is None or not _get_wait_us(state, record, now_us)
+    return record.signals.limit_per_second is None or not _get_wait_us(state, record, now_us)
 
 
 def take_send(state: RelayState, record: ServerRecord, now_us: int) -> None:
     """Count a send to a server that :func:`may_send` allows."""
-    if record.named_limit is not None:
-        record.send_rate.try_take(_get_share(state, record), now_us)
+    if record.signals.limit_per_second is not None:
+        _get_rate(state, record, now_us).try_take(_get_share(state, record), now_us)
 
 
 def get_rate_wait_us(
@@ -100,7 +102,7 @@
     if not records or any(may_send(state, record, now_us) for record in records):
         return None
     first_us = min(_get_wait_us(state, record, now_us) for record in records)
-    if any(record.named_limit is None for record in records):
+    if any(record.signals.limit_per_second is None for record in records):
         # The servers that only pause take all that waits.
         return first_us
     per_second = sum(_get_share(state, record) for record in records)
@@ -124,14 +126,21 @@
 
 def _get_wait_us(state: RelayState, record: ServerRecord, now_us: int) -> int:
     pause_us = get_pause_us((record,), now_us)
-    if record.named_limit is None:
+    if record.signals.limit_per_second is None:
         return pause_us
-    return max(pause_us, record.send_rate.get_wait_us(_get_share(state, record), now_us))
+    rate = _get_rate(state, record, now_us)
+    return max(pause_us, rate.get_wait_us(_get_share(state, record), now_us))
+
+
+def _get_rate(state: RelayState, record: ServerRecord, now_us: int) -> SendRate:
+    if record.send_rate is None:
+        record.send_rate = SendRate(now_us, state.rng)
+    return record.send_rate
 
 
 def _get_share(state: RelayState, record: ServerRecord) -> float:
     """Return the part of a named limit that this instance may use, in requests per second."""
-    limit = max(record.named_limit, _MIN_PER_SECOND)
+    limit = max(record.signals.limit_per_second, _MIN_PER_SECOND)
     return limit * _USED_SHARE / _count_instances(state)
 
 
--- a/mimosapost/relay/server_selection.py
+++ b/mimosapost/relay/server_selection.py
@@ -86,10 +86,8 @@
     :param cold_until_us: time until which the server is cold; 0 if it is warm.
     :param noted_level: trouble level that other instances were last told, or told this one.
     :param noted_us: time of that note.
-    :param named_limit: requests per second that the server takes from all instances together,
-        as it named them in its answers; ``None`` if it names no limit.
-    :param limit_heard_us: time of the last answer that was considered for that.
-    :param send_rate: rate of the sends of this instance, once the server has named a limit.
+    :param send_rate: rate of the sends of this instance; ``None`` before the server's limit
+        was first considered.
     :param reserved_until_us: time until which a request that may crash servers runs alone
         there.
     :param pace: pace of a server that has started or recovered; ``None`` if it carries its
@@ -117,8 +115,6 @@
     cold_until_us: int = 0
     noted_level: int = 0
     noted_us: int = 0
-    named_limit: float | None = None
-    limit_heard_us: int = 0
     send_rate: SendRate | None = None
     reserved_until_us: int = 0
     pace: Pace | None = None
--- a/mimosapost/relay/server_signals.py
+++ b/mimosapost/relay/server_signals.py
@@ -19,10 +19,16 @@
         in microseconds; ``None`` if there was none.
     :param paused_until_us: monotonic time until which the server wants no requests of this
         instance, in microseconds.
+    :param limit_per_second: requests per second that the server takes from all instances
+        together; ``None`` if it names no limit.
+    :param limit_heard_us: monotonic time of the last answer that was considered for that, in
+        microseconds.
     """
 
     leaving_us: int | None = None
     paused_until_us: int = 0
+    limit_per_second: float | None = None
+    limit_heard_us: int = 0
 
 
 #: Signals of a server that has asked for nothing.
--- a/mimosapost/relay/tests/test_named_limits.py
+++ b/mimosapost/relay/tests/test_named_limits.py
@@ -92,7 +92,7 @@
         (send,) = relay.pop_sends()
         relay.answer(send, limit_per_second=value)
         relay.advance(1_000)
-    assert relay.state.servers["one-0"].named_limit == expected
+    assert relay.state.servers["one-0"].signals.limit_per_second == expected
 
 
 @pytest.mark.parametrize(
@@ -117,7 +117,7 @@
         (second,) = relay.pop_sends()
         relay.advance(10)
     relay.answer(second, **changes)
-    assert relay.state.servers["one-0"].named_limit == expected
+    assert relay.state.servers["one-0"].signals.limit_per_second == expected
 
 
 def test_a_new_process_does_not_inherit_the_limit():
@@ -131,7 +131,25 @@
     ):
         relay.apply_event(ServerUnlisted(relay.now_us, "one-0", "removed"))
         relay.apply_event(ServerListed(relay.now_us, server))
-        assert relay.state.servers[server.server_id].named_limit is None
+        assert relay.state.servers[server.server_id].signals.limit_per_second is None
+
+
+@pytest.mark.parametrize("limit", [0.0, 0.5])
+def test_a_process_that_is_listed_again_keeps_its_limit(limit):
+    relay = create_single_relay(("a1",), repeatable=False)
+    server = replace(relay.state.servers["one-0"].server, process_started_ms=7)
+    relay.apply_event(ServerListed(relay.now_us, server))
+    relay.request("/look/x")
+    (send,) = relay.pop_sends()
+    relay.answer(send, limit_per_second=limit)
+    relay.apply_event(ServerUnlisted(relay.now_us, "one-0", "removed"))
+    relay.apply_event(ServerListed(relay.now_us, server))
+    for _ in range(20):
+        relay.request("/look/x")
+        relay.advance(10)
+    relay.advance(3_800)
+    assert len(relay.pop_sends()) <= get_allowed(limit), "no answer has named the limit again"
+    assert relay.state.servers["one-0"].signals.limit_per_second == limit
 
 
 def test_waiting_parts_without_a_server_fail_at_once():
