Use a connection only for the server process that it was opened to

What callers would see: requests to a server that started again under its id reach its earlier process over a connection whose exchange was open when the server was dropped, and are lost when that process ends.

Cause: idle connections are kept by the server's id, and one with an open exchange came back after ForgetServer had closed the others.

Change: a connection that was opened to another address or process start is closed in place of being used.

--- a/mimosapost/edge/relay_connections.py
+++ b/mimosapost/edge/relay_connections.py
@@ -297,6 +297,13 @@
         self.owner.drop_connection(self)
         self.channel.abort()
 
+    def leads_to(self, server: BackendServer) -> bool:
+        """Return whether the connection was opened to this process of a server."""
+        return (self.server.address, self.server.process_started_ms) == (
+            server.address,
+            server.process_started_ms,
+        )
+
     def is_usable(self, now: float, repeatable: bool) -> bool:
         """Return whether the idle connection may be used for another request.
 
@@ -424,12 +431,14 @@
     def _take_idle_connection(self, effect: StartSend) -> _Connection | None:
         """Return the most recently used idle connection that may carry the request.
 
-        Connections that have been idle for too long are closed.
+        Connections that have been idle for too long, or that lead to an earlier process of the
+        server, are closed.
         """
         now = asyncio.get_running_loop().time()
         idle = self._idle.get(effect.server.server_id, [])
         for connection in idle[::-1]:
-            if not connection.is_usable(now, effect.repeatable):
+            is_usable = connection.is_usable(now, effect.repeatable)
+            if not is_usable or not connection.leads_to(effect.server):
                 connection.close()
             elif not connection.has_carried(effect.request.request_id):
                 idle.remove(connection)
--- a/mimosapost/edge/tests/test_relay_connections.py
+++ b/mimosapost/edge/tests/test_relay_connections.py
@@ -7,6 +7,8 @@
 import socket
 import struct
 from contextlib import asynccontextmanager
+from dataclasses import replace
+from functools import partial
 
 import pytest
 
@@ -15,7 +17,7 @@
 from mimosapost.edge.relay_connections import ServerConnections
 from mimosapost.model.codes import FailureKind, RunState
 from mimosapost.platform.http_codec import PlatformCodec
-from mimosapost.relay.effects import AbandonSend, ProbeServer, StartSend
+from mimosapost.relay.effects import AbandonSend, ForgetServer, ProbeServer, StartSend
 from mimosapost.relay.events import AnswerArrived, ExchangeFailed, ProbeOutcome
 from mimosapost.relay.messages import BackendServer
 
@@ -106,6 +108,48 @@
         assert event.answer.body == b"a" * 16
 
 
+@pytest.mark.parametrize(
+    ("changes", "is_moved", "expected"),
+    [
+        pytest.param({}, False, ("first", 0), id="same process"),
+        pytest.param({"slots": 9, "draining": True}, False, ("first", 0), id="changed entry"),
+        pytest.param({"process_started_ms": 8}, False, ("first", 1), id="new process"),
+        pytest.param({}, True, ("second", 0), id="another address"),
+    ],
+)
+async def test_a_request_to_a_new_process_takes_no_connection_to_the_earlier_one(
+    changes, is_moved, expected
+):
+    """A connection with an open exchange outlives the removal of its server."""
+    may_answer = asyncio.Event()
+    used = []
+
+    async def answer_late(name, reader, writer, number):
+        while True:
+            head = await read_head(reader)
+            used.append((name, number))
+            await may_answer.wait()
+            own = head.partition(b"X-Request-Id: ")[2].partition(b"\r\n")[0].decode()
+            writer.write(create_answer(own))
+
+    async with (
+        open_exchange(partial(answer_late, "first")) as exchange,
+        open_exchange(partial(answer_late, "second")) as other,
+    ):
+        exchange.start(1)
+        while not used:
+            await asyncio.sleep(0.01)
+        exchange.connections.forget_server(ForgetServer("i-1"))
+        may_answer.set()
+        assert isinstance(await exchange.next_event(), AnswerArrived)
+        if is_moved:
+            changes = changes | {"address": other.server.address}
+        exchange.server = replace(exchange.server, **changes)
+        exchange.start(2)
+        assert isinstance(await exchange.next_event(), AnswerArrived)
+        assert used == [("first", 0), expected]
+
+
 async def answer_with_earlier_id(reader, writer, number):
     for _ in range(2):
         head = await read_head(reader)
