Let servers of the soak leave and ask for pauses

A service of three servers whose processes say in their answers that they leave, with and without a draining entry, start again under their ids, and reject requests with a pause, beside all other faults. Checked: no request of a caller that was sent later than the time for leaving after a reply with the word, and at most two from half a second after a rejection to the end of its pause; a restart or a freeze of the instance excuses what came before.

--- a/mimosapost/platform/tests/soak.py
+++ b/mimosapost/platform/tests/soak.py
@@ -31,6 +31,7 @@
 from aiohttp import web
 
 from mimosapost.platform.settings import METRICS_PORT
+from mimosapost.platform.tests import signalling_servers
 from mimosapost.platform.tests.standins import StandinServer, StandinStore, create_config
 
 # Failure domain and region of each instance; the servers are in the first two.
@@ -41,8 +42,9 @@
 # Service with one server, so that a rejected request is sent to the same server again.
 _LONE_SERVICE = "lone"
 # Paths of requests that may run once.
-_RUN_ONCE_PREFIXES = ("/order/", "/book/")
+_RUN_ONCE_PREFIXES = ("/order/", "/book/", "/pay/")
 _BOOKING_INTERVAL_SECONDS = 0.05
+_PAYMENT_INTERVAL_SECONDS = 0.03
 _REQUESTS_PER_SECOND = 40
 _DEADLINE_MS = 900
 _START_TIMEOUT_SECONDS = 10.0
@@ -225,6 +227,8 @@
     async def run(self) -> None:
         """Inject faults under a steady load, then check that all requests are served again."""
         rng = random.Random(self.seed)
+        signals = random.Random(f"signals {self.seed}")
+        self.signalling = signalling_servers.SignallingServers(signals)
         async with AsyncExitStack() as stack:
             directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
             store, servers, proxies = await self._start_standins(stack)
@@ -248,11 +252,16 @@
             crashing = asyncio.create_task(self._send_crashing_requests())
             repeating = asyncio.create_task(self._repeat_answers(servers, proxies))
             booking = asyncio.create_task(self._send_bookings())
+            signalling = asyncio.create_task(self.signalling.play(store, self.seconds - 1))
+            paying = asyncio.create_task(self._send_payments())
             await self._inject_faults(rng, store, servers, proxies)
             await requests
             await crashing
             await repeating
             await booking
+            await signalling
+            await paying
+            self.broken += self.signalling.list_broken(self.disturbed_seconds)
             self._check_crashes()
             await asyncio.sleep(_DOWN_SECONDS)
             await self._check_recovery()
@@ -281,6 +290,7 @@
         lone.respond = partial(self._run, proxy)
         lone.address = await proxy.start(stack)
         await store.put(f"servers/{lone.server_id}", lone.create_entry(slots=8))
+        await self.signalling.start(stack, store)
         await store.put("op/config", _create_config(1))
         return store, servers, proxies
 
@@ -329,6 +339,18 @@
             await asyncio.sleep(_BOOKING_INTERVAL_SECONDS)
         await asyncio.gather(*requests)
 
+    async def _send_payments(self) -> None:
+        """Send requests that may run once to the servers that leave and ask for pauses."""
+        requests = []
+        for number in range(int(self.seconds / _PAYMENT_INTERVAL_SECONDS)):
+            process = self.processes[number % len(self.processes)]
+            request_id = f"p{number}-{process.index}"
+            self.signalling.sent[request_id] = asyncio.get_running_loop().time()
+            request = self._send_request(process, "pay", request_id)
+            requests.append(asyncio.create_task(request))
+            await asyncio.sleep(_PAYMENT_INTERVAL_SECONDS)
+        await asyncio.gather(*requests)
+
     def _check_crashes(self) -> None:
         """Check that the request reaches servers at most three times after the third crash.
 
@@ -396,6 +418,7 @@
                 method, url, headers=headers, timeout=timeout
             ) as response:
                 self._check_reply(kind, request_id, response, await response.read())
+                self.signalling.record_reply(process.index, response.headers)
         except (aiohttp.ClientError, TimeoutError) as error:
             self.result_counts[type(error).__name__] += 1
 
@@ -539,8 +562,11 @@
     config = create_config(version, _SERVICES, **changes)
     order = config["routes"][1]
     booking = order | {"name": "r-book", "pathPrefix": "/book/", "service": _LONE_SERVICE}
-    config["routes"].append(booking)
-    config["services"].append({"name": _LONE_SERVICE, "maxConns": 200})
+    paying = order | {"name": "r-pay", "pathPrefix": "/pay/"}
+    paying["service"] = signalling_servers.SERVICE
+    config["routes"] += [booking, paying]
+    for name in (_LONE_SERVICE, signalling_servers.SERVICE):
+        config["services"].append({"name": name, "maxConns": 200})
     return config
 
 
