Count a signal of a server for its process, also if it was dropped (DRAIN, BUDGET)

What callers would see: a server whose entry lapsed while it answered with the word that it leaves, or with a pause, gets requests again once the same process is listed.

Cause: the answer was recorded for the record of the send, which is no longer in use after the drop.

Change: the signal goes to the record in use of the same process, or to the signals that are kept of dropped servers.

--- a/mimosapost/relay/rate_limits.py
+++ b/mimosapost/relay/rate_limits.py
@@ -15,7 +15,7 @@
 from mimosapost.relay.messages import ServerAnswer
 from mimosapost.relay.registry import Effects
 from mimosapost.relay.server_selection import ServerRecord
-from mimosapost.relay.state import OpenSend, RelayState
+from mimosapost.relay.state import RelayState
 
 __all__ = [
     "ASSUMED_INSTANCES",
@@ -39,14 +39,21 @@
 
 
 def record_named_limit(
-    state: RelayState, send: OpenSend, answer: ServerAnswer, now_us: int, effects: Effects
+    state: RelayState,
+    record: ServerRecord,
+    sent_us: int,
+    answer: ServerAnswer,
+    now_us: int,
+    effects: Effects,
 ) -> None:
-    """Record the limit that a server names in an answer, or that it names none any more."""
-    record, before = send.record, send.record.signals.limit_per_second
-    limit = answer.limit_per_second
+    """Record the limit that a server names in an answer, or that it names none any more.
+
+    :param sent_us: monotonic time of the send that was answered, in microseconds.
+    """
+    before, limit = record.signals.limit_per_second, answer.limit_per_second
     if limit is None:
         # An answer to an earlier send may have been written before the limit was named.
-        is_older = send.sent_us <= record.signals.limit_heard_us
+        is_older = sent_us <= record.signals.limit_heard_us
         if before is None or is_older or answer.not_run or answer.malformed_headers:
             return
     if limit != before:
--- a/mimosapost/relay/signal_recording.py
+++ b/mimosapost/relay/signal_recording.py
@@ -39,40 +39,60 @@
         labels = (("header", name),)
         metric = "mimosapost_relay_malformed_headers_total"
         effects.append(IncrementCounter(metric, labels))
-    record_named_limit(state, send, answer, now_us, effects)
+    record = _find_record(state, send.record)
+    record_named_limit(state, record, send.sent_us, answer, now_us, effects)
     if answer.leaving:
-        _record_leaving(state, send, now_us, effects)
+        _record_leaving(state, record, send, now_us, effects)
     if answer.pause_us:
-        _record_pause(state, send, answer.pause_us, now_us, effects)
+        _record_pause(state, record, send, answer.pause_us, now_us, effects)
+    if record.server.server_id not in state.servers:
+        keep_signals(state, record)
 
 
-def _record_pause(
-    state: RelayState, send: OpenSend, pause_us: int, now_us: int, effects: Effects
-) -> None:
-    record = send.record
-    is_new = not is_paused(record, now_us)
-    until_us = max(record.signals.paused_until_us, now_us + pause_us)
-    record.signals = replace(record.signals, paused_until_us=until_us)
-    if is_new:
-        details = (("pause_ms", pause_us // 1_000),)
-        _log_signal(state, send, "server_paused", now_us, effects, details)
-        _count(effects, "paused")
-        state.services_to_dispatch.add(record.server.service)
+def _find_record(state: RelayState, record: ServerRecord) -> ServerRecord:
+    """Return the record in use of the process that a send went to, or the one of the send.
+
+    The process may have been dropped and listed again since.
+    """
+    current = state.servers.get(record.server.server_id)
+    started_ms = record.server.process_started_ms
+    if current is not None and 0 < started_ms == current.server.process_started_ms:
+        return current
+    return record
 
 
-def _record_leaving(state: RelayState, send: OpenSend, now_us: int, effects: Effects) -> None:
-    record = send.record
+def _record_leaving(
+    state: RelayState, record: ServerRecord, send: OpenSend, now_us: int, effects: Effects
+) -> None:
     is_new = record.signals.leaving_us is None
     record.signals = replace(record.signals, leaving_us=now_us)
     if not is_new:
         return
-    _log_signal(state, send, "server_leaving", now_us, effects)
+    _log_signal(state, record, send, "server_leaving", now_us, effects)
     _count(effects, "leaving")
     # Parts that wait for this server would wait until their deadline if it was the last one.
     state.services_to_dispatch.add(record.server.service)
     _schedule_check(state, record.server.server_id, now_us + _CONTRADICTED_US)
 
 
+def _record_pause(
+    state: RelayState,
+    record: ServerRecord,
+    send: OpenSend,
+    pause_us: int,
+    now_us: int,
+    effects: Effects,
+) -> None:
+    is_new = not is_paused(record, now_us)
+    until_us = max(record.signals.paused_until_us, now_us + pause_us)
+    record.signals = replace(record.signals, paused_until_us=until_us)
+    if is_new:
+        details = (("pause_ms", pause_us // 1_000),)
+        _log_signal(state, record, send, "server_paused", now_us, effects, details)
+        _count(effects, "paused")
+        state.services_to_dispatch.add(record.server.service)
+
+
 def _schedule_check(state: RelayState, server_id: str, due_us: int) -> None:
     key, state.next_timer_key = state.next_timer_key, state.next_timer_key + 1
     state.leaving_checks[key] = server_id
@@ -133,13 +153,14 @@
 
 def _log_signal(
     state: RelayState,
+    record: ServerRecord,
     send: OpenSend,
     event: str,
     now_us: int,
     effects: Effects,
     details: tuple[tuple[str, str | int], ...] = (),
 ) -> None:
-    server = send.record.server
+    server = record.server
     open_request = state.requests.get(send.request_number)
     lost_us = state.source_lost_us
     fields = (
@@ -148,7 +169,7 @@
         ("request", open_request.request.request_id if open_request is not None else ""),
         ("draining", server.draining),
         ("source_lost_ms", (now_us - lost_us) // 1_000 if lost_us else 0),
-        ("open_sends", len(send.record.open_sends)),
+        ("open_sends", len(record.open_sends)),
     )
     effects.append(WriteLog(event, fields + details))
 
--- a/mimosapost/relay/state_copies.py
+++ b/mimosapost/relay/state_copies.py
@@ -20,7 +20,18 @@
 __all__ = ["copy_state"]
 
 # Fields that admission only reads, or whose entries it only reads.
-_READ = frozenset(("instance_settings", "catalog", "suspects", "feed", "rewound", "unanswered"))
+_READ = frozenset(
+    (
+        "instance_settings",
+        "catalog",
+        "suspects",
+        "feed",
+        "rewound",
+        "unanswered",
+        "leaving_checks",
+        "dropped_signals",
+    )
+)
 _READ_ENTRIES = frozenset(
     (
         "pools",
--- a/mimosapost/relay/tests/test_server_signals.py
+++ b/mimosapost/relay/tests/test_server_signals.py
@@ -226,6 +226,34 @@
     assert list_used(relay) == {"one-0", "one-1"}, "the source has contradicted it"
 
 
+def drop_and_list(relay, server, answer):
+    relay.apply_event(ServerUnlisted(relay.now_us, "one-0", "removed"))
+    answer()
+    relay.apply_event(ServerListed(relay.now_us, server))
+
+
+def list_and_answer(relay, server, answer):
+    relay.apply_event(ServerUnlisted(relay.now_us, "one-0", "removed"))
+    relay.apply_event(ServerListed(relay.now_us, server))
+    answer()
+
+
+@pytest.mark.parametrize("change", [drop_and_list, list_and_answer])
+@pytest.mark.parametrize(
+    ("started_ms", "expected"), [(7, {"one-1"}), (8, {"one-0", "one-1"})], ids=["same", "new"]
+)
+@pytest.mark.parametrize("signal", [{"leaving": True}, {"pause_us": 9 * SECOND_US}], ids=str)
+def test_an_answer_from_before_the_drop_counts_for_its_process(
+    signal, started_ms, expected, change
+):
+    relay = create_single_relay(repeatable=False)
+    list_again(relay, process_started_ms=7)
+    (send,) = send_alone(relay, "one-0", "/look/x")
+    server = find_server(relay, process_started_ms=started_ms)
+    change(relay, server, lambda: relay.answer(send, **signal))
+    assert list_used(relay) == expected
+
+
 def test_signals_of_dropped_servers_take_bounded_memory():
     relay = create_single_relay(("a1",))
     for number in range(1_010):
