--- a/mimosapost/relay/tests/test_server_signals.py
+++ b/mimosapost/relay/tests/test_server_signals.py
@@ -20,7 +20,7 @@
     SourceLost,
     SourceRegained,
 )
-from mimosapost.relay.messages import ForwardedReply, Refusal
+from mimosapost.relay.messages import ForwardedReply, GatheredReply, Refusal
 from mimosapost.relay.tests.relay_harness import (
     MS,
     Relay,
@@ -30,6 +30,7 @@
     create_single_relay,
     create_single_route,
 )
+from mimosapost.relay.tests.test_gathers import answer_all, create_fleet, send_query
 
 MINUTE_MS = 60_000
 SECOND_US = 1_000_000
@@ -471,3 +472,32 @@
     assert list_used(relay) == {"one-1"}
     change(relay, process_started_ms=8)
     assert "one-0" in list_used(relay)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param({"leaving": True}, id="leaving"),
+        pytest.param(
+            {"status": 503, "not_run": True, "signature": "", "pause_us": 9 * SECOND_US},
+            id="pause",
+        ),
+    ],
+)
+def test_a_partner_that_gathers_avoids_servers_that_asked_it_for_no_requests(answer):
+    fleet = create_fleet()
+    partner, asked = fleet["n2"], ("s0-0", "s1-0")
+    send_query(fleet)
+    for send in partner.pop_sends():
+        partner.answer(send, **(answer if send.server.server_id in asked else {}))
+    answer_all(fleet)
+    for _ in range(5):
+        number = send_query(fleet)
+        used = {s.record.server.server_id for s in partner.state.sends.values()}
+        assert used
+        assert not used & set(asked)
+        answer_all(fleet)
+        reply = fleet["n1"].get_reply(number)
+        assert isinstance(reply, GatheredReply)
+        assert reply.missing == 0
+        fleet.advance(200)
