Leave the dispatch of waiting parts to the end of the send

A mutation showed that the two calls change nothing: the end of each send has its service tried again where parts wait, before the signal is recorded. The tests of waiting parts stay. No behaviour changes.

--- a/mimosapost/relay/signal_recording.py
+++ b/mimosapost/relay/signal_recording.py
@@ -70,8 +70,6 @@
         return
     _log_signal(state, record, send, "server_leaving", now_us, effects)
     _count(effects, "leaving")
-    # Parts that wait for this server would wait until their deadline if it was the last one.
-    state.services_to_dispatch.add(record.server.service)
     _schedule_check(state, record.server.server_id, now_us + _CONTRADICTED_US)
 
 
@@ -90,7 +88,6 @@
         details = (("pause_ms", pause_us // 1_000),)
         _log_signal(state, record, send, "server_paused", now_us, effects, details)
         _count(effects, "paused")
-        state.services_to_dispatch.add(record.server.service)
 
 
 def _schedule_check(state: RelayState, server_id: str, due_us: int) -> None:
