--- a/mimosapost/platform/tests/signalling_servers.py
+++ b/mimosapost/platform/tests/signalling_servers.py
@@ -31,6 +31,11 @@
 
     A process of a server is named by the id of the server and the number of its start.
 
+    :param rng: source of the choices of servers and signals.
+    :ivar starts: number of the last start of each server, by id.
+    :ivar leaving: ids of the servers whose processes leave.
+    :ivar rejecting: ids of the servers that reject requests and ask for a pause.
+    :ivar sent: time at which the caller sent each request, by id.
     :ivar told_leaving: time at which a caller of an instance first got an answer of a process
         that leaves, by number of the instance and process.
     :ivar rejections: times of the rejections by number of the instance and process.
