Check that a forged word of a server in another request's answer is discarded

The codec decodes the header of such an answer, and the connection drops it before the relay sees it. It held before; no test of the signals showed it.

--- a/mimosapost/edge/tests/test_relay_connections.py
+++ b/mimosapost/edge/tests/test_relay_connections.py
@@ -339,3 +339,19 @@
             exchange.connections.probe_server(probe)
             event = await exchange.next_event()
             assert (event.server, event.outcome) == (server, outcome)
+
+
+async def test_a_signal_in_an_answer_to_another_request_is_discarded():
+    """A forged or late answer must not take a sound server out."""
+
+    async def answer_other_first(reader, writer, number):
+        await read_head(reader)
+        writer.write(create_answer("other", more_headers="Server-Leaving: 1\r\n"))
+        writer.write(create_answer("r1"))
+        await read_head(reader)
+
+    async with open_exchange(answer_other_first) as exchange:
+        exchange.start(1)
+        event = await exchange.next_event()
+        assert isinstance(event, AnswerArrived)
+        assert (event.answer.signature, event.answer.leaving) == ("s-r1", False)
