--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -237,12 +237,18 @@
     store_address: str
     seeds: str
     directory: Path
+    more_settings: str = ""
     handle: asyncio.subprocess.Process | None = None
 
+    def write_settings(self) -> Path:
+        """Write the settings file and return its path."""
+        settings = self.directory / f"{self.name}.conf"
+        settings.write_text(self._create_settings() + self.more_settings, encoding="utf-8")
+        return settings
+
     async def start(self, stack: AsyncExitStack) -> None:
         """Start the process; it is killed when the stack closes."""
-        settings = self.directory / f"{self.name}.conf"
-        settings.write_text(self._create_settings(), encoding="utf-8")
+        settings = self.write_settings()
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text(encoding="utf-8"))
         role = deploy["roles"]["relay"]
         known = {
