--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -178,12 +178,21 @@
     work_seconds: float = 0.01
     respond: Callable[[Leaf, Message], Awaitable[bytes]] | None = None
     runs: list[str] = field(default_factory=list)
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    stack: AsyncExitStack | None = None
     address: str = ""
     born: int = field(default_factory=lambda: int(time.time() * 1_000))
 
     async def start(self, stack: AsyncExitStack) -> None:
         """Listen on a free port."""
-        self.address = await _listen(stack, self._serve)
+        self.stack = await stack.enter_async_context(AsyncExitStack())
+        self.address = await _listen(self.stack, self._serve, self.writers)
+
+    async def end(self) -> None:
+        """Stop to listen and close all connections, as at the end of the process."""
+        await self.stack.aclose()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     def create_entry(self, **changes: object) -> dict:
         """Return the entry of the leaf in the store."""
@@ -446,15 +455,23 @@
         return held
 
 
-async def _listen(stack: AsyncExitStack, serve: Callable[..., Awaitable[None]]) -> str:
+async def _listen(
+    stack: AsyncExitStack,
+    serve: Callable[..., Awaitable[None]],
+    writers: set[asyncio.StreamWriter] | None = None,
+) -> str:
+    open_writers = set() if writers is None else writers
+
     async def serve_connection(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        open_writers.add(writer)
         try:
             await serve(reader, writer)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            open_writers.discard(writer)
             writer.transport.abort()
 
     listener = await asyncio.start_server(serve_connection, "127.0.0.1", 0)
