--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -161,6 +161,56 @@
             await asyncio.sleep(_WATCH_POLL_SECONDS)
 
 
+class Proxy:
+    """A proxy to one address whose open connections may go silent while new ones work."""
+
+    def __init__(self, target: str) -> None:
+        self.address = ""
+        self._target = target
+        self._silenced: set[asyncio.StreamWriter] = set()
+        self._open: set[asyncio.StreamWriter] = set()
+
+    async def start(self, stack: AsyncExitStack) -> None:
+        """Listen on a free port."""
+        self.address = await _listen(stack, self._serve)
+
+    def silence(self) -> int:
+        """Pass on nothing more on the open connections, and return their number."""
+        self._silenced |= self._open
+        return len(self._open)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, _, port = self._target.rpartition(":")
+        upstream_reader, upstream_writer = await asyncio.open_connection(host, int(port))
+        self._open.add(writer)
+        copies = [
+            asyncio.create_task(self._copy(reader, upstream_writer, writer)),
+            asyncio.create_task(self._copy(upstream_reader, writer, writer)),
+        ]
+        try:
+            await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for copy in copies:
+                copy.cancel()
+            self._open.discard(writer)
+            upstream_writer.transport.abort()
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        connection: asyncio.StreamWriter,
+    ) -> None:
+        while data := await reader.read(65_536):
+            if connection in self._silenced:
+                # Neither bytes nor the end of the connection are passed on any more.
+                await asyncio.Event().wait()
+            writer.write(data)
+            await writer.drain()
+        if connection in self._silenced:
+            await asyncio.Event().wait()
+
+
 @dataclass
 class Leaf:
     """A leaf that runs each request for some time and signs its answer.
