--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,14 +1,16 @@
-"""Case 13: a process does not start with an empty key of a matter that is not open.
+"""Case 13: machines act on an old configuration after silent connections to the store.
 
-The settings file of two of four machines gets a key that the pages do not explain, without a
-value. The platform says so with SIGHUP, and later stops and starts these machines in turn.
+The machines of a region follow one that reads the store. Open connections to it go silent
+while new ones work. Two seconds later the configuration moves a route to another service.
+Counted are the requests that come when all machines are in touch again.
 """
 
 from __future__ import annotations
 
 import asyncio
-import signal
+import re
 import sys
+import time
 from contextlib import AsyncExitStack
 from pathlib import Path
 
@@ -16,85 +18,92 @@
 
 import standins_3 as standins
 
-_INSTANCES = 4
-_CHANGED = 2
-_EMPTY_KEY = "bounds.quotaWindowS"
-_GRACE_SECONDS = 6.0
-_GAP_SECONDS = 1.3
-_RESTART_SECONDS = 0.5
-_STARTS = 3
-_START_SECONDS = 3.0
-_DEADLINE_MS = 4_000
+_INSTANCES = 5
+_REGION_PLACE = ("rocklea", "brisbane")
+_MEETING_SECONDS = 12.0
+_CONTACT_SECONDS = 5.0
+_APPLY_SECONDS = 3.0
+_CHANGE_AFTER_SECONDS = 2.0
+_SENDING_SECONDS = 7.5
+_INTERVAL_SECONDS = 0.05
+_DEADLINE_MS = 1_000
 
 
 async def play(
     stack: AsyncExitStack, record: standins.Record, directory: Path, has_trouble: bool
 ) -> bool:
-    """Change the settings, restart the machines, and return whether all of them start."""
+    """Move a route after the reader was killed, and return whether CONFIG held."""
     store = standins.Store()
     await store.start(stack)
-    for number, (zone, _) in enumerate(standins.PLACES):
-        leaf = standins.Leaf(f"i-{number}", "portal", zone, record)
+    leafs: dict[str, standins.Leaf] = {}
+    for service in ("before", "after"):
+        leaf = standins.Leaf(f"i-{service}", service, _REGION_PLACE[0], record)
         await leaf.start(stack)
         store.put(f"servers/{leaf.server_id}", leaf.create_entry())
-    route = standins.create_route("ledger", service="portal")
-    store.put("op/config", standins.create_config(7, [route], ["portal"]))
+        leafs[service] = leaf
+    services = list(leafs)
+    route = standins.create_route("look", service="before")
+    store.put("op/config", standins.create_config(7, [route], services))
     instances = standins.create_instances(_INSTANCES, store, directory)
+    proxies = {}
     for instance in instances:
+        proxy = proxies[instance.name] = standins.Proxy(store.address)
+        await proxy.start(stack)
+        instance.zone, instance.region = _REGION_PLACE
+        instance.store_address = proxy.address
         await instance.start(stack)
     for instance in instances:
         await instance.wait_ready()
-    for instance in instances[:_CHANGED]:
-        if has_trouble:
-            instance.more_settings = f"{_EMPTY_KEY}=\n"
-            instance.write_settings()
-            record.write(f"{instance.name}: the settings now have the line {_EMPTY_KEY}=")
-        instance.send(signal.SIGHUP)
-    await asyncio.sleep(1)
-    ends = 0
-    for instance in instances[:_CHANGED]:
-        record.write(f"{instance.name}: SIGTERM")
-        instance.send(signal.SIGTERM)
-        async with asyncio.timeout(_GRACE_SECONDS):
-            await instance.handle.wait()
-        ends += await _start_again(stack, record, instance)
-        await asyncio.sleep(_GAP_SECONDS)
-    answered = 0
-    for instance in instances:
-        answered += await _is_served(stack, record, instance)
-    record.write(f"processes that ended by themselves: {ends}; machines that serve: {answered}")
-    return not ends and answered == _INSTANCES
+    await asyncio.sleep(_MEETING_SECONDS)
+    reader = _find_reader(instances, directory)
+    record.write(f"{reader} reads the store for the others")
+    in_touch = time.monotonic()
+    if has_trouble:
+        for name, proxy in proxies.items():
+            record.write(f"{name}: {proxy.silence()} open connections to the store go silent")
+        in_touch += _CONTACT_SECONDS
+    await asyncio.sleep(_CHANGE_AFTER_SECONDS)
+    route = standins.create_route("look", service="after")
+    store.put("op/config", standins.create_config(9, [route], services))
+    due = time.monotonic() + _APPLY_SECONDS
+    record.write("version 9 moves the route from the service before to the service after")
+    sent: dict[str, float] = {}
+    tasks = [_send(stack, record, instance, sent) for instance in instances]
+    await asyncio.gather(*tasks)
+    late = [
+        request_id
+        for request_id in leafs["before"].runs
+        if sent[request_id] > max(due, in_touch)
+    ]
+    record.write(f"sent by machines in touch, too late for the old service: {late}")
+    return not late
 
 
-async def _start_again(
-    stack: AsyncExitStack, record: standins.Record, instance: standins.Instance
-) -> int:
-    """Start an instance as the platform does, and return how often it ended by itself."""
-    for ends in range(_STARTS):
-        await asyncio.sleep(_RESTART_SECONDS)
-        await instance.start(stack)
-        try:
-            async with asyncio.timeout(_START_SECONDS):
-                status = await instance.handle.wait()
-        except TimeoutError:
-            record.write(f"{instance.name}: runs")
-            return ends
-        record.write(f"{instance.name}: ended by itself with status {status}")
-    return _STARTS
+def _find_reader(instances: list[standins.Instance], directory: Path) -> str:
+    """Return the name of the instance that reads the store, as the others say in their logs."""
+    names = []
+    for instance in instances:
+        log = (directory / f"{instance.name}.log").read_text(encoding="utf-8")
+        names += re.findall(r'event="feed_reader_chosen" .*? reader="([^"]+)"', log)
+    return names[-1]
 
 
-async def _is_served(
-    stack: AsyncExitStack, record: standins.Record, instance: standins.Instance
-) -> bool:
+async def _send(
+    stack: AsyncExitStack,
+    record: standins.Record,
+    instance: standins.Instance,
+    sent: dict[str, float],
+) -> None:
+    """Send requests on a kept connection and note when each was sent."""
     consumer = standins.Consumer(f"to-{instance.name}", record)
-    try:
-        await consumer.connect(instance)
-    except OSError as error:
-        record.write(f"{instance.name}: no connection: {error.strerror}")
-        return False
+    await consumer.connect(instance)
     stack.callback(consumer.close)
-    _, answer = await consumer.send("/ledger/1", _DEADLINE_MS)
-    return answer is not None and answer.status == 200
+    end = time.monotonic() + _SENDING_SECONDS
+    while time.monotonic() < end:
+        began = time.monotonic()
+        request_id, _ = await consumer.send("/look/1", _DEADLINE_MS)
+        sent[request_id] = began
+        await asyncio.sleep(_INTERVAL_SECONDS)
 
 
 if __name__ == "__main__":
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,14 +1,14 @@
-"""Case 14: an entry with missing fields brings a draining leaf back into use.
+"""Case 14: a process does not start with an empty key of a matter that is not open.
 
-The leaf has reported that it drains. Another writer later overwrites its entry with one that
-says ``ready`` and lacks two fields. The leaf corrects it at its next check-in, or ends before.
+The settings file of two of four machines gets a key that the pages do not explain, without a
+value. The platform says so with SIGHUP, and later stops and starts these machines in turn.
 """
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
-import time
 from contextlib import AsyncExitStack
 from pathlib import Path
 
@@ -17,89 +17,84 @@
 import standins_3 as standins
 
 _INSTANCES = 4
-_LEAFS = 6
-_WORK_SECONDS = 0.3
+_CHANGED = 2
+_EMPTY_KEY = "bounds.quotaWindowS"
+_GRACE_SECONDS = 6.0
+_GAP_SECONDS = 1.3
+_RESTART_SECONDS = 0.5
+_STARTS = 3
+_START_SECONDS = 3.0
 _DEADLINE_MS = 4_000
-_CALM_SECONDS = 6.0
-_DRAIN_SECONDS = 3.0
-_CHECK_IN_SECONDS = 1.2
-# Times after the report of the leaf: of the other writer's entry, and of the end of the leaf.
-_FOREIGN_AFTER_SECONDS = 3.4
-_END_AFTER_SECONDS = 4.4
-_LISTED_FIELDS = ("service", "address", "zone", "slots", "state", "warmupLeftMs", "born")
 
 
 async def play(
     stack: AsyncExitStack, record: standins.Record, directory: Path, has_trouble: bool
 ) -> bool:
-    """Let a leaf drain, and return whether DRAIN held."""
+    """Change the settings, restart the machines, and return whether all of them start."""
     store = standins.Store()
     await store.start(stack)
-    arrivals: list[tuple[float, str]] = []
-    leafs = []
-    for number in range(_LEAFS):
-        zone, _ = standins.PLACES[number % len(standins.PLACES)]
-        leaf = standins.Leaf(f"i-{number}", "desk", zone, record, _WORK_SECONDS)
+    for number, (zone, _) in enumerate(standins.PLACES):
+        leaf = standins.Leaf(f"i-{number}", "portal", zone, record)
         await leaf.start(stack)
         store.put(f"servers/{leaf.server_id}", leaf.create_entry())
-        leafs.append(leaf)
-    draining = leafs[0]
-    is_leaving = False
-
-    async def respond(leaf: standins.Leaf, request: standins.Message) -> bytes:
-        leaf.run(request)
-        arrivals.append((time.monotonic(), leaf.runs[-1]))
-        await asyncio.sleep(_WORK_SECONDS)
-        headers = leaf.create_headers(request)
-        if is_leaving:
-            headers["Server-Leaving"] = "1"
-        return standins.encode_answer(200, headers, b"booked")
-
-    draining.respond = respond
-    route = standins.create_route("book", service="desk", routeKind="non_idempotent")
-    store.put("op/config", standins.create_config(7, [route], ["desk"]))
+    route = standins.create_route("ledger", service="portal")
+    store.put("op/config", standins.create_config(7, [route], ["portal"]))
     instances = standins.create_instances(_INSTANCES, store, directory)
     for instance in instances:
         await instance.start(stack)
     for instance in instances:
         await instance.wait_ready()
-    await asyncio.sleep(_CALM_SECONDS)
-    key = f"servers/{draining.server_id}"
-    store.put(key, draining.create_entry(state="draining"))
-    is_leaving, reported = True, time.monotonic()
-    record.write(f"{draining.server_id} reports that it drains")
-    await asyncio.sleep(_DRAIN_SECONDS)
-    bookings = [
-        asyncio.create_task(_book(stack, record, instance, f"c{number}"))
-        for number, instance in enumerate(instances * 2)
-    ]
-    await asyncio.sleep(_FOREIGN_AFTER_SECONDS - _DRAIN_SECONDS)
-    if has_trouble:
-        entry = draining.create_entry()
-        store.put(key, {name: entry[name] for name in _LISTED_FIELDS})
-        record.write(f"another writer: {key} is ready, without version and seq")
-    await asyncio.sleep(min(_CHECK_IN_SECONDS, _END_AFTER_SECONDS - _FOREIGN_AFTER_SECONDS))
-    await draining.end()
-    store.remove(key)
-    record.write(f"{draining.server_id} ends")
-    results = [result for booking in bookings for result in await booking]
-    late = [name for at, name in arrivals if at > reported + _DRAIN_SECONDS]
-    failed = [name for name, answer in results if answer is None or answer.status != 200]
-    record.write(f"reached the leaf later than drainMs: {late}; failed: {failed}")
-    return not late
+    for instance in instances[:_CHANGED]:
+        if has_trouble:
+            instance.more_settings = f"{_EMPTY_KEY}=\n"
+            instance.write_settings()
+            record.write(f"{instance.name}: the settings now have the line {_EMPTY_KEY}=")
+        instance.send(signal.SIGHUP)
+    await asyncio.sleep(1)
+    ends = 0
+    for instance in instances[:_CHANGED]:
+        record.write(f"{instance.name}: SIGTERM")
+        instance.send(signal.SIGTERM)
+        async with asyncio.timeout(_GRACE_SECONDS):
+            await instance.handle.wait()
+        ends += await _start_again(stack, record, instance)
+        await asyncio.sleep(_GAP_SECONDS)
+    answered = 0
+    for instance in instances:
+        answered += await _is_served(stack, record, instance)
+    record.write(f"processes that ended by themselves: {ends}; machines that serve: {answered}")
+    return not ends and answered == _INSTANCES
 
 
-async def _book(
-    stack: AsyncExitStack, record: standins.Record, instance: standins.Instance, name: str
-) -> list[tuple[str, standins.Message | None]]:
-    """Send some bookings on a kept connection."""
-    consumer = standins.Consumer(name, record)
-    await consumer.connect(instance)
+async def _start_again(
+    stack: AsyncExitStack, record: standins.Record, instance: standins.Instance
+) -> int:
+    """Start an instance as the platform does, and return how often it ended by itself."""
+    for ends in range(_STARTS):
+        await asyncio.sleep(_RESTART_SECONDS)
+        await instance.start(stack)
+        try:
+            async with asyncio.timeout(_START_SECONDS):
+                status = await instance.handle.wait()
+        except TimeoutError:
+            record.write(f"{instance.name}: runs")
+            return ends
+        record.write(f"{instance.name}: ended by itself with status {status}")
+    return _STARTS
+
+
+async def _is_served(
+    stack: AsyncExitStack, record: standins.Record, instance: standins.Instance
+) -> bool:
+    consumer = standins.Consumer(f"to-{instance.name}", record)
+    try:
+        await consumer.connect(instance)
+    except OSError as error:
+        record.write(f"{instance.name}: no connection: {error.strerror}")
+        return False
     stack.callback(consumer.close)
-    results = []
-    for number in range(8):
-        results.append(await consumer.send(f"/book/{number}", _DEADLINE_MS, "POST", b"tutu"))
-    return results
+    _, answer = await consumer.send("/ledger/1", _DEADLINE_MS)
+    return answer is not None and answer.status == 200
 
 
 if __name__ == "__main__":
