--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,6 +1,6 @@
 """Case 14: a process does not start with an empty key of a matter that is not open.
 
-The settings file of two of four machines gets a key that the pages do not explain, without a
+The settings file of two of seven machines gets a key that the pages do not explain, without a
 value. The platform says so with SIGHUP, and later stops and starts these machines in turn.
 """
 
@@ -16,7 +16,7 @@
 
 import standins_3 as standins
 
-_INSTANCES = 4
+_INSTANCES = 7
 _CHANGED = 2
 _EMPTY_KEY = "bounds.quotaWindowS"
 _GRACE_SECONDS = 6.0
