--- a/mimosapost/commands/check.py
+++ b/mimosapost/commands/check.py
@@ -5,7 +5,7 @@
 import sys
 from pathlib import Path
 
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from mimosapost.commands.registry import CommandError, command
 from mimosapost.platform.settings import decode_settings
@@ -26,8 +26,8 @@
     as the fleet's subtree if its name is ``fleet.json``, as a team's subtree if it is in a
     directory ``teams`` or has the key ``team``, as the fleet's subtree if it has the key
     ``regions``, and as local settings otherwise. A file that is not a JSON object is checked as
-    settings of the users' platform. Warnings concern several files together; nothing is refused
-    for them at run time.
+    settings of the users' platform; values that a process would ignore count as faults there.
+    Warnings concern several files together; nothing is refused for them at run time.
 
     :param paths: files and directories to check.
     :returns: 0, or 2 if there are faults.
@@ -64,7 +64,8 @@
     :returns: typed settings, or all faults.
     """
     if not text.lstrip().startswith(b"{"):
-        return decode_settings(text.decode("utf-8", "replace"))
+        settings = decode_settings(text.decode("utf-8", "replace"))
+        return settings.bind(lambda s: Failure(s.ignored) if s.ignored else Success(s))
     document = read_document(text).value_or(None)
     keys = document.keys() if isinstance(document, dict) else ()
     if path.name == "fleet.json":
--- a/mimosapost/platform/instance_runner.py
+++ b/mimosapost/platform/instance_runner.py
@@ -43,14 +43,21 @@
         case Failure(faults):
             logs.write("settings_refused", {"faults": "; ".join(faults)})
         case Success(new_settings):
+            _log_ignored(new_settings, logs)
             logs.write("settings_read_again", {"same": new_settings == settings})
 
 
+def _log_ignored(settings: RelaySettings, logs: Logs) -> None:
+    for fault in settings.ignored:
+        logs.write("settings_ignored", {"fault": str(fault)})
+
+
 async def _run(path: Path, settings: RelaySettings, listener: socket.socket) -> None:
     stream = LogStream(sys.stdout.fileno(), read_clock_us)
     name = settings.instance_settings.name
     logs = Logs(stream, instance=name)
     configure_logs("info", stream, instance=name)
+    _log_ignored(settings, logs)
     instance = RelayInstance(
         settings.instance_settings,
         settings,
--- a/mimosapost/platform/settings.py
+++ b/mimosapost/platform/settings.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass
+import math
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
 
 from returns.result import Failure, Result, Success
 
@@ -41,19 +42,10 @@
 _DEFAULT_DESCRIPTORS = 4_096
 # Time in seconds after which a caller that reads nothing of its answer is closed.
 _DEFAULT_READ_TIMEOUT_SECONDS = 60.0
-# Fields of the project's own, all with defaults.
-_CALLER_FIELDS = (
-    "callers.memoryMb",
-    "callers.connectionMemoryMb",
-    "callers.maxConnections",
-    "callers.maxHeaderLines",
-    "callers.readTimeoutS",
-)
 # Time limits in milliseconds for applying a change of the configuration, draining a server and
 # taking a failure domain out of service.
 _APPLY_LIMIT_FIELDS = ("bounds.configApplyMs", "bounds.drainMs", "bounds.evacMs")
-# Tolerance of limits over all instances; 0 is allowed but for the window.
-_TOLERANCE_FIELDS = ("bounds.quotaExcess", "bounds.quotaSlack")
+_ABOVE_ZERO = "a number above 0"
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +66,7 @@
         closed.
     :param is_first_start: whether all instances start together before there is traffic.
     :param max_held_bytes: maximum number of bytes of all unfinished answers of servers.
+    :param ignored: fields of the file that were ignored because of their values.
     """
 
     instance_settings: InstanceSettings
@@ -87,6 +80,7 @@
     caller_bounds: CallerBounds
     max_server_connections: int
     is_first_start: bool = False
+    ignored: tuple[Fault, ...] = field(default=(), compare=False)
 
 
 def read_fields(text: str) -> dict[str, str]:
@@ -101,31 +95,21 @@
 def decode_settings(text: str) -> Result[RelaySettings, tuple[Fault, ...]]:
     """Decode a settings file.
 
+    An empty field counts as a missing one. A field that the process can do without is ignored
+    if its value is malformed.
+
     :param text: content of the file.
-    :returns: decoded settings, or every fault that was found.
+    :returns: decoded settings, or every fault for which the file is refused.
     """
-    fields = read_fields(text)
-    faults = [
-        create_fault((name,), fields.get(name), expected)
-        for name, (expected, is_valid) in _REQUIRED_FIELDS.items()
-        if not is_valid(fields.get(name, ""))
-    ]
-    limit_fields = ("limits.memoryMb", "limits.maxFds", *_CALLER_FIELDS)
-    bound_fields = ("bounds.graceS", "bounds.contactMs", "bounds.quotaWindowS")
-    for name in (*bound_fields, *limit_fields, *_APPLY_LIMIT_FIELDS):
-        if name in fields and not _is_positive_number(fields[name]):
-            faults.append(create_fault((name,), fields[name], "a number above 0"))
-    for name in _TOLERANCE_FIELDS:
-        is_zero = fields.get(name) in ("0", "0.0")
-        if name in fields and not is_zero and not _is_positive_number(fields[name]):
-            faults.append(create_fault((name,), fields[name], "a number of at least 0"))
-    if "portRange" in fields and not _is_port_range(fields["portRange"]):
-        faults.append(create_fault(("portRange",), fields["portRange"], "two ports"))
-    seeds = [seed.strip() for seed in fields.get("seeds", "").split(",") if seed.strip()]
-    if not all(_is_address(seed) for seed in seeds):
-        faults.append(create_fault(("seeds",), fields["seeds"], "a list of ip:port"))
-    if faults:
-        return Failure(tuple(faults))
+    found = {name: value for name, value in read_fields(text).items() if value}
+    refused = _find_faults(_REQUIRED_FIELDS, dict.fromkeys(_REQUIRED_FIELDS, "") | found)
+    refused |= _find_faults(_EXPLAINED_FIELDS, found)
+    seeds, odd_seeds = _split_seeds(found)
+    refused |= {f"seeds {fault.value}": fault for fault in odd_seeds}
+    if refused:
+        return Failure(tuple(refused.values()))
+    ignored = _find_faults(_IGNORABLE_FIELDS, found)
+    fields = {name: value for name, value in found.items() if name not in ignored}
     memory_mb = float(fields.get("limits.memoryMb", _DEFAULT_MEMORY_MB))
     grace_seconds = float(fields.get("bounds.graceS", _DEFAULT_GRACE_SECONDS))
     control_address = fields.get("listenAddrs.control", "")
@@ -138,7 +122,7 @@
         _extract_regions(fields),
         stop_us=max(_STOP_MARGIN_US, int(grace_seconds * 1e6) - _STOP_MARGIN_US),
         peer_address=f"{host}:{peer_port}" if peer_port else "",
-        seed_addresses=_extract_seeds(fields, peer_port),
+        seed_addresses=_create_seed_addresses(seeds, peer_port),
         limit_rules=_extract_limit_rules(fields),
     )
     operator_addresses = (
@@ -160,10 +144,20 @@
             _create_caller_bounds(fields, memory_mb),
             max(1, int(_count_descriptors(fields) * _SERVER_DESCRIPTOR_SHARE)),
             fields.get("bootstrap") == "true",
+            tuple(ignored.values()),
         )
     )
 
 
+def _find_faults(rules: _FieldRules, fields: Mapping[str, str]) -> dict[str, Fault]:
+    """Return a fault for each field whose value is malformed, by the field's name."""
+    return {
+        name: create_fault((name,), fields[name], expected)
+        for name, (expected, is_valid) in rules.items()
+        if name in fields and not is_valid(fields[name])
+    }
+
+
 def _count_descriptors(fields: Mapping[str, str]) -> float:
     """Return the number of descriptors for sockets."""
     return float(fields.get("limits.maxFds", _DEFAULT_DESCRIPTORS)) - _FILE_DESCRIPTORS
@@ -190,19 +184,26 @@
     return regions
 
 
-def _extract_seeds(fields: Mapping[str, str], peer_port: str) -> tuple[str, ...]:
+def _split_seeds(fields: Mapping[str, str]) -> tuple[list[str], list[Fault]]:
+    """Return the usable addresses of the list, and a fault for each other one."""
+    seeds = [seed.strip() for seed in fields.get("seeds", "").split(",") if seed.strip()]
+    usable = [seed for seed in seeds if _is_address(seed)]
+    odd = [seed for seed in seeds if seed not in usable]
+    return usable, [create_fault(("seeds",), seed, "ip:port") for seed in odd]
+
+
+def _create_seed_addresses(seeds: Iterable[str], peer_port: str) -> tuple[str, ...]:
     # The field lists operators' addresses. All instances use the same port for peer links.
     if not peer_port:
         return ()
-    addresses = [seed.strip() for seed in fields.get("seeds", "").split(",")]
-    return tuple(f"{a.rpartition(':')[0]}:{peer_port}" for a in addresses if a)
+    return tuple(f"{seed.rpartition(':')[0]}:{peer_port}" for seed in seeds)
 
 
 def _extract_limit_rules(fields: Mapping[str, str]) -> LimitRules:
     default = LimitRules()
     window_s = float(fields.get("bounds.quotaWindowS", default.window_us / 1e6))
     return LimitRules(
-        int(window_s * 1e6),
+        max(1, int(window_s * 1e6)),
         float(fields.get("bounds.quotaExcess", default.excess)),
         float(fields.get("bounds.quotaSlack", default.slack)),
     )
@@ -219,13 +220,23 @@
 
 
 def _is_positive_number(value: str) -> bool:
+    return _is_number(value) and float(value) > 0
+
+
+def _is_number_from_zero(value: str) -> bool:
+    return _is_number(value) and float(value) >= 0
+
+
+def _is_number(value: str) -> bool:
     try:
-        return float(value) > 0
+        return math.isfinite(float(value))
     except ValueError:
         return False
 
 
-_REQUIRED_FIELDS = {
+# For each field, what is expected and a function that checks its value.
+_FieldRules = Mapping[str, tuple[str, Callable[[str], bool]]]
+_REQUIRED_FIELDS: _FieldRules = {
     "nodeName": ("a name", bool),
     "zone": ("a failure domain", bool),
     "region": ("a region", bool),
@@ -233,3 +244,25 @@
     "listenAddrs.readyAddr": ("ip:port", _is_address),
     "platform.address": ("ip:port", _is_address),
 }
+# The process keeps its promises only if it knows these limits, so that a malformed value is
+# refused and not replaced by a guess.
+_EXPLAINED_FIELDS: _FieldRules = {
+    "portRange": ("two ports", _is_port_range),
+    "bounds.graceS": (_ABOVE_ZERO, _is_positive_number),
+    "bounds.contactMs": (_ABOVE_ZERO, _is_positive_number),
+    **dict.fromkeys(_APPLY_LIMIT_FIELDS, (_ABOVE_ZERO, _is_positive_number)),
+    "limits.memoryMb": (_ABOVE_ZERO, _is_positive_number),
+    "limits.maxFds": (_ABOVE_ZERO, _is_positive_number),
+}
+# Fields that the process can do without: those of matters that are not open on a deployment,
+# and the project's own bounds on callers.
+_IGNORABLE_FIELDS: _FieldRules = {
+    "bounds.quotaWindowS": (_ABOVE_ZERO, _is_positive_number),
+    "bounds.quotaExcess": ("a number of at least 0", _is_number_from_zero),
+    "bounds.quotaSlack": ("a number of at least 0", _is_number_from_zero),
+    "callers.memoryMb": (_ABOVE_ZERO, _is_positive_number),
+    "callers.connectionMemoryMb": (_ABOVE_ZERO, _is_positive_number),
+    "callers.maxConnections": (_ABOVE_ZERO, _is_positive_number),
+    "callers.maxHeaderLines": (_ABOVE_ZERO, _is_positive_number),
+    "callers.readTimeoutS": (_ABOVE_ZERO, _is_positive_number),
+}
