Start with an odd seed or operators' address in the settings

A single entry of the list of seeds that is no ip:port kept a process from starting, and an odd address for operators ended it when it was to listen there; callers would have found no listener.

Cause: the list was valid or not as a whole, and the operators' address was not checked. Both are values that the process can do without.

They are now left out and named in settings_ignored.

--- a/mimosapost/platform/settings.py
+++ b/mimosapost/platform/settings.py
@@ -104,12 +104,11 @@
     found = {name: value for name, value in read_fields(text).items() if value}
     refused = _find_faults(_REQUIRED_FIELDS, dict.fromkeys(_REQUIRED_FIELDS, "") | found)
     refused |= _find_faults(_EXPLAINED_FIELDS, found)
-    seeds, odd_seeds = _split_seeds(found)
-    refused |= {f"seeds {fault.value}": fault for fault in odd_seeds}
     if refused:
         return Failure(tuple(refused.values()))
     ignored = _find_faults(_IGNORABLE_FIELDS, found)
     fields = {name: value for name, value in found.items() if name not in ignored}
+    seeds, odd_seeds = _split_seeds(fields)
     memory_mb = float(fields.get("limits.memoryMb", _DEFAULT_MEMORY_MB))
     grace_seconds = float(fields.get("bounds.graceS", _DEFAULT_GRACE_SECONDS))
     control_address = fields.get("listenAddrs.control", "")
@@ -144,7 +143,7 @@
             _create_caller_bounds(fields, memory_mb),
             max(1, int(_count_descriptors(fields) * _SERVER_DESCRIPTOR_SHARE)),
             fields.get("bootstrap") == "true",
-            tuple(ignored.values()),
+            (*ignored.values(), *odd_seeds),
         )
     )
 
@@ -255,8 +254,9 @@
     "limits.maxFds": (_ABOVE_ZERO, _is_positive_number),
 }
 # Fields that the process can do without: those of matters that are not open on a deployment,
-# and the project's own bounds on callers.
+# the operators' address, and the project's own bounds on callers.
 _IGNORABLE_FIELDS: _FieldRules = {
+    "listenAddrs.control": ("ip:port", _is_address),
     "bounds.quotaWindowS": (_ABOVE_ZERO, _is_positive_number),
     "bounds.quotaExcess": ("a number of at least 0", _is_number_from_zero),
     "bounds.quotaSlack": ("a number of at least 0", _is_number_from_zero),
--- a/mimosapost/platform/tests/test_settings.py
+++ b/mimosapost/platform/tests/test_settings.py
@@ -91,6 +91,26 @@
     assert fault.path.strip("[]'\"") == name
 
 
+@pytest.mark.parametrize(
+    ("seeds", "kept"),
+    [
+        pytest.param("10.1.0.9:8106,,10.2.0.21:8106", 2, id="empty"),
+        pytest.param("10.1.0.9:8106,store", 1, id="without a port"),
+        pytest.param("10.1.0.9:8106,10.2.0.21:99999", 1, id="port out of range"),
+        pytest.param("x", 0, id="none usable"),
+    ],
+)
+def test_an_odd_seed_costs_that_seed_alone(seeds, kept):
+    settings = decode_settings(create_text(seeds=seeds)).unwrap()
+    assert len(settings.instance_settings.seed_addresses) == kept
+
+
+def test_an_odd_address_for_operators_costs_that_address_alone():
+    settings = decode_settings(create_text(**{"listenAddrs.control": "none"})).unwrap()
+    assert settings.operator_addresses == ("127.0.0.1:9464",)
+    assert [fault.path.strip("[]'\"") for fault in settings.ignored] == ["listenAddrs.control"]
+
+
 @pytest.mark.parametrize(
     "line",
     [
