Read a settings file with bytes that are not UTF-8 in a line

Such a byte in any line, also of a field that nobody reads, kept a process from starting.

Cause: the file was decoded as a whole before it was split into fields.

The bytes are now replaced. A required name with a replaced byte is refused with its name.

--- a/mimosapost/platform/settings.py
+++ b/mimosapost/platform/settings.py
@@ -46,6 +46,8 @@
 # taking a failure domain out of service.
 _APPLY_LIMIT_FIELDS = ("bounds.configApplyMs", "bounds.drainMs", "bounds.evacMs")
 _ABOVE_ZERO = "a number above 0"
+# Character that replaces bytes that are not UTF-8.
+_REPLACEMENT = "\N{REPLACEMENT CHARACTER}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,6 +220,10 @@
     return bool(host) and port.isdigit() and 0 < int(port) < 65_536
 
 
+def _is_name(value: str) -> bool:
+    return bool(value) and _REPLACEMENT not in value
+
+
 def _is_positive_number(value: str) -> bool:
     return _is_number(value) and float(value) > 0
 
@@ -236,9 +242,9 @@
 # For each field, what is expected and a function that checks its value.
 _FieldRules = Mapping[str, tuple[str, Callable[[str], bool]]]
 _REQUIRED_FIELDS: _FieldRules = {
-    "nodeName": ("a name", bool),
-    "zone": ("a failure domain", bool),
-    "region": ("a region", bool),
+    "nodeName": ("a name", _is_name),
+    "zone": ("a failure domain", _is_name),
+    "region": ("a region", _is_name),
     "listenAddrs.front": ("ip:port", _is_address),
     "listenAddrs.readyAddr": ("ip:port", _is_address),
     "platform.address": ("ip:port", _is_address),
--- a/mimosapost/platform/startup.py
+++ b/mimosapost/platform/startup.py
@@ -30,13 +30,13 @@
 
 
 def read_settings(path: Path) -> Result[RelaySettings, tuple[str, ...]]:
-    """Read and decode a settings file.
+    """Read and decode a settings file; bytes that are not UTF-8 cost their own line alone.
 
     :returns: decoded settings, or one line of text for each fault.
     """
     try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
+        text = path.read_text(encoding="utf-8", errors="replace")
+    except OSError as error:
         return Failure((f"{_SETTINGS_PATH_VARIABLE}={path}: {error}",))
     return decode_settings(text).alt(
         lambda faults: tuple(f"{path}: {fault}" for fault in faults)
--- a/mimosapost/platform/tests/test_settings.py
+++ b/mimosapost/platform/tests/test_settings.py
@@ -75,9 +75,10 @@
     assert [fault.path.strip("[]'\"") for fault in settings.ignored] == [name] * is_known
 
 
+@pytest.mark.parametrize("value", ["", "\ufffd"])
 @pytest.mark.parametrize("name", REQUIRED)
-def test_a_field_that_the_process_needs_is_refused_with_its_name(name):
-    (fault,) = decode_settings(create_text(**{name: ""})).failure()
+def test_a_field_that_the_process_needs_is_refused_with_its_name(name, value):
+    (fault,) = decode_settings(create_text(**{name: value})).failure()
     assert fault.path.strip("[]'\"") == name
     assert fault.expected
 
@@ -116,6 +117,8 @@
     [
         pytest.param(b"bounds.quotaWindowS=", id="empty"),
         pytest.param(b"bounds.quotaWindowS=soon", id="no number"),
+        pytest.param(b"bounds.quotaWindowS=\xff", id="not UTF-8"),
+        pytest.param(b"bounds.unknown=\xff", id="unknown and not UTF-8"),
     ],
 )
 async def test_a_process_starts_with_an_odd_line_of_another_matter(tmp_path, line):
