Accept configurations with optional fields that are null

A version of the configuration in which an optional field was null, or in which "public", a field of a matter that is not open, had another type, was ignored with all of its changes, so that requests were handled as the version before allowed.

Cause: an optional field was checked as soon as its name was there.

--- a/mimosapost/platform/store_entries.py
+++ b/mimosapost/platform/store_entries.py
@@ -58,6 +58,7 @@
     weight: _PerSecond
 
 
+# Optional fields may be null, which counts as absent.
 class _Route(msgspec.Struct):
     name: str
     host: str
@@ -73,30 +74,31 @@
     service: str | None = None
     split: list[_Target] | None = None
     gather: list[str] | None = None
-    topK: _Integer = 0  # noqa: N815
-    minCoverage: float = 0.0  # noqa: N815
+    topK: _Integer | None = None  # noqa: N815
+    minCoverage: float | None = None  # noqa: N815
     allowedRegions: list[str] | None = None  # noqa: N815
-    public: bool | None = False
+    # Only true makes a route public; any other value keeps it closed.
+    public: Any = None
 
 
 class _Service(msgspec.Struct):
     name: str
     maxConns: _Integer  # noqa: N815
-    warmupPerS: _PerSecond = 0.0  # noqa: N815
+    warmupPerS: _PerSecond | None = None  # noqa: N815
 
 
 class _Limits(msgspec.Struct):
-    maxHeaderBytes: _Integer = 32_768  # noqa: N815
-    maxBodyBytes: _Integer = 1_048_576  # noqa: N815
-    headerTimeoutMs: _DayMs = 10_000  # noqa: N815
-    idleTimeoutMs: _DayMs = 60_000  # noqa: N815
+    maxHeaderBytes: _Integer | None = None  # noqa: N815
+    maxBodyBytes: _Integer | None = None  # noqa: N815
+    headerTimeoutMs: _DayMs | None = None  # noqa: N815
+    idleTimeoutMs: _DayMs | None = None  # noqa: N815
 
 
 class _Config(msgspec.Struct):
     version: _Integer
     routes: list[_Route]
     services: list[_Service]
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    limits: _Limits | None = None
     tenants: Any = msgspec.UNSET
 
 
@@ -150,25 +152,35 @@
     :raises EntryError: if any part of the configuration but its workspaces is unusable.
     """
     config = _decode_json(seal_config(data), _Config)
-    limits = CallerLimits(
-        config.limits.maxHeaderBytes,
-        config.limits.maxBodyBytes,
-        config.limits.headerTimeoutMs * 1_000,
-        config.limits.idleTimeoutMs * 1_000,
-    )
-    for service in config.services:
-        if 0 < service.warmupPerS < _MIN_COLD_PER_SECOND:
-            raise EntryError(f"warmupPerS of {service.name[:40]!r} is {service.warmupPerS}")
-    services = [ServiceRules(s.name, s.maxConns, s.warmupPerS) for s in config.services]
+    services = [ServiceRules(s.name, s.maxConns, s.warmupPerS or 0.0) for s in config.services]
+    for service in services:
+        if 0 < service.cold_per_second < _MIN_COLD_PER_SECOND:
+            raise EntryError(
+                f"warmupPerS of {service.name[:40]!r} is {service.cold_per_second}"
+            )
     return create_catalog(
         config.version,
         map(_create_route, config.routes),
         services,
-        limits,
+        _create_limits(config.limits or _Limits()),
         None if config.tenants is msgspec.UNSET else decode_workspaces(config.tenants),
     )
 
 
+def _create_limits(limits: _Limits) -> CallerLimits:
+    header_timeout_us, idle_timeout_us = (
+        None if timeout_ms is None else timeout_ms * 1_000
+        for timeout_ms in (limits.headerTimeoutMs, limits.idleTimeoutMs)
+    )
+    given = {
+        "header_bytes": limits.maxHeaderBytes,
+        "body_bytes": limits.maxBodyBytes,
+        "header_timeout_us": header_timeout_us,
+        "idle_timeout_us": idle_timeout_us,
+    }
+    return CallerLimits(**{name: value for name, value in given.items() if value is not None})
+
+
 def _create_route(route: _Route) -> Route:
     if route.split:
         split = tuple((target.service, target.weight) for target in route.split)
@@ -189,8 +201,8 @@
         max(1, route.maxAttempts),
         split,
         tuple(route.gather or ()),
-        route.topK,
-        route.minCoverage,
+        route.topK or 0,
+        route.minCoverage or 0.0,
         frozenset(route.allowedRegions or ()),
-        bool(route.public),
+        route.public is True,
     )
--- a/mimosapost/platform/tests/test_odd_entries.py
+++ b/mimosapost/platform/tests/test_odd_entries.py
@@ -127,3 +127,39 @@
         await relay.store.put("op/config", create_config(5, SERVICES))
         await relay.wait_until(lambda state: state.catalog.version == 5)
         assert (await relay.send_request("/search/x")).status == 200
+
+
+def change_service(config, **changes):
+    """Return a configuration whose first service has other fields."""
+    first, *others = config["services"]
+    return config | {"services": [first | changes, *others]}
+
+
+UNUSED_FIELDS = {
+    "largest number of records": (change_route, {"topK": None}),
+    "coverage": (change_route, {"minCoverage": None}),
+    "service": (change_route, {"service": None}),
+    "split": (change_route, {"split": None}),
+    "regions": (change_route, {"allowedRegions": None}),
+    "public": (change_route, {"public": None}),
+    "public of another type": (change_route, {"public": ""}),
+    "public as a number": (change_route, {"public": 1}),
+    "cold limit": (change_service, {"warmupPerS": None}),
+    "limits": (lambda config, **changes: config | changes, {"limits": None}),
+    "one of the limits": (
+        lambda config, **changes: config | {"limits": config["limits"] | changes},
+        {"maxBodyBytes": None},
+    ),
+}
+
+
+@pytest.mark.parametrize(("change", "fields"), UNUSED_FIELDS.values(), ids=UNUSED_FIELDS.keys())
+def test_a_field_without_a_value_does_not_cost_the_whole_configuration(change, fields):
+    """A refused version would keep all of its other changes out of force."""
+    config = create_config(4, SERVICES)
+    catalog = decode_catalog(json.dumps(change(config, **fields)).encode())
+    assert catalog.version == 4
+    assert catalog.find_route("shop.example", "/order/x").split == ((SERVICES[0], 1.0),)
+    route = catalog.find_route("shop.example", "/search/x")
+    assert route.shards == tuple(SERVICES)
+    assert not route.is_public
