Withhold refusals without proof from callers of requests that may run once

Cause: the reply was made from whichever answer was kept, and what was known of the run was asked only where none was kept. So a status that means "not run" to callers could come from a server that had not stated it.

The codec now tells which answers read as a refusal without proof, and the one place that passes answers on withholds these for requests that may run once: 504 at once, without the signature, logged as answer_withheld and counted. Repeatable requests get the server's answer as before. Proven rejections still end as 503 with Retry-After.

--- a/mimosapost/edge/metrics.py
+++ b/mimosapost/edge/metrics.py
@@ -209,6 +209,10 @@
     "mimosapost_relay_odd_loads_total",
     "Load reports whose figure on the server's machine can't be used.",
 )
+declare_counter(
+    "mimosapost_relay_withheld_answers_total",
+    "Answers whose status told callers without proof that the request has not run.",
+)
 declare_counter(
     "mimosapost_relay_odd_entries_total",
     "Entries of the store that were ignored, by the first part of the key.",
--- a/mimosapost/platform/http_codec.py
+++ b/mimosapost/platform/http_codec.py
@@ -76,6 +76,8 @@
 _MAX_PAUSE_SECONDS = 300
 _NOT_FORWARDED = _HOP_BY_HOP.union((_LOAD_HEADER, _LIMIT_HEADER))
 _MISDIRECTED_STATUS = 421
+# Callers read these statuses as a statement that the request has not run and will not run.
+_NOT_RUN_STATUSES = frozenset((408, _MISDIRECTED_STATUS, 429, 503))
 _DEFAULT_REMAINING_MS = 10_000
 
 
@@ -186,6 +188,7 @@
         header_values = dict(headers)
         forwarded = tuple([pair for pair in headers if pair[0] not in _NOT_FORWARDED])
         misdirected = status == _MISDIRECTED_STATUS
+        not_run = misdirected or _NOT_RUN_HEADER in header_values
         answer = ServerAnswer(
             status,
             forwarded,
@@ -194,10 +197,11 @@
             ""
             if b"content-encoding" in header_values
             else header_values.get(_SIGNATURE_HEADER, b"").decode("latin-1"),
-            misdirected or _NOT_RUN_HEADER in header_values,
+            not_run,
             misdirected,
             b"close" in header_values.get(b"connection", b"").lower(),
             _decode_load(headers) if _LOAD_HEADER in header_values else None,
+            unproven_refusal=status in _NOT_RUN_STATUSES and not not_run,
             **_decode_signals(status, headers, header_values),
         )
         return answer, header_values.get(_REQUEST_ID_HEADER, b"").decode("latin-1")
--- a/mimosapost/platform/tests/test_end_to_end.py
+++ b/mimosapost/platform/tests/test_end_to_end.py
@@ -417,3 +417,36 @@
         status = await caller.send("/order/x", (b"x" * 100,) * 3, pause=0.1)
         assert status in (200, 503)
         await stop_task
+
+
+@pytest.mark.parametrize("signature", ["seal", None], ids=["signed", "unsigned"])
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize(
+    ("target", "is_proven", "expected"),
+    [
+        pytest.param("/order/x", False, 504, id="write"),
+        pytest.param("/order/x", True, 503, id="rejected write"),
+        pytest.param("/search/x", False, 504, id="query"),
+        pytest.param("/search/x", True, 503, id="rejected query"),
+    ],
+)
+async def test_only_a_proven_rejection_tells_a_caller_that_nothing_has_run(
+    target, is_proven, expected, status, signature
+):
+    """A server's own 503 after a run reached callers, who then booked a second time."""
+
+    async def answer(_request):
+        headers = {"X-Not-Executed": "1"} if is_proven else {}
+        if signature is not None:
+            headers["X-Response-Seal"] = signature
+        return web.Response(status=status, headers=headers)
+
+    async with run_relay() as relay:
+        for server in relay.servers.values():
+            server.respond = answer
+        response = await relay.send_request(target, "POST")
+        assert response.status == expected
+        assert "X-Response-Seal" not in response.headers
+        assert ("Retry-After" in response.headers) == is_proven
+        if target.startswith("/order") and not is_proven:
+            assert sum(len(server.requests) for server in relay.servers.values()) == 1
--- a/mimosapost/relay/completion.py
+++ b/mimosapost/relay/completion.py
@@ -147,6 +147,7 @@
         return
     if open_request.answered == len(open_request.parts):
         _record_answered(state, open_request, now_us)
+    _record_withheld(open_request, effects)
     reply = _create_reply(state, open_request, now_us)
     del state.requests[request_number]
     abandon_request(state, open_request, now_us, effects)
@@ -267,10 +268,9 @@
         code = ResultCode.PARTIAL if missing else ResultCode.COMPLETE
         body = merge_records(bodies, route.max_records)
         return GatheredReply(code, tuple(signatures), missing, body)
-    if not route.shards:
-        answer = open_request.parts[0].answer or open_request.failed_answer
-        if answer is not None:
-            return ForwardedReply(ResultCode.COMPLETE, answer)
+    answer = _find_server_answer(open_request)
+    if answer is not None and not _is_withheld(open_request, answer):
+        return ForwardedReply(ResultCode.COMPLETE, answer)
     may_have_run = any(part.possible_runs for part in open_request.parts)
     expired = now_us >= open_request.deadline_us
     if may_have_run:
@@ -288,6 +288,36 @@
     )
 
 
+def _find_server_answer(open_request: OpenRequest) -> ServerAnswer | None:
+    """Return the signed answer or failure of the server of a request to one server."""
+    if open_request.route.shards:
+        return None
+    return open_request.parts[0].answer or open_request.failed_answer
+
+
+def _is_withheld(open_request: OpenRequest, answer: ServerAnswer) -> bool:
+    """Return whether an answer is replaced, because callers would take it for a proven refusal.
+
+    A request that may run once is repeated only after such a refusal. Callers repeat all others
+    after any failure, so that the server's own status and body are of more use to them.
+    """
+    return answer.unproven_refusal and not open_request.route.repeatable
+
+
+def _record_withheld(open_request: OpenRequest, effects: Effects) -> None:
+    answer = _find_server_answer(open_request)
+    if answer is None or not _is_withheld(open_request, answer):
+        return
+    fields = (
+        ("request", open_request.request.request_id),
+        ("route", open_request.route.name),
+        ("status", answer.status),
+        ("server", open_request.parts[0].tried_servers[-1]),
+    )
+    effects.append(WriteLog("answer_withheld", fields))
+    effects.append(IncrementCounter("mimosapost_relay_withheld_answers_total"))
+
+
 def refuse_request(
     state: RelayState,
     request_number: int,
--- a/mimosapost/relay/messages.py
+++ b/mimosapost/relay/messages.py
@@ -121,6 +121,8 @@
     :param pause_us: time in microseconds for which the server wants no requests of this
         instance; 0 if it asks for no pause.
     :param malformed_headers: names of headers that were ignored because of their values.
+    :param unproven_refusal: whether callers read the status as a statement that the request did
+        not run, although the server does not state it.
     """
 
     status: int
@@ -135,6 +137,7 @@
     leaving: bool = False
     pause_us: int = 0
     malformed_headers: tuple[str, ...] = ()
+    unproven_refusal: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/mimosapost/relay/tests/test_gathers.py
+++ b/mimosapost/relay/tests/test_gathers.py
@@ -443,6 +443,22 @@
     assert reply.retry_after_us == 0
 
 
+def test_a_refusal_without_proof_at_the_partner_is_no_promise():
+    fleet = create_fleet(server_domains=("a1",))
+    number = send_query(fleet)
+    for name in ("n2", "n1"):
+        for send in fleet[name].pop_sends():
+            fleet[name].answer(send, status=503, unproven_refusal=True)
+        fleet.advance(15)
+    for _ in range(60):
+        for send in fleet["n1"].pop_sends():
+            fleet["n1"].answer(send, status=503, not_run=True, signature="")
+        fleet.advance(10)
+    reply = fleet["n1"].get_reply(number)
+    assert reply.code in (ResultCode.OUTCOME_UNKNOWN, ResultCode.DEADLINE_EXCEEDED)
+    assert reply.retry_after_us == 0
+
+
 @pytest.mark.parametrize("case", ["version", "stopping"])
 def test_a_refused_gather_is_sent_directly_as_a_first_send(case):
     fleet = create_fleet(server_domains=("a1",))
--- a/mimosapost/relay/tests/test_replies.py
+++ b/mimosapost/relay/tests/test_replies.py
@@ -166,6 +166,75 @@
     assert relay.get_reply(request_number).code is ResultCode.OUTCOME_UNKNOWN
 
 
+# An answer whose status tells callers "not run" although its server does not state it.
+UNPROVEN = {"status": 503, "unproven_refusal": True}
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "answers", "expected"),
+    [
+        pytest.param(False, [UNPROVEN], ResultCode.OUTCOME_UNKNOWN, id="write"),
+        pytest.param(
+            False, [UNPROVEN | {"status": 429}], ResultCode.OUTCOME_UNKNOWN, id="write: 429"
+        ),
+        pytest.param(
+            False, [UNPROVEN | {"status": 408}], ResultCode.OUTCOME_UNKNOWN, id="write: 408"
+        ),
+        pytest.param(
+            False,
+            [UNPROVEN | {"signature": ""}],
+            ResultCode.OUTCOME_UNKNOWN,
+            id="write: without a signature",
+        ),
+        pytest.param(
+            False,
+            [{"status": 503, "not_run": True}, UNPROVEN],
+            ResultCode.OUTCOME_UNKNOWN,
+            id="write: rejected, then may have run",
+        ),
+        pytest.param(
+            False, [{"status": 503, "not_run": True}] * 4, ResultCode.OVERLOADED, id="rejected"
+        ),
+        pytest.param(
+            False,
+            [{"status": 421, "not_run": True, "misdirected": True}] * 4,
+            ResultCode.OVERLOADED,
+            id="write: misdirected",
+        ),
+        pytest.param(False, [{"status": 500}], 500, id="write: 500"),
+        pytest.param(True, [UNPROVEN] * 2, 503, id="repeatable: 503 of both servers"),
+        pytest.param(True, [UNPROVEN | {"status": 429}], 429, id="repeatable: 429"),
+    ],
+)
+def test_no_answer_says_not_run_of_a_write_that_may_have_run(repeatable, answers, expected):
+    """A server's own 503 after a run told callers to repeat writes, which then ran twice.
+
+    A repeatable request may be repeated after any failure, so that its caller gets the server's
+    own answer. A proven rejection must still be reported as such, with a time to return.
+    """
+    relay = create_single_relay(("a1", "b1", "c1"), repeatable=repeatable, timeout_us=2_000_000)
+    request_number = relay.request("/look/x")
+    for answer in answers:
+        relay.advance(20)
+        for send in relay.pop_sends():
+            relay.answer(send, **answer)
+    reply = relay.get_reply(request_number)
+    if isinstance(expected, ResultCode):
+        assert isinstance(reply, Refusal)
+        assert reply.code is expected
+        assert bool(reply.retry_after_us) == (expected is ResultCode.OVERLOADED)
+    else:
+        assert reply.answer.status == expected
+
+
+def test_a_withheld_answer_is_logged_with_its_status():
+    relay = create_single_relay(repeatable=False)
+    relay.request("/look/x")
+    relay.answer(relay.pop_sends()[0], **UNPROVEN)
+    (line,) = [e for e in relay.effects if getattr(e, "event", "") == "answer_withheld"]
+    assert ("status", 503) in line.fields
+
+
 def test_a_rejected_write_is_sent_to_another_server():
     relay = create_single_relay(repeatable=False)
     request_number = relay.request("/look/x")
