Apply updates of another instance while a call to the store is open

Cause: the two sources were awaited one at a time, and the first call after a feed used a connection that had been idle for as long as the feed lasted.

A call and the feed are now awaited together. Updates are applied as they arrive; once they are recent again the call is given up (store_call_left), until then it goes on. A connection idle for longer than any pause between calls is not used again.

--- a/mimosapost/edge/feed_inbox.py
+++ b/mimosapost/edge/feed_inbox.py
@@ -62,8 +62,8 @@
             return 0.0
         return max(0, self._confirmed_us + self._limit_us - self._read_clock_us()) / 1e6
 
-    async def wait(self, seconds: float) -> None:
-        """Wait until an update arrives, but at most for a time."""
+    async def wait(self, seconds: float | None = None) -> None:
+        """Wait until an update arrives, but at most for a time if one is given."""
         try:
             async with asyncio.timeout(seconds):
                 await self._arrived.wait()
--- a/mimosapost/platform/store_pacing.py
+++ b/mimosapost/platform/store_pacing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["FEED_AGE_SHARE", "get_next_pause", "get_watch_limits"]
+__all__ = ["FEED_AGE_SHARE", "get_idle_seconds", "get_next_pause", "get_watch_limits"]
 
 # Part of the detection time that is reserved for detecting a lost answer and reading the whole
 # list again; a watch waits for changes during the rest.
@@ -22,6 +22,9 @@
 # the same time. The wait and the pause together stay below the age.
 _FED_WAIT_SHARE = 0.24
 _FED_PAUSE_SHARE = 0.2
+# Idle time after which a connection is not used again, as a share of the same time: longer than
+# any pause between calls, shorter than the time for which a feed lasts without an update.
+_IDLE_SHARE = 0.45
 # A watch that takes longer than this ends a burst of changes.
 _BURST_GAP_US = 1_500_000
 
@@ -43,6 +46,19 @@
     return min(max(2 * pause_seconds, _FIRST_PAUSE_SECONDS), max_pause_seconds)
 
 
+def get_idle_seconds(apply_limit_ms: int) -> float:
+    """Return the idle time in seconds after which a connection to the store is not used again.
+
+    An open connection may have gone silent, and a call on it would take a whole time limit.
+
+    :param apply_limit_ms: time in milliseconds within which a change must take effect.
+
+    >>> get_idle_seconds(3_000)
+    1.35
+    """
+    return max(_FIRST_PAUSE_SECONDS, apply_limit_ms / 1e3 * _IDLE_SHARE)
+
+
 def get_watch_limits(
     detection_limit_ms: int, apply_limit_ms: int, is_followed: bool
 ) -> tuple[int, float]:
--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -1,13 +1,14 @@
 """Reader of the platform's store: configuration, servers and domains out of service.
 
 The reader follows the updates of another instance while they are recent, and reads the store
-itself otherwise.
+itself otherwise. Updates are applied also while a call to the store is open, whose connection
+may be silent, and the call is given up once they are recent again.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import aiohttp
@@ -30,6 +31,7 @@
 from mimosapost.platform.store_entries import EntryError, decode_catalog, decode_server
 from mimosapost.platform.store_pacing import (
     FEED_AGE_SHARE,
+    get_idle_seconds,
     get_next_pause,
     get_watch_limits,
 )
@@ -137,7 +139,12 @@
 
     async def on_start(self) -> None:
         """Open the HTTP session and start reading."""
-        self._session = await self.async_exit_stack.enter_async_context(aiohttp.ClientSession())
+        connector = aiohttp.TCPConnector(
+            keepalive_timeout=get_idle_seconds(self._apply_limit_ms)
+        )
+        self._session = await self.async_exit_stack.enter_async_context(
+            aiohttp.ClientSession(connector=connector)
+        )
         self.add_future(self._read_until_stopped())
 
     def apply_feed(self, update: ApplyFeed) -> None:
@@ -151,12 +158,12 @@
             await self._follow_feed()
             try:
                 if self._is_list_needed:
-                    await self._read_all()
+                    await self._read_until_fed(self._read_all())
                     if self._is_first_start:
                         self._is_first_start = False
                         await self._inbox.wait(_FIRST_START_WAIT_SECONDS)
                 else:
-                    await self._read_changes()
+                    await self._read_until_fed(self._read_changes())
             except _SourceRewound:
                 self._is_list_needed = True
                 continue
@@ -186,17 +193,37 @@
         else:
             await self._inbox.wait(seconds)
 
+    async def _read_until_fed(self, read: Awaitable[None]) -> None:
+        """Read the store, and give up as soon as recent updates have been applied."""
+        reading = asyncio.ensure_future(read)
+        feeding = asyncio.ensure_future(self._wait_until_fed())
+        try:
+            await asyncio.wait((reading, feeding), return_when=asyncio.FIRST_COMPLETED)
+            if reading.done():
+                reading.result()
+            else:
+                feeding.result()
+                self._logs.write("store_call_left", {"revision": get_revision(self._revision)})
+        finally:
+            for task in (reading, feeding):
+                task.cancel()
+            await asyncio.gather(reading, feeding, return_exceptions=True)
+
+    async def _wait_until_fed(self) -> None:
+        """Apply updates until they are recent or show that the list must be read."""
+        while self._can_follow():
+            self._apply_updates()
+            if self._inbox.get_remaining_seconds():
+                return
+            await self._inbox.wait()
+        if not self._is_newer_era_fed():
+            # Without a revision that updates could continue, only a call brings news.
+            await asyncio.Event().wait()
+
     async def _follow_feed(self) -> None:
         """Apply the updates of another instance until they are missing or too old."""
-        while not self._is_list_needed and not self.should_stop:
-            while (update := self._inbox.take(self._revision)) is not None:
-                if get_era(update.as_of) == get_era(self._revision):
-                    self._apply_update(update)
-            if self._fed_era > max(get_era(self._revision), self._checked_era):
-                # A watch from a revision of the older era could wait although there are
-                # changes.
-                self._checked_era, self._is_list_needed = self._fed_era, True
-                break
+        while self._can_follow() and not self.should_stop:
+            self._apply_updates()
             remaining_seconds = self._inbox.get_remaining_seconds()
             if not remaining_seconds:
                 break
@@ -204,12 +231,29 @@
                 self._logs.write("feed_followed", {"revision": get_revision(self._revision)})
             self._is_fed = self._was_fed = True
             await self._inbox.wait(remaining_seconds)
+        if self._is_newer_era_fed():
+            # A watch from a revision of the older era could wait although there are changes.
+            self._checked_era, self._is_list_needed = self._fed_era, True
         if self._is_fed:
             revision = get_revision(self._revision)
             fields = {"revision": revision, "reason": self._inbox.end_reason}
             self._logs.write("feed_ended", fields)
         self._is_fed = False
 
+    def _can_follow(self) -> bool:
+        """Return whether updates may continue from the revision that was reached."""
+        return (
+            bool(self._revision) and not self._is_list_needed and not self._is_newer_era_fed()
+        )
+
+    def _is_newer_era_fed(self) -> bool:
+        return self._fed_era > max(get_era(self._revision), self._checked_era)
+
+    def _apply_updates(self) -> None:
+        while (update := self._inbox.take(self._revision)) is not None:
+            if get_era(update.as_of) == get_era(self._revision):
+                self._apply_update(update)
+
     def _apply_update(self, update: ApplyFeed) -> None:
         if update.is_regained and not self._source_lost:
             # The source failed and recovered between two updates. Entries may be missing only
@@ -262,7 +306,7 @@
             if not page.truncated or not page.items:
                 break
             fields["after"] = page.items[-1].key
-        self._check_revision(first_revision)
+        self._check_revision(first_revision, self._revision)
         self._apply_list(first_revision, entries, confirmed_us)
 
     async def _call(self, name: str, fields: dict[str, Any], wait_seconds: float = 0) -> bytes:
@@ -291,9 +335,10 @@
                 raise error
         return answer.body
 
-    def _check_revision(self, as_of: int) -> None:
-        if as_of < self._revision:
-            revisions = get_revision(as_of), get_revision(self._revision)
+    def _check_revision(self, as_of: int, before: int) -> None:
+        """Check that an answer is no older than what was known before the call."""
+        if as_of < before:
+            revisions = get_revision(as_of), get_revision(before)
             raise _StaleAnswer("answer as of revision {}, after {}".format(*revisions))
 
     def _apply_list(self, as_of: int, entries: list[SourceEntry], confirmed_us: int) -> None:
@@ -340,7 +385,8 @@
         wait_ms, max_pause_seconds = get_watch_limits(
             self._detection_limit_ms, self._apply_limit_ms, self._is_followed()
         )
-        after = get_revision(self._revision)
+        first_revision = self._revision
+        after = get_revision(first_revision)
         fields = {"pathPrefix": "", "after": after, "waitMs": wait_ms}
         data = await self._call("kv-watch", fields, wait_ms / 1_000)
         confirmed_us = self._read_clock_us()
@@ -351,7 +397,11 @@
         )
         as_of = create_position(self._era, changes.asOf)
         as_of = max([as_of, *(entry.revision for entry in entries)])
-        self._check_revision(as_of)
+        self._check_revision(as_of, first_revision)
+        if as_of < self._revision:
+            # Updates of another instance have brought all of this and more meanwhile.
+            return
+        entries = tuple(entry for entry in entries if entry.revision > self._revision)
         self._apply_changes(as_of, entries, confirmed_us)
         self._pause_seconds = get_next_pause(
             self._pause_seconds, confirmed_us - self._pause_ended_us, max_pause_seconds
--- a/mimosapost/platform/tests/standins.py
+++ b/mimosapost/platform/tests/standins.py
@@ -19,7 +19,7 @@
     :ivar mode: ``serve`` (normal answers), ``busy`` (status 503), ``silent`` (no answer),
         ``congested`` (a list takes more than a second from its first byte to its last),
         ``endless`` (an answer of bytes without end) or
-        ``compacted`` (status 410 for the next watch).
+        ``compacted`` (status 410 for the next watch, then the mode ``next_mode``).
     :ivar endless_bytes: number of bytes written in mode ``endless``.
     :ivar page_size: largest number of items in one page of a list.
     :ivar watch_size: largest number of changes in one answer to a watch.
@@ -28,13 +28,18 @@
     :ivar requested_paths: paths of all requests, in order.
     :ivar watch_waits_ms: longest wait of each watch that was requested, in order.
     :ivar era: value of the header that names the era; ``None`` for no header.
+    :ivar connections: connections on which a request arrived.
+    :ivar silent_connections: connections on which nothing is answered any more.
     """
 
     def __init__(self) -> None:
+        self.connections: set[object] = set()
+        self.silent_connections: set[object] = set()
         self.revision = 1
         self.items: dict[str, dict] = {}
         self.events: list[dict] = []
         self.mode = "serve"
+        self.next_mode = "serve"
         self.endless_bytes = 0
         self.page_size = 500
         self.watch_size = 500
@@ -77,13 +82,20 @@
         self.revision, self.items, self.events = data[0], dict(data[1]), list(data[2])
         self.era = era
 
+    def silence_connections(self) -> None:
+        """Let all open connections go silent without a reset, while new ones work."""
+        self.silent_connections |= self.connections
+
     async def _publish(self, event: dict) -> None:
         self.events.append(event)
         async with self.change_condition:
             self.change_condition.notify_all()
 
     async def _handle_request(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.connections.add(request.transport)
         response = await self._answer(request)
+        if request.transport in self.silent_connections:
+            await asyncio.sleep(30)
         if self.era is not None and not response.prepared:
             response.headers["Store-Era"] = self.era
         return response
@@ -102,7 +114,7 @@
             page = web.json_response(self._list(prefix, query.get("after", "")))
             return await self._send_slowly(request, page) if self.mode == "congested" else page
         if self.mode == "compacted":
-            self.mode = "serve"
+            self.mode = self.next_mode
             return web.Response(status=410)
         changes = await self._watch(prefix, query)
         # A watch from a revision that the store does not have.
--- a/mimosapost/platform/tests/test_store_feed.py
+++ b/mimosapost/platform/tests/test_store_feed.py
@@ -9,7 +9,9 @@
 
 import asyncio
 import io
+import json
 from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import replace
 
 import pytest
 
@@ -157,6 +159,73 @@
         await wait_until(lambda: follower.log.getvalue().count("feed_followed") > followed)
 
 
+@asynccontextmanager
+async def run_silenced_follower():
+    """Run a follower whose own call waits on a connection that has gone silent."""
+    async with run_readers() as (store, (first, follower)):
+        first.followers = []
+        await first.source.stop()
+        watches = len(store.watch_waits_ms)
+        await wait_until(lambda: "feed_ended" in follower.log.getvalue())
+        await wait_until(lambda: len(store.watch_waits_ms) > watches)
+        store.silence_connections()
+        yield store, follower
+
+
+@pytest.mark.parametrize(
+    ("entry", "kind"),
+    [
+        pytest.param(
+            SourceEntry("op/config", 0, json.dumps(create_config(2, ["s0"])).encode()),
+            CatalogRead,
+            id="configuration",
+        ),
+        pytest.param(
+            SourceEntry("servers/i-1", 0, json.dumps(create_entry(state="draining")).encode()),
+            ServerListed,
+            id="server that leaves",
+        ),
+        pytest.param(
+            SourceEntry("servers/i-1", 0, is_removed=True), ServerUnlisted, id="removed server"
+        ),
+        pytest.param(SourceEntry("op/evacuate/b1", 0, b"{}"), DomainsOut, id="domain out"),
+    ],
+)
+async def test_a_call_on_a_silent_connection_does_not_delay_an_update(entry, kind):
+    """Followers acted on an old configuration while their reader had sent the new one."""
+    async with run_silenced_follower() as (store, follower):
+        calls = len(store.requested_paths)
+        count = len(follower.list_events(kind))
+        revision = follower.revision
+        follower.feed(revision, revision + 1, [replace(entry, revision=revision + 1)])
+        await wait_until(lambda: len(follower.list_events(kind)) > count, 0.2)
+        # The call is given up, and its end is no failure of the store.
+        await asyncio.sleep(0.1)
+        assert not follower.list_events(SourceLost)
+        assert len(store.requested_paths) == calls
+
+
+async def test_updates_that_are_too_old_are_applied_during_a_call_that_goes_on():
+    async with run_silenced_follower() as (store, follower):
+        revision = follower.revision
+        entry = SourceEntry("servers/i-1", revision + 1, is_removed=True)
+        follower.feed(revision, revision + 1, [entry], age_ms=2_000)
+        await wait_until(lambda: follower.list_servers() == {"i-2"}, 0.2)
+        await store.remove("servers/i-1")
+        await store.put("servers/i-3", create_entry(3))
+        # Its call fails after the wait of its watch and the time limit for an answer.
+        await wait_until(lambda: follower.list_servers() == {"i-2", "i-3"}, 2.2)
+
+
+async def test_a_follower_does_not_use_a_connection_that_was_idle_while_it_was_fed():
+    async with run_readers() as (store, (first, follower)):
+        await asyncio.sleep(LIMIT_SECONDS)
+        store.silence_connections()
+        first.holds_back = True
+        await store.put("servers/i-3", create_entry(3))
+        await wait_until(lambda: "i-3" in follower.list_servers(), LIMIT_SECONDS + 0.3)
+
+
 async def test_an_old_confirmation_does_not_keep_a_follower_from_the_store():
     async with run_readers() as (store, (first, follower)):
         first.followers = []
