Follow updates that replace a list after the store has lost its history

An instance that the store turned away after it had lost its history ignored the updates of its reader until it could read the whole list, so that callers' requests were handled by an old configuration and sent to servers that had left.

Cause: the need for a list kept updates out, though they may continue from the revision that was reached.

Updates that continue from it are now applied and replace the list, but not after the store returned from an older copy. The new test failed before and passes.

--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -175,7 +175,7 @@
                 # A watch over fewer changes could be as large, so the whole list is read.
                 self._report_source_lost(error)
                 self._is_list_needed = True
-                await asyncio.sleep(_MAX_BACKOFF_SECONDS)
+                await self._wait_for_feed(_MAX_BACKOFF_SECONDS)
                 continue
             except _CALL_ERRORS as error:
                 self._report_source_lost(error)
@@ -188,10 +188,10 @@
 
     async def _wait_for_feed(self, seconds: float) -> None:
         """Wait for a time, or until an update arrives that can be applied."""
-        if self._is_list_needed:
-            await asyncio.sleep(seconds)
-        else:
+        if self._can_follow():
             await self._inbox.wait(seconds)
+        else:
+            await asyncio.sleep(seconds)
 
     async def _read_until_fed(self, read: Awaitable[None]) -> None:
         """Read the store, and give up as soon as recent updates have been applied."""
@@ -230,6 +230,7 @@
             if not self._is_fed:
                 self._logs.write("feed_followed", {"revision": get_revision(self._revision)})
             self._is_fed = self._was_fed = True
+            self._is_list_needed = False
             await self._inbox.wait(remaining_seconds)
         if self._is_newer_era_fed():
             # A watch from a revision of the older era could wait although there are changes.
@@ -241,10 +242,14 @@
         self._is_fed = False
 
     def _can_follow(self) -> bool:
-        """Return whether updates may continue from the revision that was reached."""
-        return (
-            bool(self._revision) and not self._is_list_needed and not self._is_newer_era_fed()
-        )
+        """Return whether updates may continue from the revision that was reached.
+
+        They also replace a list that is needed only because the store has lost its history.
+        """
+        if not self._revision or self._is_newer_era_fed():
+            return False
+        newest_era = max(self._era, self._fed_era)
+        return not self._is_list_needed or get_era(self._revision) == newest_era
 
     def _is_newer_era_fed(self) -> bool:
         return self._fed_era > max(get_era(self._revision), self._checked_era)
@@ -294,6 +299,7 @@
         """
         entries: list[SourceEntry] = []
         fields: dict[str, Any] = {"pathPrefix": ""}
+        revision_before = self._revision
         first_revision, confirmed_us = None, 0
         while True:
             page = msgspec.json.decode(await self._call("kv-range", fields), type=Page)
@@ -306,7 +312,11 @@
             if not page.truncated or not page.items:
                 break
             fields["after"] = page.items[-1].key
-        self._check_revision(first_revision, self._revision)
+        self._check_revision(first_revision, revision_before)
+        if first_revision < self._revision:
+            # Updates of another instance continue from what was known, and have overtaken it.
+            self._is_list_needed = False
+            return
         self._apply_list(first_revision, entries, confirmed_us)
 
     async def _call(self, name: str, fields: dict[str, Any], wait_seconds: float = 0) -> bytes:
@@ -385,8 +395,8 @@
         wait_ms, max_pause_seconds = get_watch_limits(
             self._detection_limit_ms, self._apply_limit_ms, self._is_followed()
         )
-        first_revision = self._revision
-        after = get_revision(first_revision)
+        revision_before = self._revision
+        after = get_revision(revision_before)
         fields = {"pathPrefix": "", "after": after, "waitMs": wait_ms}
         data = await self._call("kv-watch", fields, wait_ms / 1_000)
         confirmed_us = self._read_clock_us()
@@ -397,7 +407,7 @@
         )
         as_of = create_position(self._era, changes.asOf)
         as_of = max([as_of, *(entry.revision for entry in entries)])
-        self._check_revision(as_of, first_revision)
+        self._check_revision(as_of, revision_before)
         if as_of < self._revision:
             # Updates of another instance have brought all of this and more meanwhile.
             return
--- a/mimosapost/platform/tests/test_store_feed.py
+++ b/mimosapost/platform/tests/test_store_feed.py
@@ -226,6 +226,23 @@
         await wait_until(lambda: "i-3" in follower.list_servers(), LIMIT_SECONDS + 0.3)
 
 
+async def test_a_follower_whose_history_is_lost_is_fed_while_the_store_turns_it_away():
+    async with run_readers() as (store, (first, follower)):
+        first.followers = []
+        await first.source.stop()
+        store.mode, store.next_mode = "compacted", "busy"
+        await wait_until(lambda: follower.list_events(SourceLost))
+        assert "store_history_lost" in follower.log.getvalue()
+        revision = follower.revision
+        entry = SourceEntry("servers/i-1", revision + 1, is_removed=True)
+        follower.feed(revision, revision + 1, [entry])
+        await wait_until(lambda: follower.list_servers() == {"i-2"}, 0.5)
+        # The updates continue from what was read, so that no list is needed any more.
+        store.mode = "serve"
+        await wait_until(lambda: "feed_ended" in follower.log.getvalue().rpartition("lost")[2])
+        assert store.requested_paths[-1] != "/api/kv-range"
+
+
 async def test_an_old_confirmation_does_not_keep_a_follower_from_the_store():
     async with run_readers() as (store, (first, follower)):
         first.followers = []
