Confirm nothing by an answer of the store that is cut off

Cause: the reader took each answer for the newest state of the store and paused after it. In a burst an answer holds 500 changes, and more exist.

Such an answer leaves the time of the last confirmation as it was, and is continued without a pause.

--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -56,6 +56,8 @@
 # When all instances start together before there is traffic, each waits for this time after its
 # first list. It meets the others meanwhile, and most entries of the servers are written then.
 _FIRST_START_WAIT_SECONDS = 2.5
+# Number of changes from which an answer of the store may lack others; it holds about 500.
+_MIN_CUT_OFF_CHANGES = 400
 # Delays after failed calls. The platform charges for every call, including refused ones.
 _FIRST_BACKOFF_SECONDS = 0.1
 _MAX_BACKOFF_SECONDS = 0.4
@@ -118,6 +120,8 @@
         # before the first list.
         self._revisions: dict[str, int] = {}
         self._revision = 0
+        # Time at which the store stated that nothing newer existed.
+        self._confirmed_us = 0
         self._era = 0
         self._is_era_malformed = False
         # Latest era that updates named, and the latest of them that caused a list.
@@ -286,6 +290,7 @@
                 self._revisions[entry.key] = entry.revision
             self._apply_change(entry)
         self._revision = as_of
+        self._confirmed_us = confirmed_us
         now_us = self._read_clock_us()
         self._handle(
             SourceRead(now_us, after, as_of, entries, confirmed_us, is_regained, is_fed)
@@ -357,6 +362,7 @@
         # A list of a new era does not continue the earlier one; followers read it themselves.
         changes = () if is_rewound else self._find_changes(as_of, entries)
         after, self._revision = 0 if is_rewound else self._revision, as_of
+        self._confirmed_us = confirmed_us
         self._is_list_needed = False
         self._revisions = {entry.key: entry.revision for entry in entries}
         for entry in entries:
@@ -405,6 +411,10 @@
         entries = tuple(
             create_entry(item, self._era) for item in events if item.revision > after
         )
+        is_cut_off = len(entries) >= _MIN_CUT_OFF_CHANGES
+        if is_cut_off:
+            # Newer changes may exist already, so that the answer does not confirm anything.
+            confirmed_us = self._confirmed_us
         as_of = create_position(self._era, changes.asOf)
         as_of = max([as_of, *(entry.revision for entry in entries)])
         self._check_revision(as_of, revision_before)
@@ -413,10 +423,17 @@
             return
         entries = tuple(entry for entry in entries if entry.revision > self._revision)
         self._apply_changes(as_of, entries, confirmed_us)
+        if not is_cut_off:
+            await self._pause(bool(entries), confirmed_us, max_pause_seconds)
+
+    async def _pause(
+        self, is_changed: bool, answered_us: int, max_pause_seconds: float
+    ) -> None:
+        """Wait after an answer with changes, so that the next one brings several together."""
         self._pause_seconds = get_next_pause(
-            self._pause_seconds, confirmed_us - self._pause_ended_us, max_pause_seconds
+            self._pause_seconds, answered_us - self._pause_ended_us, max_pause_seconds
         )
-        if entries:
+        if is_changed:
             await asyncio.sleep(self._pause_seconds)
         self._pause_ended_us = self._read_clock_us()
 
--- a/mimosapost/platform/tests/test_store_feed.py
+++ b/mimosapost/platform/tests/test_store_feed.py
@@ -385,6 +385,29 @@
         assert read_clock_us() - started_us < 900_000
 
 
+async def test_an_answer_that_is_cut_off_confirms_nothing_and_is_continued_at_once():
+    """Replay hundreds of changes a second, of which an answer of the store holds only a part.
+
+    The reader took each part for the newest state and paused after it. Its followers believed
+    in entries that were seconds old.
+    """
+    async with run_readers(1, apply_limit_ms=5_000) as (store, (reader,)):
+        store.mode = "busy"
+        await wait_until(lambda: reader.list_events(SourceLost))
+        confirmed_us = reader.list_events(SourceRead)[-1].confirmed_us
+        for number in range(4_600):
+            await store.put(f"servers/j-{number % 50}", create_entry(number % 50 + 10))
+        store.mode = "serve"
+        started_us = read_clock_us()
+        await wait_until(lambda: reader.revision == store.revision, 10)
+        # The limit is that of a single pause, after a back-off of at most 0.4 s.
+        assert read_clock_us() - started_us < 1_500_000
+        *parts, last = [read for read in reader.list_events(SourceRead) if read.entries][-10:]
+        assert {len(read.entries) for read in parts} == {500}
+        assert {read.confirmed_us for read in parts} == {confirmed_us}
+        assert last.confirmed_us > started_us
+
+
 async def test_changes_of_a_watch_are_fed_in_order():
     """Nothing states that the store orders the changes of an answer, and followers check it."""
     async with run_readers() as (store, (first, follower)):
