Count the way of an update between instances as a part of its age

The second of two causes: followers believed updates that had waited for seconds in the queue of their reader and on its link.

Cause: the age of an update was counted by the reader's clock until it was sent. What came after that, and the time in which a paused reader's clock stood still, was left out.

A request for updates now carries the follower's time, and an update returns it with the time from the arrival of that request to the confirmation by the store. The sum is at or before the confirmation in the follower's own clock. No message and no call is added, and instances of earlier releases are understood.

The test of the usual age stated that the way is left out; it is replaced by one that is as strict and states that it counts.

--- a/mimosapost/membership/codec.py
+++ b/mimosapost/membership/codec.py
@@ -500,12 +500,12 @@
 
 @_register_writer(FeedRequest, "feedRequest")
 def _write_feed_request(message: FeedRequest) -> dict[str, Any]:
-    return {"revision": _check_version(message.revision)}
+    return {"revision": _check_version(message.revision), "sentUs": message.sent_us}
 
 
 @_register_reader("feedRequest")
 def _read_feed_request(reader: Any) -> FeedRequest:
-    return FeedRequest(_check_version(reader.revision))
+    return FeedRequest(_check_version(reader.revision), reader.sentUs)
 
 
 @_register_writer(FeedUpdate, "feedUpdate")
@@ -516,6 +516,8 @@
         "entries": _check_length(message.packed_entries, _MAX_FEED_BYTES, "entries"),
         "ageUs": message.age_us,
         "regained": message.is_regained,
+        "requestSentUs": message.request_sent_us,
+        "confirmedAfterUs": message.confirmed_after_us,
     }
 
 
@@ -527,6 +529,8 @@
         packed_entries=bytes(_check_length(reader.entries, _MAX_FEED_BYTES, "entries")),
         age_us=reader.ageUs,
         is_regained=reader.regained,
+        request_sent_us=reader.requestSentUs,
+        confirmed_after_us=reader.confirmedAfterUs,
     )
     if update.after > update.as_of:
         raise CodecError(f"feed update goes from {update.after} back to {update.as_of}")
--- a/mimosapost/membership/peer.capnp
+++ b/mimosapost/membership/peer.capnp
@@ -126,6 +126,7 @@
 
 struct FeedRequest {
   revision @0 :UInt64;
+  sentUs @1 :UInt64;
 }
 
 # The entries are a list of [key, revision, value, removed] in MessagePack, compressed (zlib).
@@ -135,6 +136,8 @@
   entries @2 :Data;
   ageUs @3 :UInt64;
   regained @4 :Bool;
+  requestSentUs @5 :UInt64;
+  confirmedAfterUs @6 :Int64;
 }
 
 struct ServerNote {
--- a/mimosapost/membership/tests/test_codec.py
+++ b/mimosapost/membership/tests/test_codec.py
@@ -62,6 +62,8 @@
     FeedRequest(2**53),
     FeedUpdate(0, 2**53, b"", 2**64 - 1, True),
     FeedUpdate(5, 9, b"packed", 3),
+    FeedRequest(2**53, 2**64 - 1),
+    FeedUpdate(5, 9, b"packed", 3, False, 2**64 - 1, -(2**63)),
     ServerNotes(
         2,
         (ServerNote("i-1", 2**64 - 1, 2**32 - 1, 100, 2**32 - 1, 7, 99, 2**32 - 1),),
--- a/mimosapost/model/peer_messages.py
+++ b/mimosapost/model/peer_messages.py
@@ -275,9 +275,11 @@
     """Request to pass on what the receiver reads from the source during the next seconds.
 
     :param revision: revision up to which the sender has applied the changes of the source.
+    :param sent_us: time of the sender in microseconds, which updates return; 0 for none.
     """
 
     revision: int
+    sent_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -291,6 +293,9 @@
     :param age_us: time in microseconds since the source stated that nothing newer existed.
     :param is_regained: whether the source was unreachable before, so that entries may be
         missing only because they expired meanwhile.
+    :param request_sent_us: time in the last request of the receiver; 0 for none.
+    :param confirmed_after_us: time in microseconds from the arrival of that request until the
+        source stated that nothing newer existed; negative if it had stated it before.
     """
 
     after: int
@@ -298,6 +303,8 @@
     packed_entries: bytes
     age_us: int
     is_regained: bool = False
+    request_sent_us: int = 0
+    confirmed_after_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/mimosapost/relay/feed_choices.py
+++ b/mimosapost/relay/feed_choices.py
@@ -25,6 +25,7 @@
 __all__ = [
     "FeedState",
     "Fit",
+    "Follower",
     "choose_reader",
     "classify_update",
     "find_changes_since",
@@ -45,6 +46,19 @@
 _FOLLOWER_US = 3_500_000
 
 
+@dataclass(frozen=True, slots=True)
+class Follower:
+    """Instance that asked for updates.
+
+    :param asked_us: time at which its last request arrived.
+    :param request_sent_us: its own time at which it sent this request; 0 if it stated none.
+    """
+
+    peer_address: str
+    asked_us: int
+    request_sent_us: int = 0
+
+
 @dataclass(slots=True)
 class FeedState:
     """What an instance has read of the source and whom it reads it from.
@@ -53,7 +67,7 @@
     :param confirmed_us: time at which the source stated that nothing newer existed.
     :param reader: instance that is asked for updates, or ``None``.
     :param heard_us: time of the last update of the reader, or of the first request to it.
-    :param followers: peer address and time of the last request, by name of the instance.
+    :param followers: instances that asked for updates, by name.
     :param blocked_until_us: time until which an instance is not asked, by name.
     :param reads: the last reads with known changes, with ascending revisions.
     """
@@ -62,7 +76,7 @@
     confirmed_us: int = 0
     reader: Member | None = None
     heard_us: int = 0
-    followers: dict[str, tuple[str, int]] = field(default_factory=dict)
+    followers: dict[str, Follower] = field(default_factory=dict)
     blocked_until_us: dict[str, int] = field(default_factory=dict)
     reads: deque[SourceRead] = field(default_factory=lambda: deque(maxlen=_KEPT_READS))
 
@@ -155,12 +169,12 @@
     return revision, tuple(entry for entry in entries if entry.revision > revision)
 
 
-def list_followers(feed: FeedState, now_us: int) -> list[tuple[str, str]]:
-    """Return name and peer address of the instances that follow this one."""
+def list_followers(feed: FeedState, now_us: int) -> list[tuple[str, Follower]]:
+    """Return the instances that follow this one, with their names."""
     return [
-        (name, address)
-        for name, (address, asked_us) in feed.followers.items()
-        if now_us - asked_us < _FOLLOWER_US
+        (name, follower)
+        for name, follower in feed.followers.items()
+        if now_us - follower.asked_us < _FOLLOWER_US
     ]
 
 
--- a/mimosapost/relay/feeds.py
+++ b/mimosapost/relay/feeds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 from mimosapost.model.effects import IncrementCounter, SendPeer, WriteLog
@@ -9,7 +10,12 @@
 from mimosapost.model.peer_messages import FeedRequest, FeedUpdate, SourceEntry
 from mimosapost.relay.effects import ApplyFeed
 from mimosapost.relay.events import SourceRead
-from mimosapost.relay.feed_choices import choose_reader, find_changes_since, list_followers
+from mimosapost.relay.feed_choices import (
+    Follower,
+    choose_reader,
+    find_changes_since,
+    list_followers,
+)
 from mimosapost.relay.registry import Effects, handles, handles_message
 from mimosapost.relay.source_entries import EntriesError, pack_entries, unpack_entries
 from mimosapost.relay.state import RelayState
@@ -28,7 +34,7 @@
 def request_feed(state: RelayState, now_us: int, effects: Effects) -> None:
     """Ask the chosen instance for updates; called in each round of gossip."""
     feed, peers = state.feed, state.peers
-    feed.followers = {name: feed.followers[name] for name, _ in list_followers(feed, now_us)}
+    feed.followers = dict(list_followers(feed, now_us))
     feed.blocked_until_us = {
         name: until_us for name, until_us in feed.blocked_until_us.items() if until_us > now_us
     }
@@ -48,7 +54,7 @@
         effects.append(WriteLog("feed_reader_chosen", fields))
     feed.reader = reader
     if reader is not None:
-        request = FeedRequest(feed.revision)
+        request = FeedRequest(feed.revision, now_us)
         effects.append(SendPeer(reader.name, reader.peer_address, request))
 
 
@@ -66,12 +72,13 @@
         return
     feed, revision = state.feed, event.message.revision
     is_new = event.peer not in feed.followers
-    feed.followers[event.peer] = (member.peer_address, event.now_us)
+    follower = Follower(member.peer_address, event.now_us, event.message.sent_us)
+    feed.followers[event.peer] = follower
     if not feed.revision or not (is_new or revision < feed.revision):
         return
     after, entries = find_changes_since(feed, revision)
     update = _create_update(after, feed.revision, entries, event.now_us - feed.confirmed_us)
-    effects.append(SendPeer(event.peer, member.peer_address, update))
+    _send_update(event.peer, follower, update, feed.confirmed_us, effects)
 
 
 @handles_message(FeedUpdate)
@@ -90,12 +97,25 @@
         release_reader(state, event.peer, event.now_us)
         return
     _count(effects, "received")
-    confirmed_us = event.now_us - update.age_us
+    confirmed_us = _find_confirmed_us(update, event.now_us)
     effects.append(
         ApplyFeed(update.after, update.as_of, entries, confirmed_us, update.is_regained)
     )
 
 
+def _find_confirmed_us(update: FeedUpdate, now_us: int) -> int:
+    """Return a time at or before which the source stated that the update was its newest state.
+
+    The stated age leaves out the time on the way, and that in which the reader was paused and
+    its clock stood still. The source confirmed the update a known time after the reader had a
+    request of this instance, and so no earlier than that time after the request was sent.
+    """
+    confirmed_us = now_us - update.age_us
+    if not update.request_sent_us:
+        return confirmed_us
+    return min(confirmed_us, update.request_sent_us + update.confirmed_after_us)
+
+
 @handles(SourceRead)
 def feed_followers(state: RelayState, event: SourceRead, effects: Effects) -> None:
     """Pass changes of the source on to the followers."""
@@ -125,8 +145,8 @@
         )
         effects.append(WriteLog("feed_left_out", fields))
         _count(effects, "left_out")
-    for name, address in followers:
-        effects.append(SendPeer(name, address, update))
+    for name, follower in followers:
+        _send_update(name, follower, update, event.confirmed_us, effects)
     _count(effects, "sent", len(followers))
 
 
@@ -147,6 +167,18 @@
     return FeedUpdate(after, as_of, packed_entries, age_us, is_regained)
 
 
+def _send_update(
+    name: str, follower: Follower, update: FeedUpdate, confirmed_us: int, effects: Effects
+) -> None:
+    if follower.request_sent_us:
+        update = replace(
+            update,
+            request_sent_us=follower.request_sent_us,
+            confirmed_after_us=confirmed_us - follower.asked_us,
+        )
+    effects.append(SendPeer(name, follower.peer_address, update))
+
+
 def describe_feed(state: RelayState, now_us: int) -> dict[str, Any]:
     """Return reader, followers and revision for the status page."""
     feed = state.feed
--- a/mimosapost/relay/server_notes.py
+++ b/mimosapost/relay/server_notes.py
@@ -106,7 +106,7 @@
         readers = list_readers(peers.own, members, feed.blocked_until_us)
         receivers = [(reader.name, reader.peer_address) for reader in readers]
         _send(effects, receivers, 1, new, new_suspects)
-    followers = list_followers(feed, now_us)
+    followers = [(name, f.peer_address) for name, f in list_followers(feed, now_us)]
     _send(effects, followers, LAST_STAGE, tuple(notes.values()), suspects)
 
 
--- a/mimosapost/relay/tests/test_feeds.py
+++ b/mimosapost/relay/tests/test_feeds.py
@@ -148,11 +148,52 @@
             continue
         (effect,) = list_applied(relay)
         assert (effect.after, effect.as_of, effect.entries) == (10, 11, (ENTRY,))
-        # The way between the instances is not counted, 1 ms here.
-        assert effect.confirmed_us == started_us - 299 * MS
+        # The way of the request, 1 ms here, counts as age; the way of the update is known.
+        assert effect.confirmed_us == started_us - 301 * MS
     assert fleet.count_messages(FeedUpdate) == len(fleet.relays) - 1
 
 
+@pytest.mark.parametrize(
+    ("delay_ms", "paused_ms"),
+    [
+        pytest.param(1, 0, id="usual"),
+        pytest.param(900, 0, id="slow link"),
+        pytest.param(1, 2_500, id="reader paused, its clock stood still"),
+        pytest.param(900, 2_500, id="both"),
+    ],
+)
+def test_no_update_is_taken_for_newer_than_it_is(delay_ms, paused_ms):
+    """Followers believed updates that had waited for seconds on a link with 20 Mbit/s."""
+    fleet = create_fleet()
+    reader = find_reader(fleet)
+    follower = next(name for name in fleet.relays if name != reader)
+    confirmed_us = fleet.now_us
+    read = SourceRead(confirmed_us, 10, 11, (ENTRY,), confirmed_us)
+    update = next(
+        effect.message
+        for effect in fleet[reader].apply_event(read)
+        if isinstance(effect, SendPeer) and effect.peer == follower
+    )
+    # While the reader is paused, its clock does not advance, but that of the follower does.
+    arrived_us = fleet.now_us + (delay_ms + paused_ms) * MS
+    effects = fleet[follower].apply_event(PeerMessageArrived(arrived_us, reader, update))
+    (effect,) = [effect for effect in effects if isinstance(effect, ApplyFeed)]
+    assert effect.confirmed_us <= confirmed_us
+    assert effect.confirmed_us >= confirmed_us - 10 * MS
+
+
+def test_an_update_without_a_time_of_the_follower_keeps_the_stated_age():
+    """An instance of an earlier release returns no time."""
+    fleet = create_fleet()
+    reader = find_reader(fleet)
+    follower = next(name for name in fleet.relays if name != reader)
+    update = FeedUpdate(10, 11, pack_entries((ENTRY,)), 300 * MS)
+    event = PeerMessageArrived(fleet.now_us, reader, update)
+    effects = fleet[follower].apply_event(event)
+    (effect,) = [effect for effect in effects if isinstance(effect, ApplyFeed)]
+    assert effect.confirmed_us == fleet.now_us - 300 * MS
+
+
 def test_a_follower_passes_updates_on_to_those_that_know_no_better_reader():
     fleet = create_fleet()
     reader = find_reader(fleet)
