Count the age of an answer of the store from its first byte

An answer that arrived slowly, over a link that others use as well, counted as new at its last byte, so that followers believed it for longer than allowed.

Cause: the time of the confirmation was taken after the whole answer was read and decoded.

It is now the arrival of the answer's head.

--- a/mimosapost/platform/store_calls.py
+++ b/mimosapost/platform/store_calls.py
@@ -5,7 +5,7 @@
 import base64
 import binascii
 import re
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Annotated, Any
 from urllib.parse import urlencode
@@ -82,11 +82,14 @@
 class Answer:
     """Answer to a call.
 
+    :param began_us: monotonic time in microseconds at which its first bytes arrived; what the
+        store changed since then may be missing.
     :param era: era that the store named; ``None`` if it named none or a malformed one.
     :param is_era_malformed: whether it named a malformed one.
     """
 
     body: bytes
+    began_us: int
     era: int | None = None
     is_era_malformed: bool = False
 
@@ -103,11 +106,13 @@
     session: aiohttp.ClientSession,
     url: str,
     fields: Mapping[str, Any],
+    read_clock_us: Callable[[], int],
     wait_seconds: float = 0,
 ) -> Answer:
     """Make one call and return its answer.
 
     :param fields: fields of the query.
+    :param read_clock_us: monotonic clock in microseconds.
     :param wait_seconds: time for which a watch waits for changes.
     :raises HistoryLost: if a watch starts before the history of the store.
     :raises aiohttp.ClientError: if the call fails or its answer is too large.
@@ -121,6 +126,7 @@
     async with session.get(
         f"{url}?{urlencode(fields)}", timeout=timeout, allow_redirects=False
     ) as response:
+        began_us = read_clock_us()
         if response.status == 410:
             raise HistoryLost
         if response.status != 200:
@@ -132,7 +138,8 @@
             body += chunk
             if len(body) > _MAX_ANSWER_BYTES:
                 raise AnswerTooLarge(f"answer of {url} exceeds {_MAX_ANSWER_BYTES} bytes")
-        return Answer(bytes(body), *_decode_era(response.headers.getall(_ERA_HEADER, [])))
+        era = _decode_era(response.headers.getall(_ERA_HEADER, []))
+        return Answer(bytes(body), began_us, *era)
 
 
 def _decode_era(values: Sequence[str]) -> tuple[int | None, bool]:
--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -21,6 +21,7 @@
 from mimosapost.model.peer_messages import SourceEntry
 from mimosapost.platform.store_calls import (
     CONFIG_KEY,
+    Answer,
     AnswerTooLarge,
     Changes,
     HistoryLost,
@@ -307,10 +308,11 @@
         revision_before = self._revision
         first_revision, confirmed_us = None, 0
         while True:
-            page = msgspec.json.decode(await self._call("kv-range", fields), type=Page)
+            answer = await self._call("kv-range", fields)
+            page = msgspec.json.decode(answer.body, type=Page)
             as_of = create_position(self._era, page.asOf)
             if first_revision is None:
-                first_revision, confirmed_us = as_of, self._read_clock_us()
+                first_revision, confirmed_us = as_of, answer.began_us
             elif get_era(first_revision) != self._era:
                 raise _StaleAnswer(f"the era changed to {self._era} between two pages")
             entries += [create_entry(item, self._era) for item in page.items]
@@ -324,13 +326,15 @@
             return
         self._apply_list(first_revision, entries, confirmed_us)
 
-    async def _call(self, name: str, fields: dict[str, Any], wait_seconds: float = 0) -> bytes:
-        """Make one call and return the body of its answer, unless it is of another era.
+    async def _call(self, name: str, fields: dict[str, Any], wait_seconds: float = 0) -> Answer:
+        """Make one call and return its answer, unless it is of another era.
 
         An answer without a usable era counts as one of the era that is known.
         """
         url = f"{self._url}/api/{name}"
-        answer = await fetch_answer(self._session, url, fields, wait_seconds)
+        answer = await fetch_answer(
+            self._session, url, fields, self._read_clock_us, wait_seconds
+        )
         if answer.is_era_malformed and not self._is_era_malformed:
             self._logs.write("store_era_malformed", {"era": self._era})
         self._is_era_malformed = answer.is_era_malformed
@@ -348,7 +352,7 @@
             self._report_source_lost(error)
             if not self._is_list_needed:
                 raise error
-        return answer.body
+        return answer
 
     def _check_revision(self, as_of: int, before: int) -> None:
         """Check that an answer is no older than what was known before the call."""
@@ -404,17 +408,15 @@
         revision_before = self._revision
         after = get_revision(revision_before)
         fields = {"pathPrefix": "", "after": after, "waitMs": wait_ms}
-        data = await self._call("kv-watch", fields, wait_ms / 1_000)
-        confirmed_us = self._read_clock_us()
-        changes = msgspec.json.decode(data, type=Changes)
+        answer = await self._call("kv-watch", fields, wait_ms / 1_000)
+        changes = msgspec.json.decode(answer.body, type=Changes)
         events = sorted(changes.events, key=lambda item: item.revision)
         entries = tuple(
             create_entry(item, self._era) for item in events if item.revision > after
         )
+        # Newer changes may exist already if an answer is cut off, so that it confirms nothing.
         is_cut_off = len(entries) >= _MIN_CUT_OFF_CHANGES
-        if is_cut_off:
-            # Newer changes may exist already, so that the answer does not confirm anything.
-            confirmed_us = self._confirmed_us
+        confirmed_us = self._confirmed_us if is_cut_off else answer.began_us
         as_of = create_position(self._era, changes.asOf)
         as_of = max([as_of, *(entry.revision for entry in entries)])
         self._check_revision(as_of, revision_before)
@@ -424,7 +426,7 @@
         entries = tuple(entry for entry in entries if entry.revision > self._revision)
         self._apply_changes(as_of, entries, confirmed_us)
         if not is_cut_off:
-            await self._pause(bool(entries), confirmed_us, max_pause_seconds)
+            await self._pause(bool(entries), answer.began_us, max_pause_seconds)
 
     async def _pause(
         self, is_changed: bool, answered_us: int, max_pause_seconds: float
--- a/mimosapost/platform/tests/test_store_feed.py
+++ b/mimosapost/platform/tests/test_store_feed.py
@@ -408,6 +408,22 @@
         assert last.confirmed_us > started_us
 
 
+async def test_an_answer_is_as_old_as_its_first_byte():
+    """An answer that arrived slowly counted as new at its last byte."""
+    async with AsyncExitStack() as stack:
+        store = StandinStore()
+        address = await store.start(stack)
+        store.mode = "congested"
+        await store.put("op/config", create_config(1, ["s0"]))
+        reader = Reader(address, APPLY_LIMIT_MS)
+        await reader.source.start()
+        stack.push_async_callback(reader.source.stop)
+        await wait_until(lambda: reader.revision == store.revision)
+        (read,) = reader.list_events(SourceRead)
+        # The store takes 1.25 s from the first part of a list to the last one.
+        assert read.now_us - read.confirmed_us >= 1_200_000
+
+
 async def test_changes_of_a_watch_are_fed_in_order():
     """Nothing states that the store orders the changes of an answer, and followers check it."""
     async with run_readers() as (store, (first, follower)):
