Move the application of store entries out of the reader

Decoding entries and passing them to the reducer is now a module of its own; the code is moved, not changed.

--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -19,8 +19,8 @@
 from mimosapost.edge.logs import Logs
 from mimosapost.model.events import Event
 from mimosapost.model.peer_messages import SourceEntry
+from mimosapost.platform.entry_application import EntryApplication
 from mimosapost.platform.store_calls import (
-    CONFIG_KEY,
     Answer,
     AnswerTooLarge,
     Changes,
@@ -29,7 +29,6 @@
     create_entry,
     fetch_answer,
 )
-from mimosapost.platform.store_entries import EntryError, decode_catalog, decode_server
 from mimosapost.platform.store_pacing import (
     FEED_AGE_SHARE,
     get_idle_seconds,
@@ -38,22 +37,10 @@
 )
 from mimosapost.platform.store_positions import create_position, get_era, get_revision
 from mimosapost.relay.effects import ApplyFeed
-from mimosapost.relay.events import (
-    CatalogRead,
-    DomainsOut,
-    EntryIgnored,
-    ServerListed,
-    ServersReplaced,
-    ServerUnlisted,
-    SourceLost,
-    SourceRead,
-    SourceRegained,
-)
+from mimosapost.relay.events import SourceLost, SourceRead, SourceRegained
 
 __all__ = ["StoreReader"]
 
-_SERVER_PREFIX = "servers/"
-_DOMAIN_OUT_PREFIX = "op/evacuate/"
 # When all instances start together before there is traffic, each waits for this time after its
 # first list. It meets the others meanwhile, and most entries of the servers are written then.
 _FIRST_START_WAIT_SECONDS = 2.5
@@ -114,6 +101,7 @@
         self._handle = handle
         self._read_clock_us = read_clock_us
         self._logs = logs
+        self._entries = EntryApplication(handle, read_clock_us, logs)
         self._is_followed = is_followed
         self._detection_limit_ms = detection_limit_ms
         self._session: aiohttp.ClientSession | None = None
@@ -135,7 +123,6 @@
         # Whether updates are applied now, and whether they were since the last own call.
         self._is_fed = False
         self._was_fed = False
-        self._domains_out: frozenset[str] = frozenset()
         self._source_lost = False
         self._pause_seconds = 0.0
         self._pause_ended_us = 0
@@ -289,7 +276,7 @@
                 self._revisions.pop(entry.key, None)
             else:
                 self._revisions[entry.key] = entry.revision
-            self._apply_change(entry)
+            self._entries.apply_change(entry)
         self._revision = as_of
         self._confirmed_us = confirmed_us
         now_us = self._read_clock_us()
@@ -369,22 +356,8 @@
         self._confirmed_us = confirmed_us
         self._is_list_needed = False
         self._revisions = {entry.key: entry.revision for entry in entries}
-        for entry in entries:
-            if entry.key == CONFIG_KEY:
-                self._apply_config(entry)
-        domains_out = (
-            entry.key.removeprefix(_DOMAIN_OUT_PREFIX)
-            for entry in entries
-            if entry.key.startswith(_DOMAIN_OUT_PREFIX)
-        )
-        self._set_domains_out(frozenset(domains_out), is_rewound)
-        # The server list is passed last, because it releases the requests that were held until
-        # the instance is ready.
-        server_entries = [entry for entry in entries if entry.key.startswith(_SERVER_PREFIX)]
-        servers = [self._decode_server(entry) for entry in server_entries]
-        usable_servers = tuple(server for server in servers if server is not None)
+        self._entries.apply_list(entries, is_rewound)
         now_us = self._read_clock_us()
-        self._handle(ServersReplaced(now_us, usable_servers, is_rewound))
         self._handle(SourceRead(now_us, after, as_of, changes, confirmed_us, is_regained))
 
     def _find_changes(self, as_of: int, entries: list[SourceEntry]) -> tuple[SourceEntry, ...]:
@@ -439,52 +412,6 @@
             await asyncio.sleep(self._pause_seconds)
         self._pause_ended_us = self._read_clock_us()
 
-    def _apply_change(self, entry: SourceEntry) -> None:
-        if entry.key.startswith(_SERVER_PREFIX):
-            server_id = entry.key.removeprefix(_SERVER_PREFIX)
-            if entry.is_removed:
-                event = ServerUnlisted(self._read_clock_us(), server_id, "removed")
-                self._handle(event)
-                return
-            server = self._decode_server(entry)
-            if server is not None:
-                self._handle(ServerListed(self._read_clock_us(), server))
-        elif entry.key.startswith(_DOMAIN_OUT_PREFIX):
-            domain = frozenset((entry.key.removeprefix(_DOMAIN_OUT_PREFIX),))
-            self._set_domains_out(
-                self._domains_out - domain if entry.is_removed else self._domains_out | domain
-            )
-        elif entry.key == CONFIG_KEY and not entry.is_removed:
-            self._apply_config(entry)
-
-    def _set_domains_out(self, domains: frozenset[str], is_rewound: bool = False) -> None:
-        self._domains_out = domains
-        self._handle(DomainsOut(self._read_clock_us(), domains, is_rewound))
-
-    def _decode_server(self, entry: SourceEntry) -> Any:
-        server_id = entry.key.removeprefix(_SERVER_PREFIX)
-        try:
-            return decode_server(server_id, _get_value(entry))
-        except EntryError as error:
-            self._report_odd_entry(entry, error)
-            # The entry may have replaced a valid one. The current address and state of its
-            # server are unknown, so the server must not be used any longer.
-            event = ServerUnlisted(self._read_clock_us(), server_id, "unreadable")
-            self._handle(event)
-            return None
-
-    def _apply_config(self, entry: SourceEntry) -> None:
-        try:
-            catalog = decode_catalog(_get_value(entry))
-        except EntryError as error:
-            self._report_odd_entry(entry, error)
-            return
-        self._handle(CatalogRead(self._read_clock_us(), catalog))
-
-    def _report_odd_entry(self, entry: SourceEntry, error: EntryError) -> None:
-        self._logs.write("entry_ignored", {"key": entry.key, "reason": str(error)})
-        self._handle(EntryIgnored(self._read_clock_us(), entry.key.partition("/")[0]))
-
     def _report_source_lost(self, error: Exception) -> None:
         if not self._source_lost:
             reason = f"{type(error).__name__} {error}"[:200]
@@ -498,9 +425,3 @@
         self._source_lost = False
         self._handle(SourceRegained(self._read_clock_us()))
         return True
-
-
-def _get_value(entry: SourceEntry) -> bytes:
-    if not entry.value:
-        raise EntryError("value is empty, or not valid base64 or JSON")
-    return entry.value
