Let servers of the soak refuse without proof what they have run

Servers that reject requests now also run some and answer 408, 429 or 503 without stating that the request has not run; the soak counts all three as such a statement to the caller.

--- a/mimosapost/platform/tests/soak.py
+++ b/mimosapost/platform/tests/soak.py
@@ -43,6 +43,10 @@
 _LONE_SERVICE = "lone"
 # Paths of requests that may run once.
 _RUN_ONCE_PREFIXES = ("/order/", "/book/", "/pay/")
+# Statuses that tell callers that a request has not run, and how often a server that rejects
+# requests uses them without that statement after it has run one.
+_NOT_RUN_STATUSES = (408, 429, 503)
+_UNPROVEN_SHARE = 0.3
 _BOOKING_INTERVAL_SECONDS = 0.05
 _PAYMENT_INTERVAL_SECONDS = 0.03
 _REQUESTS_PER_SECOND = 40
@@ -302,6 +306,9 @@
             self.crashes.append((loop.time(), request.headers["X-Request-Id"]))
             await proxy.crash(_DOWN_SECONDS)
         self._record_run(request)
+        if random.random() < proxy.reject_share * _UNPROVEN_SHARE:
+            headers = {"X-Response-Seal": f"failed.{request.headers['X-Request-Id']}"}
+            return web.Response(status=random.choice(_NOT_RUN_STATUSES), headers=headers)
         return None
 
     async def _repeat_answers(self, servers, proxies) -> None:
@@ -426,7 +433,7 @@
         self.result_counts[response.status] += 1
         if response.status in (400, 404, 413, 431):
             self.broken.append(f"{request_id} was denied with status {response.status}")
-        if response.status in (429, 503) and kind != "search":
+        if response.status in _NOT_RUN_STATUSES and kind != "search":
             self.refused_ids.add(request_id)
         if response.status != 200:
             return
