--- a/mimosapost/platform/settings.py
+++ b/mimosapost/platform/settings.py
@@ -249,8 +249,8 @@
     "listenAddrs.readyAddr": ("ip:port", _is_address),
     "platform.address": ("ip:port", _is_address),
 }
-# The process keeps its promises only if it knows these limits, so that a malformed value is
-# refused and not replaced by a guess.
+# The process keeps its promises only if it knows these limits and ports, so that a malformed
+# value is refused and not replaced by a guess.
 _EXPLAINED_FIELDS: _FieldRules = {
     "portRange": ("two ports", _is_port_range),
     "bounds.graceS": (_ABOVE_ZERO, _is_positive_number),
--- a/mimosapost/platform/tests/test_store_feed.py
+++ b/mimosapost/platform/tests/test_store_feed.py
@@ -206,6 +206,7 @@
 
 
 async def test_updates_that_are_too_old_are_applied_during_a_call_that_goes_on():
+    """What they bring is newer than what is known, though the store must be read as well."""
     async with run_silenced_follower() as (store, follower):
         revision = follower.revision
         entry = SourceEntry("servers/i-1", revision + 1, is_removed=True)
@@ -218,6 +219,7 @@
 
 
 async def test_a_follower_does_not_use_a_connection_that_was_idle_while_it_was_fed():
+    """Its first own call waited on a connection that had gone silent meanwhile."""
     async with run_readers() as (store, (first, follower)):
         await asyncio.sleep(LIMIT_SECONDS)
         store.silence_connections()
@@ -227,6 +229,7 @@
 
 
 async def test_a_follower_whose_history_is_lost_is_fed_while_the_store_turns_it_away():
+    """It ignored its reader until it could read the list, and acted on old entries."""
     async with run_readers() as (store, (first, follower)):
         first.followers = []
         await first.source.stop()
