Wait for the next call in the test of a lost history

The test failed once beside load (8 of 8 cores busy): it looked at the last call between the end of the feed and the call that follows it, and saw one made before. It now waits for that call and compares the number of lists, which is as strict.

--- a/mimosapost/platform/tests/test_store_feed.py
+++ b/mimosapost/platform/tests/test_store_feed.py
@@ -243,7 +243,9 @@
         # The updates continue from what was read, so that no list is needed any more.
         store.mode = "serve"
         await wait_until(lambda: "feed_ended" in follower.log.getvalue().rpartition("lost")[2])
-        assert store.requested_paths[-1] != "/api/kv-range"
+        lists = store.requested_paths.count("/api/kv-range")
+        await wait_until(lambda: store.requested_paths[-1] == "/api/kv-watch")
+        assert store.requested_paths.count("/api/kv-range") == lists
 
 
 async def test_an_old_confirmation_does_not_keep_a_follower_from_the_store():
