--- a/mimosapost/platform/store_calls.py
+++ b/mimosapost/platform/store_calls.py
@@ -14,6 +14,7 @@
 import msgspec
 from msgspec import Meta
 
+from mimosapost.edge.clock import read_clock_us
 from mimosapost.model.peer_messages import SourceEntry
 from mimosapost.platform.store_positions import MAX_ERA, MAX_REVISION, create_position
 from mimosapost.platform.workspace_entries import seal_config
@@ -106,14 +107,14 @@
     session: aiohttp.ClientSession,
     url: str,
     fields: Mapping[str, Any],
-    read_clock_us: Callable[[], int],
     wait_seconds: float = 0,
+    read_clock_us: Callable[[], int] = read_clock_us,
 ) -> Answer:
     """Make one call and return its answer.
 
     :param fields: fields of the query.
-    :param read_clock_us: monotonic clock in microseconds.
     :param wait_seconds: time for which a watch waits for changes.
+    :param read_clock_us: monotonic clock in microseconds.
     :raises HistoryLost: if a watch starts before the history of the store.
     :raises aiohttp.ClientError: if the call fails or its answer is too large.
     :raises TimeoutError: if no bytes came for too long.
--- a/mimosapost/platform/store_reader.py
+++ b/mimosapost/platform/store_reader.py
@@ -320,7 +320,7 @@
         """
         url = f"{self._url}/api/{name}"
         answer = await fetch_answer(
-            self._session, url, fields, self._read_clock_us, wait_seconds
+            self._session, url, fields, wait_seconds, self._read_clock_us
         )
         if answer.is_era_malformed and not self._is_era_malformed:
             self._logs.write("store_era_malformed", {"era": self._era})
